--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,65 @@
+import { fileURLToPath } from 'node:url';
+
+import { configs, extensions, plugins } from 'eslint-config-airbnb-extended';
+
+/** Folders from the lowest to the highest layer; a file imports only from its own or a lower one. */
+const layers = [
+  ['src/gen', 'src/base'],
+  ['src/ports'],
+  [
+    'src/routing',
+    'src/scheduling',
+    'src/limits',
+    'src/streams',
+    'src/idempotency',
+    'src/membership',
+    'src/configuration',
+    'src/orders',
+  ],
+  ['src/adapters'],
+  ['src/daemon', 'src/cli'],
+];
+
+const zones = layers.flatMap((lower, index) =>
+  lower.flatMap((target) =>
+    layers
+      .slice(index + 1)
+      .flat()
+      .map((from) => ({ target: `./${target}`, from: `./${from}`, message: 'imports go one way' })),
+  ),
+);
+
+export default [
+  { ignores: ['dist/**', 'src/gen/**', 'node_modules/**', 'coverage/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...extensions.base.typescript,
+  ...configs.node.recommended,
+  {
+    files: ['**/*.ts'],
+    languageOptions: {
+      parserOptions: {
+        projectService: true,
+        tsconfigRootDir: fileURLToPath(new URL('.', import.meta.url)),
+      },
+    },
+    rules: {
+      'import-x/no-restricted-paths': ['error', { zones }],
+      'import-x/prefer-default-export': 'off',
+      'import-x/extensions': 'off',
+      // The house style asks for `for of` loops with early exits, written straight down.
+      'no-restricted-syntax': 'off',
+      'no-continue': 'off',
+      'no-await-in-loop': 'off',
+      'no-constant-condition': ['error', { checkLoops: false }],
+      '@typescript-eslint/no-use-before-define': ['error', { functions: false }],
+      '@typescript-eslint/no-floating-promises': 'error',
+    },
+  },
+  {
+    files: ['test/**/*.ts', 'measure/**/*.ts', '*.config.ts'],
+    rules: { 'import-x/no-extraneous-dependencies': 'off', 'no-console': 'off' },
+  },
+];
--- /dev/null
+++ b/src/base/clock.ts
@@ -0,0 +1,60 @@
+import { type CancellationToken } from './cancellation.js';
+import { CancelledError } from './errors.js';
+import { type Disposable, toDisposable } from './lifecycle.js';
+
+/** Source of time. Tests replace it, so that no assertion depends on machine speed. */
+export interface Clock {
+  /** Monotonic time in milliseconds; only differences have a meaning. */
+  now(): number;
+  /** Wall-clock time in milliseconds since the epoch, for logs and audit entries only. */
+  wallTime(): number;
+  setTimer(delayMs: number, callback: () => void): Disposable;
+}
+
+export const systemClock: Clock = {
+  now: () => performance.now(),
+  wallTime: () => Date.now(),
+  setTimer(delayMs, callback) {
+    const timer = setTimeout(callback, Math.max(0, delayMs));
+    return toDisposable(() => clearTimeout(timer));
+  },
+};
+
+/** Waits for a duration; rejects with CancelledError when the token is cancelled first. */
+export function sleep(clock: Clock, delayMs: number, token: CancellationToken): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const state: { link?: Disposable } = {};
+    const timer = clock.setTimer(delayMs, () => {
+      state.link?.dispose();
+      resolve();
+    });
+    state.link = token.onCancellationRequested((reason) => {
+      timer.dispose();
+      reject(new CancelledError(reason));
+    });
+  });
+}
+
+/**
+ * Resolves with the promise's value, or with `undefined` once the duration has passed.
+ * The promise itself is not cancelled; a late rejection is ignored.
+ */
+export function withTimeout<T>(
+  clock: Clock,
+  delayMs: number,
+  promise: Promise<T>,
+): Promise<T | undefined> {
+  return new Promise((resolve, reject) => {
+    const timer = clock.setTimer(delayMs, () => resolve(undefined));
+    promise.then(
+      (value) => {
+        timer.dispose();
+        resolve(value);
+      },
+      (err: unknown) => {
+        timer.dispose();
+        reject(err);
+      },
+    );
+  });
+}
--- /dev/null
+++ b/src/base/errors.ts
@@ -0,0 +1,33 @@
+import ModernError from 'modern-errors';
+
+/** Root of all errors that this project raises on purpose. */
+export const CicadatideError = ModernError.subclass('CicadatideError');
+
+/** The operation was cancelled by its caller. */
+export const CancelledError = CicadatideError.subclass('CancelledError');
+
+/** The operation did not finish within its allowed duration. */
+export const DeadlineError = CicadatideError.subclass('DeadlineError');
+
+/** A settings file is missing, unreadable or invalid. The message names the remedy. */
+export const SettingsError = CicadatideError.subclass('SettingsError');
+
+/** The platform store refused the connection or rejected the call; nothing took effect. */
+export const StoreUnavailableError = CicadatideError.subclass('StoreUnavailableError');
+
+/** The reply of a store write was lost; the write may have taken effect. */
+export const StoreReplyLostError = CicadatideError.subclass('StoreReplyLostError');
+
+/** An order, lease or record lost against a newer one. */
+export const ConflictError = CicadatideError.subclass('ConflictError');
+
+/** A target or an agent failed while it was running a request. */
+export const TargetFailedError = CicadatideError.subclass('TargetFailedError');
+
+/** Returns the message of any thrown value. */
+export function errMessage(err: unknown): string {
+  return err instanceof Error ? err.message : String(err);
+}
+
+/** The target refused the connection, so the work certainly did not run. */
+export const TargetRefusedError = CicadatideError.subclass('TargetRefusedError');
--- /dev/null
+++ b/src/base/lifecycle.ts
@@ -0,0 +1,46 @@
+/** A resource that is released exactly once. */
+export interface Disposable {
+  dispose(): void;
+}
+
+/** Owns disposables and releases them in reverse order of registration. */
+export interface DisposableStore extends Disposable {
+  readonly isDisposed: boolean;
+  /** Registers a disposable; one added after disposal is released at once. */
+  add<T extends Disposable>(disposable: T): T;
+}
+
+/** Wraps a function as a disposable that runs it at most once. */
+export function toDisposable(release: () => void): Disposable {
+  let done = false;
+  return {
+    dispose() {
+      if (done) return;
+      done = true;
+      release();
+    },
+  };
+}
+
+export function createDisposableStore(): DisposableStore {
+  const items: Disposable[] = [];
+  let disposed = false;
+  return {
+    get isDisposed() {
+      return disposed;
+    },
+    add(disposable) {
+      if (disposed) {
+        disposable.dispose();
+        return disposable;
+      }
+      items.push(disposable);
+      return disposable;
+    },
+    dispose() {
+      if (disposed) return;
+      disposed = true;
+      while (items.length > 0) items.pop()?.dispose();
+    },
+  };
+}
--- /dev/null
+++ b/src/base/random.ts
@@ -0,0 +1,30 @@
+/** Source of random numbers; seeded in tests and measurements. */
+export interface Random {
+  /** Returns a number in [0, 1). */
+  next(): number;
+  /** Returns an integer in [0, limit). */
+  integer(limit: number): number;
+}
+
+function fromSource(next: () => number): Random {
+  return { next, integer: (limit) => Math.floor(next() * limit) };
+}
+
+/** Random numbers of the platform, for use outside tests. */
+export const systemRandom: Random = fromSource(() => Math.random());
+
+/** Mulberry32 generator: the same seed gives the same sequence on every machine. */
+export function createSeededRandom(seed: number): Random {
+  let state = seed >>> 0;
+  return fromSource(() => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
+    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+  });
+}
+
+/** Returns a delay in [0, ceiling] for attempt n, doubling from the base ("full jitter"). */
+export function fullJitter(random: Random, baseMs: number, maxMs: number, attempt: number): number {
+  return random.next() * Math.min(maxMs, baseMs * 2 ** attempt);
+}
--- /dev/null
+++ b/src/base/refusals.ts
@@ -0,0 +1,88 @@
+import { CicadatideError } from './errors.js';
+
+/** What is known about the work of a refused or failed request. */
+export type WorkState = 'not-run' | 'completed' | 'unknown';
+
+interface RefusalKind {
+  readonly status: number;
+  readonly type: string;
+  readonly work: WorkState;
+  readonly remedy: string;
+}
+
+/** Every refusal that a caller can see, with its HTTP status and remedy. */
+export const refusalKinds = {
+  invalidJson: kind(400, 'invalid_request_error', 'send a JSON object encoded as UTF-8'),
+  invalidRequest: kind(400, 'invalid_request_error', 'correct the named field'),
+  invalidLength: kind(400, 'invalid_request_error', 'send one valid Content-Length'),
+  unsupportedEncoding: kind(415, 'invalid_request_error', 'send the body without encoding'),
+  bodyTooLarge: kind(413, 'invalid_request_error', 'send a smaller body'),
+  bodyTimeout: kind(408, 'invalid_request_error', 'send the body without long pauses'),
+  unauthorized: kind(401, 'authentication_error', 'send a valid key as Authorization: Bearer'),
+  forbidden: kind(403, 'permission_error', 'use a key with the required role'),
+  unknownModel: kind(404, 'invalid_request_error', 'use a model listed by /v1/models'),
+  unknownRoute: kind(404, 'invalid_request_error', 'use a documented path'),
+  unknownRequest: kind(404, 'invalid_request_error', 'use the id of a recent request of your team'),
+  methodNotAllowed: kind(405, 'invalid_request_error', 'use the documented method'),
+  conflict: kind(409, 'conflict_error', 'read the current revision and submit again'),
+  keyReused: kind(422, 'invalid_request_error', 'use a new Idempotency-Key for a new request'),
+  teamLimit: kind(429, 'rate_limit_error', 'wait for Retry-After or ask for a higher limit'),
+  overloaded: kind(503, 'overloaded_error', 'wait for Retry-After and send the request again'),
+  noTarget: kind(503, 'overloaded_error', 'wait until a target of this route is ready'),
+  draining: kind(503, 'overloaded_error', 'send the request again on a new connection'),
+  notReady: kind(503, 'overloaded_error', 'wait until the instance reports ready'),
+  storeDown: kind(503, 'overloaded_error', 'send the request again when the store is back'),
+  deadline: kind(504, 'timeout_error', 'allow more time or send the request at lower load'),
+  deadlineRunning: kind(504, 'timeout_error', 'ask for the result by request id', 'unknown'),
+  inProgress: kind(409, 'conflict_error', 'wait and repeat with the same key', 'unknown'),
+  outcomeUnknown: kind(
+    502,
+    'upstream_error',
+    'repeat with the same Idempotency-Key or ask an operator to settle it',
+    'unknown',
+  ),
+  targetFailed: kind(502, 'upstream_error', 'send the request again', 'unknown'),
+  internal: kind(500, 'internal_error', 'report the request id to the operator', 'unknown'),
+} as const satisfies Record<string, RefusalKind>;
+
+/** Name of one entry of {@link refusalKinds}. */
+export type RefusalCode = keyof typeof refusalKinds;
+
+/** Details that one refusal adds to its kind. */
+export interface RefusalDetails {
+  readonly retryAfterMs?: number;
+  readonly work?: WorkState;
+}
+
+/** An error that is reported to the caller with its code and work state. */
+export class RefusalError extends CicadatideError {
+  readonly code: RefusalCode;
+
+  readonly status: number;
+
+  readonly type: string;
+
+  readonly work: WorkState;
+
+  readonly retryAfterMs: number | undefined;
+
+  constructor(code: RefusalCode, detail: string, details: RefusalDetails = {}) {
+    const found = refusalKinds[code];
+    super(`${detail}; ${found.remedy}`);
+    this.name = 'RefusalError';
+    this.code = code;
+    this.status = found.status;
+    this.type = found.type;
+    this.work = details.work ?? found.work;
+    this.retryAfterMs = details.retryAfterMs;
+  }
+}
+
+function kind(
+  status: number,
+  type: string,
+  remedy: string,
+  work: WorkState = 'not-run',
+): RefusalKind {
+  return { status, type, work, remedy };
+}
