--- a/eslint.config.js
+++ b/eslint.config.js
@@ -58,8 +58,20 @@
       '@typescript-eslint/no-floating-promises': 'error',
     },
   },
+  {
+    // The binaries read their settings before anything else runs, and end on purpose.
+    files: ['src/daemon/main.ts', 'src/daemon/settings/read.ts', 'src/cli/**/*.ts'],
+    rules: { 'n/hashbang': 'off', 'n/no-sync': 'off', 'n/no-process-exit': 'off' },
+  },
   {
     files: ['test/**/*.ts', 'measure/**/*.ts', '*.config.ts'],
-    rules: { 'import-x/no-extraneous-dependencies': 'off', 'no-console': 'off' },
+    rules: {
+      'import-x/no-extraneous-dependencies': 'off',
+      'no-console': 'off',
+      'n/no-process-exit': 'off',
+      'n/no-sync': 'off',
+      // fetch and web streams are stable enough on Node 20 for clients in tests.
+      'n/no-unsupported-features/node-builtins': 'off',
+    },
   },
 ];
--- /dev/null
+++ b/src/adapters/connect/agentservice.ts
@@ -0,0 +1,126 @@
+import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect';
+import { createCancellationSource } from '../../base/cancellation.js';
+import { type Clock, sleep } from '../../base/clock.js';
+import { AgentService, RefusalReason } from '../../gen/cicadatide/v1/agent_pb.js';
+import { type ServiceWorker } from '../../idempotency/serviceworker.js';
+import { type EngineWorker } from '../../scheduling/worker.js';
+
+/** Identity of the agent, as the status stream reports it. */
+export interface AgentIdentity {
+  readonly instance: string;
+  readonly target: string;
+  readonly kind: 'engine' | 'service';
+  readonly dataCentre: string;
+}
+
+export interface AgentServiceOptions {
+  readonly clock: Clock;
+  readonly identity: AgentIdentity;
+  readonly engine: EngineWorker | undefined;
+  readonly service: ServiceWorker | undefined;
+  /** Route that a service target serves, or an empty string. */
+  readonly serviceRoute: string;
+  readonly isLeaving: () => boolean;
+  readonly configurationRevision: () => bigint;
+}
+
+const statusIntervalMs = 250;
+
+/** Bytes of one status message on the wire, with its frame and segment headers. */
+const statusBytes = 160;
+
+/** Share of the 18 KB/s control budget that one agent spends on status messages. */
+const statusBytesPerSecond = 9_000;
+
+/** Interval that keeps the status messages to all subscribers inside the budget. */
+export function statusIntervalFor(subscribers: number): number {
+  const budgetMs = (subscribers * statusBytes * 1_000) / statusBytesPerSecond;
+  return Math.max(statusIntervalMs, Math.round(budgetMs));
+}
+
+/** Registers the agent's service; requests for the other kind of target are refused. */
+export function agentRoutes(options: AgentServiceOptions): (router: ConnectRouter) => void {
+  const { clock, identity, engine, service, serviceRoute } = options;
+  const { isLeaving, configurationRevision } = options;
+  let subscribers = 0;
+  let sequence = 0n;
+
+  const currentStatus = () => {
+    sequence += 1n;
+    const status = engine?.status;
+    return {
+      ...identity,
+      ...(service && {
+        models: [serviceRoute],
+        incarnation: service.incarnation,
+        running: service.running,
+        places: service.places,
+        reportedLoad: service.running,
+      }),
+      ...(status && {
+        ...status,
+        models: [...status.models],
+        adapters: [...status.adapters],
+      }),
+      leaving: isLeaving(),
+      sequence,
+      configurationRevision: configurationRevision(),
+      intervalMs: statusIntervalFor(subscribers),
+    };
+  };
+
+  const requireEngine = (): EngineWorker => {
+    if (!engine) throw new ConnectError('this target is not an engine', Code.FailedPrecondition);
+    return engine;
+  };
+
+  const requireService = (): ServiceWorker => {
+    if (!service) throw new ConnectError('this target is not a service', Code.FailedPrecondition);
+    return service;
+  };
+
+  return (router) => {
+    router.service(AgentService, {
+      offer(req) {
+        return engine?.offer(req) ?? { refusal: RefusalReason.MODEL };
+      },
+      async *dispatch(req, ctx) {
+        const source = createCancellationSource();
+        ctx.signal.addEventListener('abort', () => source.cancel('stream closed'));
+        yield* requireEngine().dispatch(req, source.token);
+      },
+      async *resume(req, ctx) {
+        const source = createCancellationSource();
+        ctx.signal.addEventListener('abort', () => source.cancel('stream closed'));
+        const chunks = requireEngine().resume(req, source.token);
+        if (!chunks) throw new ConnectError('no such request', Code.NotFound);
+        yield* chunks;
+      },
+      cancel(req) {
+        return { found: requireEngine().cancel(req.requestId, req.attempt, req.team) };
+      },
+      async *call(parts, ctx) {
+        const source = createCancellationSource();
+        ctx.signal.addEventListener('abort', () => source.cancel('stream closed'));
+        yield* requireService().call(parts, source.token);
+      },
+      result(req) {
+        return requireService().result(req.attemptId, req.team);
+      },
+      async *watch(_req, ctx) {
+        const source = createCancellationSource();
+        ctx.signal.addEventListener('abort', () => source.cancel('stream closed'));
+        subscribers += 1;
+        try {
+          while (!source.token.isCancellationRequested) {
+            yield currentStatus();
+            const intervalMs = statusIntervalFor(subscribers);
+            await sleep(clock, intervalMs, source.token).catch(() => undefined);
+          }
+        } finally {
+          subscribers -= 1;
+        }
+      },
+    });
+  };
+}
--- /dev/null
+++ b/src/adapters/http/service.ts
@@ -0,0 +1,52 @@
+import { Readable } from 'node:stream';
+import { Agent, request } from 'undici';
+import { errMessage, TargetFailedError, TargetRefusedError } from '../../base/errors.js';
+import { type Disposable } from '../../base/lifecycle.js';
+import { type HeaderList, type ServicePort } from '../../ports/service.js';
+
+const connectTimeoutMs = 1_000;
+
+const refusedCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
+
+function toHeaderList(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): HeaderList {
+  const list: (readonly [string, string])[] = [];
+  for (const [name, value] of Object.entries(headers)) {
+    for (const item of [value ?? []].flat()) list.push([name, item]);
+  }
+  return list;
+}
+
+/** Adapter for a plain service that speaks HTTP. */
+export function createHttpService(baseUrl: string): ServicePort & Disposable {
+  const dispatcher = new Agent({ connect: { timeout: connectTimeoutMs }, connections: 256 });
+  return {
+    async send(req, token) {
+      const hasBody = req.method !== 'GET' && req.method !== 'HEAD';
+      try {
+        const res = await request(`${baseUrl}${req.path}`, {
+          method: req.method as 'POST',
+          dispatcher,
+          signal: token.signal,
+          headers: req.headers.flatMap(([name, value]) => [name, value]),
+          body: hasBody ? Readable.from(req.body) : null,
+        });
+        return {
+          status: res.statusCode,
+          headers: toHeaderList(res.headers),
+          body: res.body as AsyncIterable<Uint8Array>,
+        };
+      } catch (err) {
+        const code = (err as { code?: string } | null)?.code ?? '';
+        if (refusedCodes.has(code)) {
+          throw new TargetRefusedError('service refused the connection');
+        }
+        throw new TargetFailedError(`service connection failed: ${errMessage(err)}`);
+      }
+    },
+    dispose() {
+      dispatcher.destroy().catch(() => undefined);
+    },
+  };
+}
--- /dev/null
+++ b/src/adapters/openai/engine.ts
@@ -0,0 +1,187 @@
+import { createParser, type EventSourceMessage } from 'eventsource-parser';
+import { Agent, request } from 'undici';
+import { type CancellationToken } from '../../base/cancellation.js';
+import { errMessage, TargetFailedError, TargetRefusedError } from '../../base/errors.js';
+import { type Disposable } from '../../base/lifecycle.js';
+import {
+  type CacheEvent,
+  type EngineEvent,
+  type EnginePort,
+  type EngineState,
+  type LoadReport,
+  type OrderResult,
+} from '../../ports/engine.js';
+
+/** Adapter for an engine that speaks the OpenAI HTTP protocol with the documented extensions. */
+export interface OpenaiEngine extends EnginePort, Disposable {}
+
+const completionPaths = { chat: '/v1/chat/completions', text: '/v1/completions' } as const;
+
+const connectTimeoutMs = 1_000;
+
+/** Longest pause between two bytes of a completion before the connection counts as dead. */
+const bodyTimeoutMs = 30_000;
+
+interface CompletionChunk {
+  readonly choices?: readonly {
+    readonly delta?: { readonly content?: string | null };
+    readonly text?: string;
+    readonly finish_reason?: string | null;
+    readonly token_count?: number;
+  }[];
+  readonly usage?: {
+    readonly prompt_tokens: number;
+    readonly completion_tokens: number;
+    readonly prompt_tokens_details?: { readonly cached_tokens?: number };
+  } | null;
+}
+
+interface CacheEventWire extends Omit<CacheEvent, 'stored' | 'evicted'> {
+  readonly stored: readonly string[];
+  readonly evicted: readonly string[];
+}
+
+const refusedCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
+
+function toTargetError(err: unknown): Error {
+  const code = (err as { code?: string } | null)?.code ?? '';
+  if (refusedCodes.has(code)) return new TargetRefusedError('engine refused the connection');
+  return new TargetFailedError(`engine connection failed: ${errMessage(err)}`);
+}
+
+function parseHash(hex: string): bigint {
+  return BigInt(`0x${hex}`);
+}
+
+async function* readEvents(body: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
+  const pending: string[] = [];
+  const parser = createParser({
+    onEvent: (event: EventSourceMessage) => pending.push(event.data),
+  });
+  const decoder = new TextDecoder();
+  for await (const bytes of body) {
+    parser.feed(decoder.decode(bytes, { stream: true }));
+    while (pending.length > 0) yield pending.shift() as string;
+  }
+}
+
+export function createOpenaiEngine(baseUrl: string): OpenaiEngine {
+  const dispatcher = new Agent({
+    connect: { timeout: connectTimeoutMs },
+    connections: 1_024,
+    bodyTimeout: bodyTimeoutMs,
+    headersTimeout: 0,
+  });
+
+  const send = async (
+    method: 'GET' | 'POST',
+    path: string,
+    token: CancellationToken,
+    body?: string | Uint8Array,
+  ) => {
+    const type = typeof body === 'string' ? 'application/json' : 'application/octet-stream';
+    try {
+      const res = await request(`${baseUrl}${path}`, {
+        method,
+        dispatcher,
+        signal: token.signal,
+        ...(body !== undefined && { body, headers: { 'content-type': type } }),
+      });
+      if (res.statusCode < 400) return res;
+      const detail = (await res.body.text()).slice(0, 200);
+      const ErrorKind = res.statusCode === 409 ? TargetRefusedError : TargetFailedError;
+      throw new ErrorKind(`engine answered ${res.statusCode}: ${detail}`);
+    } catch (err) {
+      token.throwIfCancelled();
+      if (err instanceof TargetFailedError || err instanceof TargetRefusedError) throw err;
+      throw toTargetError(err);
+    }
+  };
+
+  const sendJson = async <T>(
+    method: 'GET' | 'POST',
+    path: string,
+    token: CancellationToken,
+    body?: unknown,
+  ): Promise<T> => {
+    const text = body === undefined ? undefined : JSON.stringify(body);
+    const res = await send(method, path, token, text);
+    return (await res.body.json()) as T;
+  };
+
+  async function* complete(
+    ...[req, token]: Parameters<EnginePort['complete']>
+  ): AsyncGenerator<EngineEvent> {
+    const body = JSON.stringify({
+      ...(JSON.parse(Buffer.from(req.body).toString()) as object),
+      stream: true,
+      stream_options: { include_usage: true },
+      request_id: req.requestId,
+      cache_salt: req.salt,
+      weights_version: req.weightsVersion,
+      priority: req.priority,
+      ...(req.deliveredTokens > 0 && {
+        continue_text: req.deliveredText,
+        continue_tokens: req.deliveredTokens,
+      }),
+    });
+    const res = await send('POST', completionPaths[req.kind], token, body);
+    let finishReason = '';
+    try {
+      for await (const data of readEvents(res.body)) {
+        if (data === '[DONE]') return;
+        const chunk = JSON.parse(data) as CompletionChunk;
+        const choice = chunk.choices?.[0];
+        const text = choice?.delta?.content ?? choice?.text ?? '';
+        if (text) yield { kind: 'text', text, tokens: choice?.token_count ?? 1 };
+        finishReason = choice?.finish_reason ?? finishReason;
+        if (!chunk.usage || !finishReason) continue;
+        yield {
+          kind: 'end',
+          finishReason,
+          promptTokens: chunk.usage.prompt_tokens,
+          cachedTokens: chunk.usage.prompt_tokens_details?.cached_tokens ?? 0,
+          outputTokens: chunk.usage.completion_tokens,
+        };
+      }
+    } catch (err) {
+      token.throwIfCancelled();
+      throw toTargetError(err);
+    }
+  }
+
+  async function* cacheEvents(token: CancellationToken): AsyncGenerator<CacheEvent> {
+    const res = await send('GET', '/engine/cache-events', token);
+    for await (const data of readEvents(res.body)) {
+      const event = JSON.parse(data) as CacheEventWire;
+      yield {
+        ...event,
+        stored: event.stored.map(parseHash),
+        evicted: event.evicted.map(parseHash),
+      };
+    }
+  }
+
+  return {
+    state: (token) => sendJson<EngineState>('GET', '/engine/state', token),
+    load: (token) => sendJson<LoadReport>('GET', '/engine/load', token),
+    complete,
+    cacheEvents,
+    order(order, token) {
+      const body = { ...order, fencingNumber: order.fencingNumber.toString() };
+      return sendJson<OrderResult>('POST', '/engine/orders', token, body);
+    },
+    async exportCache(hashes, token) {
+      const body = JSON.stringify({ hashes: hashes.map((hash) => hash.toString(16)) });
+      const res = await send('POST', '/engine/cache/export', token, body);
+      return new Uint8Array(await res.body.arrayBuffer());
+    },
+    async importCache(data, token) {
+      const res = await send('POST', '/engine/cache/import', token, data);
+      return ((await res.body.json()) as { readonly accepted: number }).accepted;
+    },
+    dispose() {
+      dispatcher.destroy().catch(() => undefined);
+    },
+  };
+}
--- /dev/null
+++ b/src/base/address.ts
@@ -0,0 +1,16 @@
+/** IP address and port of a listener or a peer. */
+export interface HostPort {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Parses `ip:port`; returns undefined for anything else. */
+export function parseHostPort(text: string): HostPort | undefined {
+  const match = /^(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$/.exec(text.trim());
+  if (!match) return undefined;
+  const host = (match[1] as string).replace(/^\[|\]$/g, '');
+  const port = Number(match[2]);
+  if (port > 65_535) return undefined;
+  if (!host.includes(':') && host.split('.').some((part) => Number(part) > 255)) return undefined;
+  return { host, port };
+}
--- a/src/base/refusals.ts
+++ b/src/base/refusals.ts
@@ -54,28 +54,36 @@
   readonly work?: WorkState;
 }
 
-/** An error that is reported to the caller with its code and work state. */
-export class RefusalError extends CicadatideError {
+/** Fields of a {@link RefusalError}. */
+export interface RefusalFields {
   readonly code: RefusalCode;
-
   readonly status: number;
-
   readonly type: string;
-
   readonly work: WorkState;
-
   readonly retryAfterMs: number | undefined;
+}
+
+/** An error that is reported to the caller with its code and work state. */
+export const RefusalError = CicadatideError.subclass('RefusalError');
+
+/** Instance of {@link RefusalError}; made by {@link refusal}. */
+export type RefusalError = Error & RefusalFields;
+
+/** Creates the error of one refusal; the message ends with the remedy of its kind. */
+export function refusal(
+  code: RefusalCode,
+  detail: string,
+  details: RefusalDetails = {},
+): RefusalError {
+  const { status, type, work, remedy } = refusalKinds[code];
+  const { retryAfterMs } = details;
+  const props = { code, status, type, work: details.work ?? work, retryAfterMs };
+  return new RefusalError(`${detail}; ${remedy}`, { props });
+}
 
-  constructor(code: RefusalCode, detail: string, details: RefusalDetails = {}) {
-    const found = refusalKinds[code];
-    super(`${detail}; ${found.remedy}`);
-    this.name = 'RefusalError';
-    this.code = code;
-    this.status = found.status;
-    this.type = found.type;
-    this.work = details.work ?? found.work;
-    this.retryAfterMs = details.retryAfterMs;
-  }
+/** Tells whether a thrown value is a refusal. */
+export function isRefusal(err: unknown): err is RefusalError {
+  return err instanceof RefusalError;
 }
 
 function kind(
--- /dev/null
+++ b/src/configuration/replica.ts
@@ -0,0 +1,92 @@
+import { createHash } from 'node:crypto';
+import { type Disposable, toDisposable } from '../base/lifecycle.js';
+import {
+  type ConfigurationSnapshot,
+  type RecordKind,
+  type RecordOf,
+  recordSchemas,
+  type StoredRecord,
+} from './records.js';
+
+/** Copy of the configuration in one process. Its revision only grows. */
+export interface ConfigurationReplica {
+  readonly revision: number;
+  /** False until the first snapshot was applied. */
+  readonly ready: boolean;
+  /** Replaces the records when the snapshot is newer; returns whether it was. */
+  apply(snapshot: ConfigurationSnapshot): boolean;
+  snapshot(): ConfigurationSnapshot;
+  get<K extends RecordKind>(kind: K, name: string): RecordOf<K> | undefined;
+  list<K extends RecordKind>(kind: K): readonly RecordOf<K>[];
+  /** Finds the team that owns a caller's key. */
+  findTeamByKey(key: string): RecordOf<'team'> | undefined;
+  /** Finds the operator that owns a token. */
+  findOperatorByToken(token: string): RecordOf<'operator'> | undefined;
+  onDidChange(listener: () => void): Disposable;
+}
+
+/** Hash under which keys and tokens are kept. */
+export function hashKey(key: string): string {
+  return createHash('sha256').update(key).digest('hex');
+}
+
+type Parsed = { readonly [K in RecordKind]: ReadonlyMap<string, RecordOf<K>> };
+
+function parseRecords(records: readonly StoredRecord[]): Parsed {
+  const parseKind = (kind: RecordKind): ReadonlyMap<string, unknown> => {
+    const parsed = new Map<string, unknown>();
+    for (const record of records) {
+      if (record.kind !== kind || record.deleted) continue;
+      const result = recordSchemas[kind].safeParse(record.value);
+      if (result.success) parsed.set(record.name, result.data);
+    }
+    return parsed;
+  };
+  const kinds = Object.keys(recordSchemas) as RecordKind[];
+  return Object.fromEntries(kinds.map((kind) => [kind, parseKind(kind)])) as unknown as Parsed;
+}
+
+export function createConfigurationReplica(): ConfigurationReplica {
+  const listeners = new Set<() => void>();
+  let current: ConfigurationSnapshot = { revision: 0, records: [] };
+  let parsed = parseRecords([]);
+  let teamsByKey = new Map<string, RecordOf<'team'>>();
+  let operatorsByToken = new Map<string, RecordOf<'operator'>>();
+  let ready = false;
+
+  const rebuild = (): void => {
+    parsed = parseRecords(current.records);
+    teamsByKey = new Map();
+    for (const team of parsed.team.values()) {
+      for (const keyHash of team.keyHashes) teamsByKey.set(keyHash, team);
+    }
+    const operators = [...parsed.operator.values()];
+    operatorsByToken = new Map(operators.map((operator) => [operator.tokenHash, operator]));
+  };
+
+  return {
+    get revision() {
+      return current.revision;
+    },
+    get ready() {
+      return ready;
+    },
+    apply(snapshot) {
+      if (ready && snapshot.revision <= current.revision) return false;
+      current = snapshot;
+      ready = true;
+      rebuild();
+      for (const listener of listeners) listener();
+      return true;
+    },
+    snapshot: () => current,
+    get: (kind, name) => parsed[kind].get(name),
+    list: (kind) => [...parsed[kind].values()],
+    findTeamByKey: (key) => teamsByKey.get(hashKey(key)),
+    findOperatorByToken: (token) => operatorsByToken.get(hashKey(token)),
+    onDidChange(listener) {
+      listeners.add(listener);
+      return toDisposable(() => listeners.delete(listener));
+    },
+  };
+}
--- /dev/null
+++ b/src/daemon/agent.ts
@@ -0,0 +1,111 @@
+import { Registry } from 'prom-client';
+import { type AgentIdentity, agentRoutes } from '../adapters/connect/agentservice.js';
+import { listenInternal } from '../adapters/connect/listener.js';
+import { createHttpService } from '../adapters/http/service.js';
+import { createOpenaiEngine } from '../adapters/openai/engine.js';
+import { noCancellation } from '../base/cancellation.js';
+import { type Clock, sleep, systemClock } from '../base/clock.js';
+import { SettingsError } from '../base/errors.js';
+import { createDisposableStore } from '../base/lifecycle.js';
+import { type Logger } from '../base/logging.js';
+import { createConfigurationReplica } from '../configuration/replica.js';
+import { createServiceWorker } from '../idempotency/serviceworker.js';
+import { createEngineWorker } from '../scheduling/worker.js';
+import { listenHttp } from './listen.js';
+import { createOperatorServer } from './operators/server.js';
+import { type DaemonProcess, drainPollMs } from './process.js';
+import { type Settings } from './settings/schema.js';
+
+/** Outside systems of an agent; tests pass their own. */
+export interface AgentAdapters {
+  readonly clock?: Clock;
+}
+
+/** Composes and starts the agent beside one target. */
+export async function startAgent(
+  settings: Settings,
+  log: Logger,
+  adapters: AgentAdapters = {},
+): Promise<DaemonProcess> {
+  const { clock = systemClock } = adapters;
+  const { name: target, kind, url, service: serviceRoute = '', places } = settings.target;
+  if (!target || !kind || !url) throw new SettingsError('[target] name, kind and url are missing');
+  const resources = createDisposableStore();
+  const registry = new Registry();
+  const replica = createConfigurationReplica();
+  const identity: AgentIdentity = {
+    instance: settings.process.instance,
+    target,
+    kind,
+    dataCentre: settings.process.data_centre,
+  };
+
+  const startEngineWorker = () => {
+    const engine = resources.add(createOpenaiEngine(url));
+    return resources.add(createEngineWorker({ clock, log, engine, target }));
+  };
+  const startServiceWorker = () => {
+    const service = resources.add(createHttpService(url));
+    return resources.add(createServiceWorker({ clock, log, service, places }));
+  };
+  const engine = kind === 'engine' ? startEngineWorker() : undefined;
+  const service = kind === 'service' ? startServiceWorker() : undefined;
+  const activeCount = (): number => (engine?.active ?? 0) + (service?.running ?? 0);
+
+  let leaving = false;
+  const internal = await listenInternal(
+    settings.listen.internal,
+    settings.internal.credential,
+    agentRoutes({
+      clock,
+      identity,
+      engine,
+      service,
+      serviceRoute,
+      isLeaving: () => leaving,
+      configurationRevision: () => BigInt(replica.revision),
+    }),
+  );
+  const operators = createOperatorServer({
+    log,
+    registry,
+    isReady: () => !leaving && engine?.status.targetDown !== true,
+    routes: [],
+  });
+  const addresses = {
+    internal: internal.address,
+    operators: await listenHttp(operators, settings.listen.operators),
+  };
+  log.info({ addresses, target }, 'agent started');
+
+  const closeAll = (): void => {
+    resources.dispose();
+    internal.destroy();
+    operators.close();
+    operators.closeAllConnections();
+  };
+
+  return {
+    addresses,
+    get active() {
+      return activeCount();
+    },
+    async drain() {
+      leaving = true;
+      engine?.leave();
+      service?.leave();
+      await sleep(clock, settings.shutdown.balancer_wait, noCancellation);
+      const end = clock.now() + settings.shutdown.drain;
+      while (activeCount() > 0 && clock.now() < end) {
+        await sleep(clock, drainPollMs, noCancellation);
+      }
+      if (activeCount() > 0) log.warn({ cut: activeCount() }, 'drain time is over');
+      closeAll();
+    },
+    stop() {
+      const cut = activeCount();
+      closeAll();
+      return cut;
+    },
+  };
+}
--- /dev/null
+++ b/src/daemon/callers/server.ts
@@ -0,0 +1,124 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type Socket } from 'node:net';
+import { type Clock } from '../../base/clock.js';
+import { type Logger } from '../../base/logging.js';
+import { refusal } from '../../base/refusals.js';
+import { type ConfigurationReplica } from '../../configuration/replica.js';
+import { authenticateTeam, type CallerContext, cancelOnClose, readRequestId } from './context.js';
+import { sendRefusal, toRefusal } from './errors.js';
+
+/** Handles one authenticated request. */
+export type CallerHandler = (ctx: CallerContext) => Promise<void>;
+
+/** One path of the callers' API; a path that ends with `/` matches everything below it. */
+export interface CallerRoute {
+  readonly path: string;
+  /** Allowed methods; all when absent. */
+  readonly methods?: readonly string[];
+  readonly handler: CallerHandler;
+}
+
+/** Listener for callers. */
+export interface CallerServer {
+  readonly server: Server;
+  /** Number of requests that are being answered. */
+  readonly active: number;
+  /** New requests are refused from now on; running ones go on. */
+  stopAccepting(): void;
+}
+
+export interface CallerServerOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly replica: ConfigurationReplica;
+  readonly routes: readonly CallerRoute[];
+  readonly maxHeaderBytes: number;
+}
+
+/** Time for a caller to send the request head. */
+const headersTimeoutMs = 10_000;
+
+function findRoute(routes: readonly CallerRoute[], path: string): CallerRoute | undefined {
+  for (const route of routes) {
+    if (route.path === path) return route;
+    if (route.path.endsWith('/') && path.startsWith(route.path)) return route;
+  }
+  return undefined;
+}
+
+const parseErrors: Readonly<Record<string, readonly [number, string]>> = {
+  HPE_HEADER_OVERFLOW: [431, 'the request head is too large; send smaller headers'],
+  ERR_HTTP_REQUEST_TIMEOUT: [408, 'the request head did not arrive in time; send it at once'],
+};
+
+/** Answers a request that Node could not parse, for example one with two lengths. */
+function answerParseError(err: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const [status, message] = parseErrors[err.code ?? ''] ?? [
+    400,
+    'the request is not valid HTTP; send one valid Content-Length and valid headers',
+  ];
+  const error = { message, type: 'invalid_request_error', code: 'invalidHttp', work: 'not-run' };
+  const body = JSON.stringify({ error: { ...error, param: null } });
+  socket.end(
+    `HTTP/1.1 ${status} Refused\r\ncontent-type: application/json\r\n` +
+      `x-cicadatide-work: not-run\r\ncontent-length: ${Buffer.byteLength(body)}\r\n` +
+      `connection: close\r\n\r\n${body}`,
+  );
+}
+
+export function createCallerServer(options: CallerServerOptions): CallerServer {
+  const { log, replica, routes, maxHeaderBytes } = options;
+  let active = 0;
+  let accepting = true;
+
+  const handle = async (req: IncomingMessage, res: ServerResponse, requestId: string) => {
+    if (!accepting) throw refusal('draining', 'this instance is shutting down');
+    if (!replica.ready) throw refusal('notReady', 'no configuration was received yet');
+    const url = new URL(req.url ?? '/', 'http://localhost');
+    const team = authenticateTeam(req, replica);
+    const route = findRoute(routes, url.pathname);
+    if (!route) throw refusal('unknownRoute', `no such path: ${url.pathname}`);
+    if (route.methods && !route.methods.includes(req.method ?? '')) {
+      throw refusal('methodNotAllowed', `method ${req.method} is not allowed here`);
+    }
+    const source = cancelOnClose(res);
+    await route.handler({ requestId, team, req, res, url, source });
+  };
+
+  const server = createServer(
+    { maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0 },
+    (req, res) => {
+      active += 1;
+      let requestId = '';
+      const run = async (): Promise<void> => {
+        requestId = readRequestId(req);
+        await handle(req, res, requestId);
+      };
+      run()
+        .catch((err: unknown) => {
+          if (res.destroyed) return;
+          sendRefusal(res, toRefusal(err, requestId, log), requestId);
+        })
+        .finally(() => {
+          active -= 1;
+        });
+    },
+  );
+  server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
+    answerParseError(err, socket as Socket),
+  );
+
+  return {
+    server,
+    get active() {
+      return active;
+    },
+    stopAccepting() {
+      accepting = false;
+    },
+  };
+}
--- /dev/null
+++ b/src/daemon/callers/services.ts
@@ -0,0 +1,138 @@
+import { randomUUID } from 'node:crypto';
+import { type IncomingMessage } from 'node:http';
+import { Code, ConnectError } from '@connectrpc/connect';
+import { create } from '@bufbuild/protobuf';
+import { type Clock } from '../../base/clock.js';
+import { errMessage } from '../../base/errors.js';
+import { type Random } from '../../base/random.js';
+import { isRefusal, refusal } from '../../base/refusals.js';
+import { type RecordOf } from '../../configuration/records.js';
+import { type ConfigurationReplica } from '../../configuration/replica.js';
+import { type CallPart, CallPartSchema } from '../../gen/cicadatide/v1/agent_pb.js';
+import { type AgentDirectory, type AgentView } from '../../membership/directory.js';
+import { type CallerContext, readDeadline, readPriority } from './context.js';
+import { headerNames } from './errors.js';
+
+/** Parts that the service handler uses. */
+export interface ServiceOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly replica: ConfigurationReplica;
+  readonly directory: AgentDirectory;
+}
+
+/** Path below which plain services are reached: `/services/{route}/{path of the service}`. */
+export const servicePrefix = '/services/';
+
+/** Headers that concern one connection only (RFC 9110), and the caller's key. */
+const droppedHeaders = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'host',
+  'authorization',
+  'expect',
+]);
+
+function forwardedHeaders(req: IncomingMessage) {
+  const headers: { readonly name: string; readonly value: string }[] = [];
+  for (const [name, value] of Object.entries(req.headers)) {
+    if (droppedHeaders.has(name)) continue;
+    for (const item of [value ?? []].flat()) headers.push({ name, value: item });
+  }
+  return headers;
+}
+
+function findServiceRoute(
+  replica: ConfigurationReplica,
+  team: RecordOf<'team'>,
+  name: string,
+): RecordOf<'route'> {
+  const route = replica.get('route', name);
+  const allowed = !route?.teams || route.teams.includes(team.name);
+  if (!route || route.kind !== 'service' || !allowed) {
+    throw refusal('unknownRoute', `service "${name}" does not exist`);
+  }
+  return route;
+}
+
+export function createServiceHandler(options: ServiceOptions) {
+  const { clock, random, replica, directory } = options;
+
+  const chooseAgent = (route: RecordOf<'route'>): AgentView => {
+    const serving = directory.usable().filter(({ status }) => {
+      if (!status || status.kind !== 'service') return false;
+      if (route.targets && !route.targets.includes(status.target)) return false;
+      return status.models.includes(route.name);
+    });
+    let best: AgentView | undefined;
+    let bestLoad = Infinity;
+    for (const agent of serving) {
+      const load = (agent.status?.running ?? 0) + agent.inflight + random.next() / 2;
+      if (load >= bestLoad) continue;
+      best = agent;
+      bestLoad = load;
+    }
+    if (!best) throw refusal('noTarget', `no target serves "${route.name}" now`);
+    return best;
+  };
+
+  return async (ctx: CallerContext): Promise<void> => {
+    const { req, res, url, team, requestId } = ctx;
+    const [, , name = '', ...rest] = url.pathname.split('/');
+    const route = findServiceRoute(replica, team, name);
+    const deadline = readDeadline(req, route.deadlineMs, clock);
+    const agent = chooseAgent(route);
+    const method = req.method ?? 'GET';
+    const head = {
+      requestId,
+      attemptId: randomUUID(),
+      team: team.name,
+      service: route.name,
+      incarnation: agent.status?.incarnation ?? '',
+      method,
+      path: `/${rest.join('/')}${url.search}`,
+      headers: forwardedHeaders(req),
+      remainingMs: Math.floor(deadline.remainingMs()),
+      priority: readPriority(req, team, replica),
+      once: !route.idempotentMethods.includes(method),
+    };
+    async function* parts(): AsyncGenerator<CallPart> {
+      yield create(CallPartSchema, { part: { case: 'head', value: head } });
+      for await (const data of req as AsyncIterable<Buffer>) {
+        yield create(CallPartSchema, { part: { case: 'data', value: data } });
+      }
+      yield create(CallPartSchema, { part: { case: 'end', value: {} } });
+    }
+    const tracked = directory.trackRequest(agent.address);
+    try {
+      const reply = agent.connection.client.call(parts(), { signal: ctx.source.token.signal });
+      for await (const { part } of reply) {
+        if (part.case === 'response') {
+          res.statusCode = part.value.status;
+          for (const header of part.value.headers) {
+            if (!droppedHeaders.has(header.name)) res.appendHeader(header.name, header.value);
+          }
+          res.setHeader(headerNames.requestId, requestId);
+          res.setHeader(headerNames.target, agent.status?.target ?? '');
+        }
+        if (part.case === 'data') res.write(part.value);
+        if (part.case === 'end') res.end();
+        if (part.case !== 'failure') continue;
+        const work = part.value.notRun ? 'not-run' : 'unknown';
+        throw refusal('targetFailed', part.value.message, { work });
+      }
+    } catch (err) {
+      if (isRefusal(err)) throw err;
+      const refused = ConnectError.from(err).code === Code.Unavailable;
+      if (refused) directory.reportFailure(agent.address, errMessage(err));
+      throw refusal('outcomeUnknown', `the call failed: ${errMessage(err)}`);
+    } finally {
+      tracked.dispose();
+    }
+  };
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,111 @@
+#!/usr/bin/env node
+import { readFileSync } from 'node:fs';
+import { parseArgs } from 'node:util';
+import { errMessage, SettingsError } from '../base/errors.js';
+import { createLogger, type Logger } from '../base/logging.js';
+import { startAgent } from './agent.js';
+import { startEntry } from './entry.js';
+import { type DaemonProcess } from './process.js';
+import { readSettings } from './settings/read.js';
+import { type Role, type Settings } from './settings/schema.js';
+
+/** Exit codes of the daemon. */
+const exitCodes = { ok: 0, failed: 1, usage: 2, settings: 3, interrupted: 4 } as const;
+
+const usage = `usage: cicadatided --config FILE [--check-config]
+
+Starts one process of cicadatide. The settings file names its role.
+
+  --config FILE    settings in INI format
+  --check-config   check the settings and exit
+  --version        print the version and exit
+  --help           print this text and exit
+
+exit codes: 0 ok, 1 start failed, 2 wrong arguments, 3 wrong settings,
+            4 ended by a second signal before running requests finished
+`;
+
+const starters: Readonly<
+  Record<Role, (settings: Settings, log: Logger) => Promise<DaemonProcess>>
+> = { entry: startEntry, agent: startAgent };
+
+function readVersion(): string {
+  for (const path of ['../../package.json', '../../../package.json']) {
+    try {
+      const text = readFileSync(new URL(path, import.meta.url), 'utf8');
+      return (JSON.parse(text) as { readonly version: string }).version;
+    } catch {
+      // The sources and the built package lie at different depths.
+    }
+  }
+  return 'unknown';
+}
+
+function readArguments() {
+  return parseArgs({
+    options: {
+      config: { type: 'string' },
+      'check-config': { type: 'boolean', default: false },
+      version: { type: 'boolean', default: false },
+      help: { type: 'boolean', default: false },
+    },
+  }).values;
+}
+
+/** First signal: finish running requests. Second signal: end at once. */
+function handleSignals(daemon: DaemonProcess, log: Logger): void {
+  let signals = 0;
+  const onSignal = (signal: string): void => {
+    signals += 1;
+    if (signals > 1) {
+      const cut = daemon.stop();
+      log.warn({ signal, cut }, 'second signal; ended at once');
+      process.exit(exitCodes.interrupted);
+    }
+    log.info({ signal, active: daemon.active }, 'shutting down; a second signal ends at once');
+    daemon.drain().then(
+      () => process.exit(exitCodes.ok),
+      (err: unknown) => {
+        log.error({ err: errMessage(err) }, 'shutdown failed');
+        process.exit(exitCodes.failed);
+      },
+    );
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+}
+
+async function main(): Promise<number | undefined> {
+  let args: ReturnType<typeof readArguments>;
+  try {
+    args = readArguments();
+  } catch (err) {
+    process.stderr.write(`cicadatided: ${errMessage(err)}\n\n${usage}`);
+    return exitCodes.usage;
+  }
+  if (args.help || args.version) {
+    process.stdout.write(args.help ? usage : `${readVersion()}\n`);
+    return exitCodes.ok;
+  }
+  if (!args.config) {
+    process.stderr.write(`cicadatided: --config FILE is missing\n\n${usage}`);
+    return exitCodes.usage;
+  }
+  const settings = readSettings(args.config);
+  if (args['check-config']) {
+    process.stdout.write(`${args.config}: settings are valid\n`);
+    return exitCodes.ok;
+  }
+  const log = createLogger(settings.process.instance, settings.process.log_level);
+  const daemon = await starters[settings.process.role](settings, log);
+  handleSignals(daemon, log);
+  return undefined;
+}
+
+try {
+  const code = await main();
+  if (code !== undefined) process.exitCode = code;
+} catch (err) {
+  process.stderr.write(`cicadatided: ${errMessage(err)}\n`);
+  process.exitCode = err instanceof SettingsError ? exitCodes.settings : exitCodes.failed;
+}
--- /dev/null
+++ b/src/daemon/settings/read.ts
@@ -0,0 +1,146 @@
+import { readFileSync } from 'node:fs';
+import { parse } from 'ini';
+import { type HostPort } from '../../base/address.js';
+import { errMessage, SettingsError } from '../../base/errors.js';
+import { type KeySpec, type Role, type Settings, settingsSchema } from './schema.js';
+
+/** One mistake in a settings file. */
+export interface SettingsProblem {
+  readonly section: string;
+  readonly key: string;
+  readonly found: string;
+  readonly remedy: string;
+}
+
+type Section = Readonly<Record<string, unknown>>;
+
+const requiredForRole: Readonly<Record<Role, readonly (readonly [string, string])[]>> = {
+  entry: [['listen', 'callers']],
+  agent: [
+    ['target', 'name'],
+    ['target', 'kind'],
+    ['target', 'url'],
+  ],
+};
+
+function describeProblem(file: string, problem: SettingsProblem): string {
+  const place = problem.key ? `[${problem.section}] ${problem.key}` : `[${problem.section}]`;
+  return `${file}: ${place}: found ${problem.found}; ${problem.remedy}`;
+}
+
+function readText(file: string): string {
+  let bytes: Buffer;
+  try {
+    bytes = readFileSync(file);
+  } catch (err) {
+    const reason = errMessage(err).replace(/, open .*$/, '');
+    throw new SettingsError(`${file}: can't be read (${reason}); name a readable settings file`);
+  }
+  try {
+    const text = new TextDecoder('utf-8', { fatal: true }).decode(bytes);
+    if (!text.includes('\0')) return text;
+  } catch {
+    // Reported below, like a file that holds NUL bytes.
+  }
+  throw new SettingsError(`${file}: is not a text file; write INI settings in UTF-8`);
+}
+
+function checkKey(
+  section: string,
+  name: string,
+  spec: KeySpec,
+  raw: unknown,
+  problems: SettingsProblem[],
+): unknown {
+  if (raw === undefined && spec.fallback === undefined) {
+    if (!spec.required) return undefined;
+    const remedy = `write ${name} = ${spec.type.description}`;
+    problems.push({ section, key: name, found: 'nothing', remedy });
+    return undefined;
+  }
+  const text = String(raw ?? spec.fallback).trim();
+  if (text === '' && spec.fallback === '') return spec.type.parse(text).ok ? [] : undefined;
+  const result = spec.type.parse(text);
+  if (result.ok) return result.value;
+  const found = name.includes('secret') || name === 'credential' ? 'an invalid value' : `"${text}"`;
+  problems.push({ section, key: name, found, remedy: `write ${result.expected}` });
+  return undefined;
+}
+
+function checkUnknown(ini: Section, problems: SettingsProblem[]): void {
+  const schema: Readonly<Record<string, Section>> = settingsSchema;
+  for (const [section, value] of Object.entries(ini)) {
+    const known = schema[section];
+    if (typeof value !== 'object' || value === null) {
+      const remedy = 'write the key below a [section] line';
+      problems.push({ section: '', key: section, found: 'a key outside sections', remedy });
+      continue;
+    }
+    if (!known) {
+      const remedy = `use one of ${Object.keys(schema).join(', ')}`;
+      problems.push({ section, key: '', found: 'an unknown section', remedy });
+      continue;
+    }
+    for (const name of Object.keys(value)) {
+      if (Object.hasOwn(known, name)) continue;
+      const remedy = `use one of ${Object.keys(known).join(', ')}`;
+      problems.push({ section, key: name, found: 'an unknown key', remedy });
+    }
+  }
+}
+
+function checkPorts(listen: Settings['listen'], problems: SettingsProblem[]): void {
+  const seen = new Map<string, string>();
+  for (const [name, address] of Object.entries(listen) as [string, HostPort | undefined][]) {
+    if (!address || address.port === 0) continue;
+    const text = `${address.host}:${address.port}`;
+    const other = seen.get(text);
+    if (other) {
+      const remedy = `use another port than ${other}`;
+      problems.push({ section: 'listen', key: name, found: `"${text}" twice`, remedy });
+    }
+    seen.set(text, name);
+  }
+}
+
+function checkRole(settings: Settings, problems: SettingsProblem[]): void {
+  const { role } = settings.process;
+  for (const [section, name] of requiredForRole[role] ?? []) {
+    const values = settings[section as keyof Settings] as Section;
+    if (values[name] !== undefined) continue;
+    if (problems.some((problem) => problem.section === section && problem.key === name)) continue;
+    const remedy = `write ${name}, which the role ${role} needs`;
+    problems.push({ section, key: name, found: 'nothing', remedy });
+  }
+  if (role === 'agent' && settings.target.kind === 'service' && !settings.target.service) {
+    const remedy = 'write service = the name of the route';
+    problems.push({ section: 'target', key: 'service', found: 'nothing', remedy });
+  }
+}
+
+/** Checks settings given as text; throws SettingsError that lists every problem. */
+export function parseSettings(text: string, file: string): Settings {
+  const ini = parse(text) as Section;
+  const problems: SettingsProblem[] = [];
+  checkUnknown(ini, problems);
+  const settings: Record<string, Record<string, unknown>> = {};
+  for (const [section, keys] of Object.entries(settingsSchema)) {
+    const given = ini[section];
+    const values = (typeof given === 'object' && given !== null ? given : {}) as Section;
+    const checked: Record<string, unknown> = {};
+    for (const [name, spec] of Object.entries(keys) as [string, KeySpec][]) {
+      checked[name] = checkKey(section, name, spec, values[name], problems);
+    }
+    settings[section] = checked;
+  }
+  const result = settings as unknown as Settings;
+  checkPorts(result.listen, problems);
+  checkRole(result, problems);
+  if (problems.length === 0) return result;
+  throw new SettingsError(problems.map((problem) => describeProblem(file, problem)).join('\n'));
+}
+
+/** Reads and checks a settings file. */
+export function readSettings(file: string): Settings {
+  return parseSettings(readText(file), file);
+}
--- /dev/null
+++ b/src/daemon/settings/types.ts
@@ -0,0 +1,85 @@
+import { type HostPort, parseHostPort } from '../../base/address.js';
+import { logLevels } from '../../base/logging.js';
+import { policyNames } from '../../routing/policies.js';
+
+/** Result of reading one value: the value, or what to write instead. */
+export type ParseResult<T> =
+  { readonly ok: true; readonly value: T } | { readonly ok: false; readonly expected: string };
+
+/** Reads one INI value. */
+export interface ValueType<T> {
+  readonly description: string;
+  parse(text: string): ParseResult<T>;
+}
+
+function accept<T>(value: T): ParseResult<T> {
+  return { ok: true, value };
+}
+
+function valueType<T>(description: string, read: (text: string) => T | undefined): ValueType<T> {
+  return {
+    description,
+    parse(text) {
+      const value = read(text);
+      return value === undefined ? { ok: false, expected: description } : accept(value);
+    },
+  };
+}
+
+function oneOf<T extends string>(values: readonly T[]): ValueType<T> {
+  return valueType(`one of ${values.join(', ')}`, (text) => values.find((item) => item === text));
+}
+
+const unitMs: Readonly<Record<string, number>> = { ms: 1, s: 1_000, min: 60_000, h: 3_600_000 };
+
+const unitBytes: Readonly<Record<string, number>> = {
+  B: 1,
+  KiB: 1_024,
+  MiB: 1_024 ** 2,
+};
+
+function withUnit(text: string, units: Readonly<Record<string, number>>): number | undefined {
+  const match = /^(\d+(?:\.\d+)?)\s*([A-Za-z]+)$/.exec(text);
+  const factor = match && units[match[2] as string];
+  return factor ? Number(match[1]) * factor : undefined;
+}
+
+function parseUrl(text: string): string | undefined {
+  if (!/^https?:\/\//.test(text) || !URL.canParse(text)) return undefined;
+  return text.replace(/\/+$/, '');
+}
+
+function parseAddressList(text: string): readonly string[] | undefined {
+  const parts = text.split(',').map((part) => part.trim());
+  const found = parts.filter((part) => part !== '');
+  if (found.some((part) => parseHostPort(part) === undefined)) return undefined;
+  return found.map((part) => `http://${part}`);
+}
+
+/** Types that settings use. */
+export const valueTypes = {
+  text: valueType('a non-empty text', (text) => text || undefined),
+  secret: valueType('a text of at least 16 characters', (text) =>
+    text.length >= 16 ? text : undefined,
+  ),
+  name: valueType('letters, digits, . _ -', (text) =>
+    /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/.test(text) ? text : undefined,
+  ),
+  hash: valueType('a SHA-256 hash in lower-case hex', (text) =>
+    /^[0-9a-f]{64}$/.test(text) ? text : undefined,
+  ),
+  address: valueType<HostPort>('an IP address and port, such as 127.0.0.1:8080', parseHostPort),
+  addresses: valueType('IP addresses and ports with commas between', parseAddressList),
+  url: valueType('a URL such as http://127.0.0.1:8000', parseUrl),
+  duration: valueType('a number with ms, s, min or h, such as 2s', (text) =>
+    withUnit(text, unitMs),
+  ),
+  size: valueType('a number with B, KiB or MiB, such as 4MiB', (text) => withUnit(text, unitBytes)),
+  count: valueType('a whole number above 0', (text) =>
+    /^[1-9]\d{0,8}$/.test(text) ? Number(text) : undefined,
+  ),
+  role: oneOf(['entry', 'agent'] as const),
+  targetKind: oneOf(['engine', 'service'] as const),
+  logLevel: oneOf(logLevels),
+  policy: oneOf(policyNames),
+};
--- a/src/ports/engine.ts
+++ b/src/ports/engine.ts
@@ -49,8 +49,8 @@
   readonly incarnation: string;
   readonly seq: number;
   readonly weightsVersion: string;
-  readonly stored: readonly string[];
-  readonly evicted: readonly string[];
+  readonly stored: readonly bigint[];
+  readonly evicted: readonly bigint[];
   readonly cleared: boolean;
 }
 
@@ -86,7 +86,7 @@
   load(token: CancellationToken): Promise<LoadReport>;
   order(order: EngineOrder, token: CancellationToken): Promise<OrderResult>;
   /** Exports the cached blocks with these hashes; missing ones are left out. */
-  exportCache(hashes: readonly string[], token: CancellationToken): Promise<Uint8Array>;
+  exportCache(hashes: readonly bigint[], token: CancellationToken): Promise<Uint8Array>;
   /** Imports exported blocks and returns how many were accepted. */
   importCache(data: Uint8Array, token: CancellationToken): Promise<number>;
 }
--- /dev/null
+++ b/test/standins/faultytable.ts
@@ -0,0 +1,44 @@
+import { StoreReplyLostError, StoreUnavailableError } from '../../src/base/errors.js';
+import { type TablePort } from '../../src/ports/table.js';
+
+/** What the next calls of a faulty table do. */
+export type TableFault = 'none' | 'down' | 'loseReplyAfterWrite' | 'loseReplyBeforeWrite';
+
+/** Table with injected faults and call counts. */
+export interface FaultyTable extends TablePort {
+  fault: TableFault;
+  reads: number;
+  writes: number;
+}
+
+/** Wraps a table; lost replies affect writes, an outage affects every call. */
+export function createFaultyTable(inner: TablePort): FaultyTable {
+  const down = (): StoreUnavailableErrorInstance =>
+    new StoreUnavailableError('the table refused the connection');
+  const table: FaultyTable = {
+    fault: 'none',
+    reads: 0,
+    writes: 0,
+    async get(key, token) {
+      table.reads += 1;
+      if (table.fault === 'down') throw down();
+      return inner.get(key, token);
+    },
+    async query(partition, after, limit, token) {
+      table.reads += 1;
+      if (table.fault === 'down') throw down();
+      return inner.query(partition, after, limit, token);
+    },
+    async transact(writes, token) {
+      table.writes += 1;
+      if (table.fault === 'down') throw down();
+      if (table.fault === 'loseReplyBeforeWrite') throw new StoreReplyLostError('reply was lost');
+      const result = await inner.transact(writes, token);
+      if (table.fault === 'loseReplyAfterWrite') throw new StoreReplyLostError('reply was lost');
+      return result;
+    },
+  };
+  return table;
+}
+
+type StoreUnavailableErrorInstance = InstanceType<typeof StoreUnavailableError>;
--- /dev/null
+++ b/test/standins/site.ts
@@ -0,0 +1,132 @@
+import { createNullLogger, type Logger } from '../../src/base/logging.js';
+import { type ConfigurationSnapshot, type StoredRecord } from '../../src/configuration/records.js';
+import { createConfigurationReplica, hashKey } from '../../src/configuration/replica.js';
+import { startAgent } from '../../src/daemon/agent.js';
+import { type EntryAdapters, startEntry } from '../../src/daemon/entry.js';
+import { type DaemonProcess } from '../../src/daemon/process.js';
+import { parseSettings } from '../../src/daemon/settings/read.js';
+
+/** Internal credential of stand-in sites. */
+export const siteCredential = 'site-internal-credential';
+
+/** Key of a team of a stand-in site. */
+export function teamKey(team: string): string {
+  return `key-of-${team}`;
+}
+
+/** Builds a record as the table holds it. */
+export function record(kind: string, value: { readonly name: string }): StoredRecord {
+  return { kind, name: value.name, schemaVersion: 1, revision: 1, value, deleted: false };
+}
+
+/** Records of teams with their keys, model routes and service routes. */
+export function siteRecords(
+  teams: readonly string[],
+  models: readonly string[],
+  services: readonly string[],
+): ConfigurationSnapshot {
+  return {
+    revision: 1,
+    records: [
+      ...teams.map((name) =>
+        record('team', { name, keyHashes: [hashKey(teamKey(name))] } as never),
+      ),
+      ...models.map((name) => record('route', { name, kind: 'model' } as never)),
+      ...services.map((name) => record('route', { name, kind: 'service' } as never)),
+      record('priority', { name: 'high', level: 5 } as never),
+      record('priority', { name: 'low', level: -5 } as never),
+    ],
+  };
+}
+
+/** INI text with the given sections. */
+export function iniText(sections: Readonly<Record<string, Readonly<Record<string, string>>>>) {
+  return Object.entries(sections)
+    .map(([name, keys]) => {
+      const lines = Object.entries(keys).map(([key, value]) => `${key} = ${value}`);
+      return [`[${name}]`, ...lines].join('\n');
+    })
+    .join('\n');
+}
+
+export interface AgentSpec {
+  readonly name: string;
+  readonly url: string;
+  readonly kind?: 'engine' | 'service';
+  readonly service?: string;
+  readonly dataCentre?: string;
+}
+
+/** Starts an agent in this process. */
+export function startSiteAgent(
+  spec: AgentSpec,
+  log: Logger = createNullLogger(),
+): Promise<DaemonProcess> {
+  const text = iniText({
+    process: {
+      role: 'agent',
+      instance: `agent-${spec.name}`,
+      data_centre: spec.dataCentre ?? 'dc1',
+    },
+    listen: { operators: '127.0.0.1:0', internal: '127.0.0.1:0' },
+    internal: { credential: siteCredential },
+    target: {
+      name: spec.name,
+      kind: spec.kind ?? 'engine',
+      url: spec.url,
+      ...(spec.service && { service: spec.service }),
+    },
+    shutdown: { balancer_wait: '100ms', drain: '10s' },
+  });
+  return startAgent(parseSettings(text, `agent-${spec.name}`), log);
+}
+
+export interface EntrySpec {
+  readonly name: string;
+  readonly agents: readonly string[];
+  readonly configuration: ConfigurationSnapshot;
+  readonly policy?: string;
+  readonly adapters?: EntryAdapters;
+}
+
+/** Starts an entry in this process. */
+export function startSiteEntry(
+  spec: EntrySpec,
+  log: Logger = createNullLogger(),
+): Promise<DaemonProcess> {
+  const text = iniText({
+    process: { role: 'entry', instance: spec.name, data_centre: 'dc1' },
+    listen: { callers: '127.0.0.1:0', operators: '127.0.0.1:0', internal: '127.0.0.1:0' },
+    internal: { credential: siteCredential },
+    peers: { agents: spec.agents.map((url) => url.replace('http://', '')).join(', ') },
+    requests: { policy: spec.policy ?? 'cicadatide' },
+    shutdown: { balancer_wait: '100ms', drain: '10s' },
+  });
+  const replica = createConfigurationReplica();
+  replica.apply(spec.configuration);
+  return startEntry(parseSettings(text, spec.name), log, { replica, ...spec.adapters });
+}
+
+/** Polls until the check holds; fails after the time allowed. */
+export async function waitUntil(check: () => boolean | Promise<boolean>, timeoutMs = 10_000) {
+  const end = performance.now() + timeoutMs;
+  while (!(await check())) {
+    if (performance.now() > end) throw new Error('condition did not hold in time');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+}
+
+/** Waits until the entry can reach a target of the model or service. */
+export async function waitForRoute(entryUrl: string, team: string, path: string, body: unknown) {
+  await waitUntil(async () => {
+    const res = await fetch(`${entryUrl}${path}`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${teamKey(team)}`, 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+    });
+    await res.arrayBuffer();
+    return res.status === 200;
+  });
+}
