--- a/src/daemon/settings/read.ts
+++ b/src/daemon/settings/read.ts
@@ -70,7 +70,7 @@
 function checkUnknown(ini: Section, problems: SettingsProblem[]): void {
   const schema: Readonly<Record<string, Section>> = settingsSchema;
   for (const [section, value] of Object.entries(ini)) {
-    const known = schema[section];
+    const known = Object.hasOwn(schema, section) ? schema[section] : undefined;
     if (typeof value !== 'object' || value === null) {
       const remedy = 'write the key below a [section] line';
       problems.push({ section: '', key: section, found: 'a key outside sections', remedy });
@@ -89,17 +89,49 @@
   }
 }
 
+/** Finds what the INI parser resolves silently: repeated keys and names it drops. */
+function checkLines(text: string, problems: SettingsProblem[]): void {
+  const seen = new Set<string>();
+  let section = '';
+  for (const line of text.split(/\r?\n/)) {
+    const header = /^\s*\[([^\]]*)\]\s*$/.exec(line);
+    if (header) section = header[1] as string;
+    const name = /^\s*([^;#=[\s]+)\s*=/.exec(line)?.[1];
+    if (header?.[1] === '__proto__' || name === '__proto__') {
+      const remedy = 'remove the line';
+      problems.push({ section, key: name ?? '', found: 'a reserved name', remedy });
+    }
+    if (!name) continue;
+    const place = `${section}\n${name}`;
+    if (seen.has(place)) {
+      problems.push({
+        section,
+        key: name,
+        found: 'the key twice',
+        remedy: 'keep one of the lines',
+      });
+    }
+    seen.add(place);
+  }
+}
+
+const wildcardHosts = new Set(['0.0.0.0', '::']);
+
+function overlaps(a: HostPort, b: HostPort): boolean {
+  if (a.port !== b.port || a.port === 0) return false;
+  return a.host === b.host || wildcardHosts.has(a.host) || wildcardHosts.has(b.host);
+}
+
 function checkPorts(listen: Settings['listen'], problems: SettingsProblem[]): void {
-  const seen = new Map<string, string>();
+  const seen: { readonly name: string; readonly address: HostPort }[] = [];
   for (const [name, address] of Object.entries(listen) as [string, HostPort | undefined][]) {
-    if (!address || address.port === 0) continue;
-    const text = `${address.host}:${address.port}`;
-    const other = seen.get(text);
+    if (!address) continue;
+    const other = seen.find((item) => overlaps(item.address, address));
     if (other) {
-      const remedy = `use another port than ${other}`;
-      problems.push({ section: 'listen', key: name, found: `"${text}" twice`, remedy });
+      const found = `"${address.host}:${address.port}", which overlaps with ${other.name}`;
+      problems.push({ section: 'listen', key: name, found, remedy: 'use another port' });
     }
-    seen.set(text, name);
+    seen.push({ name, address });
   }
 }
 
@@ -122,6 +154,7 @@
 export function parseSettings(text: string, file: string): Settings {
   const ini = parse(text) as Section;
   const problems: SettingsProblem[] = [];
+  checkLines(text, problems);
   checkUnknown(ini, problems);
   const settings: Record<string, Record<string, unknown>> = {};
   for (const [section, keys] of Object.entries(settingsSchema)) {
--- /dev/null
+++ b/src/orders/rollout.ts
@@ -0,0 +1,207 @@
+import { randomUUID } from 'node:crypto';
+import { type CancellationToken, createCancellationSource } from '../base/cancellation.js';
+import { type Clock, sleep } from '../base/clock.js';
+import { errMessage } from '../base/errors.js';
+import { type Disposable } from '../base/lifecycle.js';
+import { type Logger } from '../base/logging.js';
+import { type RecordOf } from '../configuration/records.js';
+import { type ConfigurationReplica } from '../configuration/replica.js';
+import { type AgentDirectory, type AgentView } from '../membership/directory.js';
+import { type OrderLease } from './lease.js';
+import { type LoadSlot, type OrdersState, type OrdersStore, type RolloutState } from './state.js';
+
+/** Loads weights on targets as the `rollout` records ask, while this process holds the lease. */
+export interface RolloutController extends Disposable {
+  /** Progress as this process last read it. */
+  readonly state: OrdersState | undefined;
+}
+
+export interface RolloutOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly lease: OrderLease;
+  readonly store: OrdersStore;
+  readonly replica: ConfigurationReplica;
+  readonly directory: AgentDirectory;
+}
+
+/** More loads at once slow each other down. */
+export const maxLoadsAtOnce = 2;
+
+/** Least time between the starts of two loads; keeps the rate of the weight store. */
+const loadIntervalMs = 1_000;
+
+const stepIntervalMs = 500;
+
+const orderTimeoutMs = 2_000;
+
+/** A target that is silent for this long is gone, and its load with it. */
+const abandonedAfterMs = 60_000;
+
+type Rollout = RecordOf<'rollout'>;
+
+function targetOf(agent: AgentView): string {
+  return agent.status?.target ?? '';
+}
+
+/** True when the target's engine reports that it serves the wanted version or adapter. */
+function hasVersion(rollout: Rollout, agent: AgentView, version: string): boolean {
+  if (rollout.adapter) return agent.status?.adapters.includes(rollout.adapter) ?? false;
+  return agent.status?.weightsVersion === version;
+}
+
+export function createRolloutController(options: RolloutOptions): RolloutController {
+  const { clock, log, lease, store, replica, directory } = options;
+  const source = createCancellationSource();
+  let latest: OrdersState | undefined;
+  let lastLoadAt = -Infinity;
+
+  const participants = (rollout: Rollout): readonly AgentView[] =>
+    directory.all().filter(({ status }) => {
+      if (!status?.models.includes(rollout.model)) return false;
+      return !rollout.targets || rollout.targets.includes(status.target);
+    });
+
+  const sendOrder = async (agent: AgentView, slot: LoadSlot, rollout: Rollout, number: number) => {
+    const order = {
+      fencingNumber: BigInt(number),
+      orderId: slot.orderId,
+      action: rollout.adapter ? 'load-adapter' : 'load-weights',
+      model: rollout.model,
+      version: slot.version,
+      adapter: rollout.adapter,
+    };
+    return agent.connection.client.order(order, { timeoutMs: orderTimeoutMs });
+  };
+
+  /** Asks for the outcome of each load in progress and frees the slots of finished ones. */
+  const collectOutcomes = async (state: OrdersState, number: number): Promise<OrdersState> => {
+    let { slots, rollouts } = state;
+    for (const slot of state.slots) {
+      const rollout = replica.get('rollout', slot.rollout);
+      const progress = rollouts[slot.rollout];
+      const agent = directory.find(slot.target);
+      const isGone = !agent || (!agent.usable && agent.ageMs > abandonedAfterMs);
+      if (!rollout || !progress || isGone) {
+        slots = slots.filter((other) => other !== slot);
+        continue;
+      }
+      const reply = await sendOrder(agent, slot, rollout, number).catch(() => undefined);
+      if (!reply || reply.outcome === 'running' || reply.outcome === 'not-ready') continue;
+      slots = slots.filter((other) => other !== slot);
+      if (reply.outcome !== 'failed') continue;
+      const message = `target ${slot.target} failed to load ${slot.version}: ${reply.message}`;
+      log.warn({ rollout: slot.rollout, target: slot.target, message }, 'load failed');
+      const phase = progress.phase === 'running' ? 'rolling-back' : progress.phase;
+      rollouts = { ...rollouts, [slot.rollout]: { ...progress, phase, message } };
+    }
+    return { ...state, slots, rollouts };
+  };
+
+  const progressOf = (state: OrdersState, rollout: Rollout): RolloutState => {
+    const known = state.rollouts[rollout.name];
+    if (known?.version === rollout.version) return known;
+    const { name, version } = rollout;
+    return { name, version, phase: 'running', previous: {}, message: '' };
+  };
+
+  const wantedVersion = (progress: RolloutState, agent: AgentView): string => {
+    if (progress.phase === 'running') return progress.version;
+    return progress.previous[targetOf(agent)] ?? agent.status?.weightsVersion ?? '';
+  };
+
+  /** Finds a target that may load now without leaving too few that serve. */
+  const nextTarget = (
+    state: OrdersState,
+    rollout: Rollout,
+    progress: RolloutState,
+  ): AgentView | undefined => {
+    const loading = new Set(state.slots.map(({ target }) => target));
+    const agents = participants(rollout);
+    const serving = agents.filter((agent) => agent.usable && !loading.has(targetOf(agent)));
+    for (const agent of agents) {
+      if (loading.has(targetOf(agent))) continue;
+      if (hasVersion(rollout, agent, wantedVersion(progress, agent))) continue;
+      const remaining = agent.usable ? serving.length - 1 : serving.length;
+      if (remaining >= Math.min(rollout.minServing, agents.length - 1)) return agent;
+    }
+    return undefined;
+  };
+
+  const finishedPhase = (progress: RolloutState): RolloutState['phase'] =>
+    progress.phase === 'rolling-back' ? 'rolled-back' : 'completed';
+
+  const advance = (state: OrdersState, rollout: Rollout): OrdersState => {
+    const progress = progressOf(state, rollout);
+    const isOpen = progress.phase === 'running' || progress.phase === 'rolling-back';
+    const withProgress = (next: RolloutState): OrdersState => ({
+      ...state,
+      rollouts: { ...state.rollouts, [rollout.name]: next },
+    });
+    if (!isOpen) return state;
+    const agents = participants(rollout);
+    const open = agents.filter(
+      (agent) => !hasVersion(rollout, agent, wantedVersion(progress, agent)),
+    );
+    const mine = state.slots.filter((slot) => slot.rollout === rollout.name);
+    if (agents.length > 0 && open.length === 0 && mine.length === 0) {
+      const phase = finishedPhase(progress);
+      log.info({ rollout: rollout.name, phase }, 'rollout finished');
+      return withProgress({ ...progress, phase });
+    }
+    const mayLoad =
+      state.slots.length < maxLoadsAtOnce && clock.now() - lastLoadAt >= loadIntervalMs;
+    const agent = mayLoad ? nextTarget(state, rollout, progress) : undefined;
+    if (!agent) return withProgress(progress);
+    lastLoadAt = clock.now();
+    const target = targetOf(agent);
+    const slot: LoadSlot = {
+      rollout: rollout.name,
+      target,
+      orderId: randomUUID(),
+      version: wantedVersion(progress, agent),
+    };
+    const previous = { [target]: agent.status?.weightsVersion ?? '', ...progress.previous };
+    return { ...withProgress({ ...progress, previous }), slots: [...state.slots, slot] };
+  };
+
+  /** One round: outcomes first, then new loads; the state is written before orders are sent. */
+  const step = async (number: number, token: CancellationToken): Promise<void> => {
+    const { state: before, version } = await store.read(token);
+    latest = before;
+    if (before.fencingNumber > number) return;
+    let state = await collectOutcomes({ ...before, fencingNumber: number }, number);
+    for (const rollout of replica.list('rollout')) state = advance(state, rollout);
+    if (lease.current() !== number) return;
+    const changed = JSON.stringify(state) !== JSON.stringify(before);
+    if (changed && !(await store.write(state, version, token))) return;
+    latest = state;
+    for (const slot of state.slots) {
+      if (before.slots.some(({ orderId }) => orderId === slot.orderId)) continue;
+      const rollout = replica.get('rollout', slot.rollout);
+      const agent = directory.find(slot.target);
+      if (rollout && agent) await sendOrder(agent, slot, rollout, number).catch(() => undefined);
+    }
+  };
+
+  const run = async (token: CancellationToken): Promise<void> => {
+    while (!token.isCancellationRequested) {
+      const number = lease.current();
+      try {
+        if (number !== undefined) await step(number, token);
+      } catch (err) {
+        log.debug({ err: errMessage(err) }, 'rollout step failed');
+      }
+      await sleep(clock, stepIntervalMs, token);
+    }
+  };
+
+  run(source.token).catch(() => undefined);
+
+  return {
+    get state() {
+      return latest;
+    },
+    dispose: () => source.cancel('rollouts closed'),
+  };
+}
--- /dev/null
+++ b/src/orders/state.ts
@@ -0,0 +1,61 @@
+import { type CancellationToken } from '../base/cancellation.js';
+import { type TableItem, type TablePort } from '../ports/table.js';
+
+/** A load in progress at one target. */
+export interface LoadSlot {
+  readonly rollout: string;
+  readonly target: string;
+  readonly orderId: string;
+  readonly version: string;
+}
+
+/** Progress of one rollout. */
+export interface RolloutState {
+  readonly name: string;
+  /** Version that the rollout record asks for. */
+  readonly version: string;
+  readonly phase: 'running' | 'completed' | 'rolling-back' | 'rolled-back';
+  /** Version of each target before the rollout changed it. */
+  readonly previous: Readonly<Record<string, string>>;
+  readonly message: string;
+}
+
+/** Progress of all rollouts as the holder of the lease keeps it. */
+export interface OrdersState {
+  readonly fencingNumber: number;
+  readonly slots: readonly LoadSlot[];
+  readonly rollouts: Readonly<Record<string, RolloutState>>;
+}
+
+/** State with the version of its row. */
+export interface VersionedState {
+  readonly state: OrdersState;
+  readonly version: number;
+}
+
+/** Keeps the progress of rollouts in the table, so that any instance can go on. */
+export interface OrdersStore {
+  read(token: CancellationToken): Promise<VersionedState>;
+  /** Returns false when another process wrote in between or holds a newer number. */
+  write(state: OrdersState, version: number, token: CancellationToken): Promise<boolean>;
+}
+
+const stateKey = { partition: 'orders', sort: 'state' } as const;
+
+const emptyState: OrdersState = { fencingNumber: 0, slots: [], rollouts: {} };
+
+function parseState(item: TableItem | undefined): VersionedState {
+  if (!item) return { state: emptyState, version: 0 };
+  return { state: JSON.parse(item.value) as OrdersState, version: item.version };
+}
+
+export function createOrdersStore(table: TablePort): OrdersStore {
+  return {
+    read: async (token) => parseState(await table.get(stateKey, token)),
+    async write(state, version, token) {
+      const value = JSON.stringify(state);
+      const write = { ...stateKey, value, condition: { version } };
+      return (await table.transact([write], token)) === 'committed';
+    },
+  };
+}
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -87,6 +87,8 @@
   readonly configuration: ConfigurationSnapshot;
   readonly policy?: string;
   readonly adapters?: EntryAdapters;
+  /** Further settings by section. */
+  readonly settings?: Readonly<Record<string, Readonly<Record<string, string>>>>;
 }
 
 /** Starts an entry in this process. */
@@ -99,7 +101,8 @@
     listen: { callers: '127.0.0.1:0', operators: '127.0.0.1:0', internal: '127.0.0.1:0' },
     internal: { credential: siteCredential },
     peers: { agents: spec.agents.map((url) => url.replace('http://', '')).join(', ') },
-    requests: { policy: spec.policy ?? 'cicadatide' },
+    ...spec.settings,
+    requests: { policy: spec.policy ?? 'cicadatide', ...spec.settings?.['requests'] },
     shutdown: { balancer_wait: '100ms', drain: '10s' },
   });
   const replica = createConfigurationReplica();
