Let the rollout tests tell the load bound from the serving bound

Change: the test runs with 1, 4 and 5 targets to keep. Conclusion: both bounds are now guarded separately.

--- a/test/orders/rollout.test.ts
+++ b/test/orders/rollout.test.ts
@@ -58,8 +58,8 @@
     find: (name: string) => views().find((view) => view.address === name),
   } as unknown as AgentDirectory;
   const replica = createConfigurationReplica();
-  const submit = (revision: number, version: string): void => {
-    const rollout = { name: 'r', model: 'm', version, minServing: 4 };
+  const submit = (revision: number, version: string, minServing = 1): void => {
+    const rollout = { name: 'r', model: 'm', version, minServing };
     replica.apply({ revision, records: [record('rollout', rollout)] });
   };
   const store = createOrdersStore(createMemoryTable());
@@ -80,14 +80,20 @@
   return { clock, seen, submit, start, lease, versions };
 }
 
+const bounds: readonly (readonly [number, number])[] = [
+  [1, 2],
+  [4, 2],
+  [5, 1],
+];
+
 // Guards against more than two loads at once and against a model without serving targets.
-test('a rollout changes all targets, at most two at once', async () => {
+test.each(bounds)('with %i targets to keep, %i load at once', async (minServing, mostLoading) => {
   const site = createSite();
   const controller = site.start(1);
-  site.submit(2, 'v2');
+  site.submit(2, 'v2', minServing);
   await site.clock.advance(30_000);
   expect(site.versions()).toEqual(Array(6).fill('v2'));
-  expect(site.seen).toEqual({ mostLoading: 2, leastServing: 4, orders: 6 });
+  expect(site.seen).toEqual({ mostLoading, leastServing: 6 - mostLoading, orders: 6 });
   expect(controller.state?.rollouts['r']?.phase).toBe('completed');
 });
 
