Connect to a bounded subset of agents and send the leaving notice at once

Cause: a full mesh of 340 entries and 600 agents at about 180 B/s per connection is over the 18 KB/s that a node may spend on control; a leaving agent was announced only with its next status. Change: an entry connects to at most 96 agents, own data centre first, spread by rendezvous hashing; the status stream wakes when the agent starts to leave; the list is read every 0.8 to 2.4 s; removed agents are forgotten.

--- a/src/adapters/connect/agentservice.ts
+++ b/src/adapters/connect/agentservice.ts
@@ -1,6 +1,7 @@
 import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect';
 import { createCancellationSource } from '../../base/cancellation.js';
 import { type Clock, sleep } from '../../base/clock.js';
+import { type Disposable } from '../../base/lifecycle.js';
 import { AgentService, RefusalReason } from '../../gen/cicadatide/v1/agent_pb.js';
 import { type ServiceWorker } from '../../idempotency/serviceworker.js';
 import { type EngineWorker } from '../../scheduling/worker.js';
@@ -21,6 +22,8 @@
   /** Route that a service target serves, or an empty string. */
   readonly serviceRoute: string;
   readonly isLeaving: () => boolean;
+  /** Calls the listener when the agent starts to leave, so that entries hear of it at once. */
+  readonly onLeaving: (listener: () => void) => Disposable;
   readonly configurationRevision: () => bigint;
 }
 
@@ -41,7 +44,7 @@
 /** Registers the agent's service; requests for the other kind of target are refused. */
 export function agentRoutes(options: AgentServiceOptions): (router: ConnectRouter) => void {
   const { clock, identity, engine, service, serviceRoute } = options;
-  const { isLeaving, configurationRevision } = options;
+  const { isLeaving, onLeaving, configurationRevision } = options;
   let subscribers = 0;
   let sequence = 0n;
 
@@ -114,8 +117,14 @@
         try {
           while (!source.token.isCancellationRequested) {
             yield currentStatus();
+            const wait = createCancellationSource(source.token);
+            const leaving = isLeaving()
+              ? undefined
+              : onLeaving(() => wait.cancel('agent is leaving'));
             const intervalMs = statusIntervalFor(subscribers);
-            await sleep(clock, intervalMs, source.token).catch(() => undefined);
+            await sleep(clock, intervalMs, wait.token).catch(() => undefined);
+            leaving?.dispose();
+            wait.dispose();
           }
         } finally {
           subscribers -= 1;
--- a/src/daemon/agent.ts
+++ b/src/daemon/agent.ts
@@ -3,7 +3,7 @@
 import { listenInternal } from '../adapters/connect/listener.js';
 import { createHttpService } from '../adapters/http/service.js';
 import { createOpenaiEngine } from '../adapters/openai/engine.js';
-import { noCancellation } from '../base/cancellation.js';
+import { createCancellationSource, noCancellation } from '../base/cancellation.js';
 import { type Clock, sleep, systemClock } from '../base/clock.js';
 import { SettingsError } from '../base/errors.js';
 import { createDisposableStore } from '../base/lifecycle.js';
@@ -52,7 +52,7 @@
   const service = kind === 'service' ? startServiceWorker() : undefined;
   const activeCount = (): number => (engine?.active ?? 0) + (service?.running ?? 0);
 
-  let leaving = false;
+  const leaving = createCancellationSource();
   const internal = await listenInternal(
     settings.listen.internal,
     settings.internal.credential,
@@ -62,14 +62,15 @@
       engine,
       service,
       serviceRoute,
-      isLeaving: () => leaving,
+      isLeaving: () => leaving.token.isCancellationRequested,
+      onLeaving: (listener) => leaving.token.onCancellationRequested(listener),
       configurationRevision: () => BigInt(replica.revision),
     }),
   );
   const operators = createOperatorServer({
     log,
     registry,
-    isReady: () => !leaving && engine?.status.targetDown !== true,
+    isReady: () => !leaving.token.isCancellationRequested && engine?.status.targetDown !== true,
     routes: [],
   });
   const addresses = {
@@ -91,7 +92,7 @@
       return activeCount();
     },
     async drain() {
-      leaving = true;
+      leaving.cancel('planned stop');
       engine?.leave();
       service?.leave();
       await sleep(clock, settings.shutdown.balancer_wait, noCancellation);
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -6,7 +6,8 @@
 import { fullJitter, type Random } from '../base/random.js';
 import { type AgentStatus } from '../gen/cicadatide/v1/agent_pb.js';
 import { type AgentClient, type PeerConnection, type PeerConnector } from '../ports/agents.js';
-import { type InstancesPort } from '../ports/instances.js';
+import { type InstancesPort, type ListedInstance } from '../ports/instances.js';
+import { selectSubset } from './subset.js';
 
 /** What an entry knows of one agent. */
 export interface AgentView {
@@ -45,8 +46,8 @@
   readonly self: { readonly instance: string; readonly dataCentre: string };
 }
 
-/** Time between reads of the platform's list. */
-const listIntervalMs = 2_000;
+/** Mean time between reads of the platform's list; with jitter at most 2.4 s. */
+const listIntervalMs = 1_600;
 
 /** A status older than this many of its own intervals marks the agent as silent. */
 const silentIntervals = 4;
@@ -133,15 +134,29 @@
     inflight: entry.inflight,
   });
 
+  const removeAgent = (entry: Entry): void => {
+    entries.delete(entry.address);
+    entry.stop();
+    entry.connection.dispose();
+  };
+
+  const applyList = (listed: readonly ListedInstance[]): void => {
+    const selected = selectSubset(listed, self);
+    for (const item of selected) addAgent(item.address).listedLeaving = item.leaving;
+    const kept = new Set([...staticAgents, ...selected.map(({ address }) => address)]);
+    for (const entry of entries.values()) {
+      // An agent that still answers is kept, since the list lags behind what this process sees.
+      if (kept.has(entry.address) || isUsable(entry) || entry.inflight > 0) continue;
+      removeAgent(entry);
+    }
+  };
+
   const readList = async (token: CancellationToken): Promise<void> => {
     if (!instances) return;
     while (!token.isCancellationRequested) {
       try {
         const listed = await instances.list(token);
-        for (const item of listed) {
-          if (item.role !== 'agent') continue;
-          addAgent(item.address).listedLeaving = item.leaving;
-        }
+        applyList(listed.filter(({ role }) => role === 'agent'));
       } catch (err) {
         log.warn({ err: errMessage(err) }, 'instance list is not available; keeping known agents');
       }
--- /dev/null
+++ b/src/membership/subset.ts
@@ -0,0 +1,32 @@
+import { type ListedInstance } from '../ports/instances.js';
+import { rankByRendezvous } from '../routing/rendezvous.js';
+
+/**
+ * Agents that one entry connects to. Each connection costs the entry about 180 B/s of status
+ * messages, so 96 of them stay inside the 18 KB/s that a node may spend on control.
+ */
+export const maxConnectedAgents = 96;
+
+/** Identity of the process that selects. */
+export interface SubsetOwner {
+  readonly instance: string;
+  readonly dataCentre: string;
+}
+
+/**
+ * Selects the agents that a process connects to: those of its own data centre first, then
+ * others. Rendezvous hashing by the instance's name spreads the entries evenly over the agents
+ * and changes few connections when the list changes.
+ */
+export function selectSubset(
+  agents: readonly ListedInstance[],
+  owner: SubsetOwner,
+  limit: number = maxConnectedAgents,
+): readonly ListedInstance[] {
+  if (agents.length <= limit) return agents;
+  const rank = (items: readonly ListedInstance[]): readonly ListedInstance[] =>
+    rankByRendezvous(owner.instance, items, ({ instance }) => instance);
+  const near = rank(agents.filter(({ dataCentre }) => dataCentre === owner.dataCentre));
+  const far = rank(agents.filter(({ dataCentre }) => dataCentre !== owner.dataCentre));
+  return [...near, ...far].slice(0, limit);
+}
