--- a/src/daemon/agent.ts
+++ b/src/daemon/agent.ts
@@ -1,4 +1,4 @@
-import { Registry } from 'prom-client';
+import { collectDefaultMetrics, Registry } from 'prom-client';
 import { type AgentIdentity, agentRoutes } from '../adapters/connect/agentservice.js';
 import { listenInternal } from '../adapters/connect/listener.js';
 import { createHttpService } from '../adapters/http/service.js';
@@ -12,6 +12,7 @@
 import { createServiceWorker } from '../idempotency/serviceworker.js';
 import { createEngineWorker } from '../scheduling/worker.js';
 import { listenHttp } from './listen.js';
+import { registerAgentMetrics } from './metrics.js';
 import { createOperatorServer } from './operators/server.js';
 import { type DaemonProcess, drainPollMs } from './process.js';
 import { type Settings } from './settings/schema.js';
@@ -32,6 +33,7 @@
   if (!target || !kind || !url) throw new SettingsError('[target] name, kind and url are missing');
   const resources = createDisposableStore();
   const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
   const replica = createConfigurationReplica();
   const identity: AgentIdentity = {
     instance: settings.process.instance,
@@ -52,6 +54,10 @@
   const service = kind === 'service' ? startServiceWorker() : undefined;
   const activeCount = (): number => (engine?.active ?? 0) + (service?.running ?? 0);
 
+  registerAgentMetrics(registry, replica, () => {
+    if (engine) return engine.status;
+    return { running: service?.running ?? 0, places, queueMs: 0 };
+  });
   const leaving = createCancellationSource();
   const internal = await listenInternal(
     settings.listen.internal,
--- a/src/daemon/callers/completions.ts
+++ b/src/daemon/callers/completions.ts
@@ -9,6 +9,7 @@
 import { estimateTokens } from '../../routing/blocks.js';
 import { type CompletionEvent, type Dispatcher } from '../../routing/dispatcher.js';
 import { type CompletionRequest, createCompletionRequest } from '../../routing/request.js';
+import { type EntryMetrics } from '../metrics.js';
 import { type BodyLimits, readJson } from './body.js';
 import { type CallerContext, readDeadline, readPriority } from './context.js';
 import { errorBody, headerNames, toRefusal } from './errors.js';
@@ -22,6 +23,7 @@
   readonly replica: ConfigurationReplica;
   readonly dispatcher: Dispatcher;
   readonly limits: BodyLimits;
+  readonly metrics: Pick<EntryMetrics, 'firstToken' | 'promptTokens'>;
 }
 
 type Json = Readonly<Record<string, unknown>>;
@@ -91,7 +93,7 @@
 }
 
 export function createCompletionHandler(options: CompletionOptions, kind: CompletionKind) {
-  const { clock, log, replica, dispatcher, limits } = options;
+  const { clock, log, replica, dispatcher, limits, metrics } = options;
   const format = answerFormats[kind];
 
   const readRequest = async (
@@ -165,7 +167,9 @@
     } catch (err) {
       if (!started || ctx.source.token.isCancellationRequested) throw err;
       // The status line is sent already, so the error goes into the stream and no [DONE] follows.
-      await writeEvent(res, JSON.stringify(errorBody(toRefusal(err, requestId, log), requestId)));
+      const refused = toRefusal(err, requestId, log);
+      ctx.setOutcome(refused.code);
+      await writeEvent(res, JSON.stringify(errorBody(refused, requestId)));
       res.end();
     }
   };
@@ -189,12 +193,30 @@
     }
   };
 
+  async function* observe(
+    model: string,
+    startedAt: number,
+    events: AsyncIterable<CompletionEvent>,
+  ): AsyncGenerator<CompletionEvent> {
+    let first = true;
+    for await (const event of events) {
+      if (event.kind === 'text' && first) {
+        first = false;
+        metrics.firstToken(model, clock.now() - startedAt);
+      }
+      if (event.kind === 'end') metrics.promptTokens(model, event.promptTokens, event.cachedTokens);
+      yield event;
+    }
+  }
+
   return async (ctx: CallerContext): Promise<void> => {
+    const startedAt = clock.now();
     const { request, body, route } = await readRequest(ctx);
     const created = Math.floor(clock.wallTime() / 1_000);
     const head = { requestId: ctx.requestId, model: route.name, created };
     const mayServe = (agent: AgentView): boolean => servesRoute(route, agent);
-    const events = dispatcher.run(request, mayServe, ctx.source.token);
+    const running = dispatcher.run(request, mayServe, ctx.source.token);
+    const events = observe(route.name, startedAt, running);
     if (body['stream'] !== true) {
       await sendWhole(ctx, head, events);
       return;
--- a/src/daemon/callers/context.ts
+++ b/src/daemon/callers/context.ts
@@ -17,6 +17,8 @@
   readonly url: URL;
   /** Cancelled when the caller closes its connection. */
   readonly source: CancellationSource;
+  /** Records the outcome of a request that failed after its response had begun. */
+  setOutcome(code: string): void;
 }
 
 const requestIdPattern = /^[A-Za-z0-9._-]{8,64}$/;
--- a/src/daemon/callers/server.ts
+++ b/src/daemon/callers/server.ts
@@ -5,7 +5,8 @@
 import { refusal } from '../../base/refusals.js';
 import { type ConfigurationReplica } from '../../configuration/replica.js';
 import { authenticateTeam, type CallerContext, cancelOnClose, readRequestId } from './context.js';
-import { sendRefusal, toRefusal } from './errors.js';
+import { type EntryMetrics } from '../metrics.js';
+import { headerNames, sendRefusal, toRefusal } from './errors.js';
 
 /** Handles one authenticated request. */
 export type CallerHandler = (ctx: CallerContext) => Promise<void>;
@@ -33,6 +34,15 @@
   readonly replica: ConfigurationReplica;
   readonly routes: readonly CallerRoute[];
   readonly maxHeaderBytes: number;
+  readonly metrics: Pick<EntryMetrics, 'requestFinished'>;
+}
+
+/** What is known of a request when it ends. */
+interface RequestRecord {
+  requestId: string;
+  team: string;
+  path: string;
+  outcome: string;
 }
 
 /** Time for a caller to send the request head. */
@@ -71,40 +81,62 @@
 }
 
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-  const { log, replica, routes, maxHeaderBytes } = options;
+  const { clock, log, replica, routes, maxHeaderBytes, metrics } = options;
   let active = 0;
   let accepting = true;
 
-  const handle = async (req: IncomingMessage, res: ServerResponse, requestId: string) => {
+  const handle = async (
+    req: IncomingMessage,
+    res: ServerResponse,
+    record: RequestRecord,
+  ): Promise<void> => {
+    record.requestId = readRequestId(req);
     if (!accepting) throw refusal('draining', 'this instance is shutting down');
     if (!replica.ready) throw refusal('notReady', 'no configuration was received yet');
     const url = new URL(req.url ?? '/', 'http://localhost');
     const team = authenticateTeam(req, replica);
+    record.team = team.name;
     const route = findRoute(routes, url.pathname);
     if (!route) throw refusal('unknownRoute', `no such path: ${url.pathname}`);
+    record.path = route.path;
     if (route.methods && !route.methods.includes(req.method ?? '')) {
       throw refusal('methodNotAllowed', `method ${req.method} is not allowed here`);
     }
     const source = cancelOnClose(res);
-    await route.handler({ requestId, team, req, res, url, source });
+    const setOutcome = (code: string): void => {
+      record.outcome = code;
+    };
+    await route.handler({ requestId: record.requestId, team, req, res, url, source, setOutcome });
+  };
+
+  const finish = (res: ServerResponse, record: RequestRecord, startedAt: number): void => {
+    const { path, team, outcome, requestId } = record;
+    const durationMs = Math.round(clock.now() - startedAt);
+    metrics.requestFinished({ path, team, outcome, durationMs });
+    const target = res.getHeader(headerNames.target);
+    const attempt = res.getHeader(headerNames.attempt);
+    log.info({ requestId, team, path, target, attempt, outcome, durationMs }, 'request finished');
   };
 
   const server = createServer(
     { maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0 },
     (req, res) => {
       active += 1;
-      let requestId = '';
-      const run = async (): Promise<void> => {
-        requestId = readRequestId(req);
-        await handle(req, res, requestId);
-      };
-      run()
+      const startedAt = clock.now();
+      const record: RequestRecord = { requestId: '', team: '', path: '', outcome: 'ok' };
+      handle(req, res, record)
         .catch((err: unknown) => {
-          if (res.destroyed) return;
-          sendRefusal(res, toRefusal(err, requestId, log), requestId);
+          if (res.destroyed) {
+            record.outcome = 'cancelled';
+            return;
+          }
+          const refused = toRefusal(err, record.requestId, log);
+          record.outcome = refused.code;
+          sendRefusal(res, refused, record.requestId);
         })
         .finally(() => {
           active -= 1;
+          finish(res, record, startedAt);
         });
     },
   );
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,4 +1,4 @@
-import { Registry } from 'prom-client';
+import { collectDefaultMetrics, Registry } from 'prom-client';
 import { createPeerConnector } from '../adapters/connect/connector.js';
 import { listenInternal } from '../adapters/connect/listener.js';
 import { noCancellation } from '../base/cancellation.js';
@@ -25,6 +25,7 @@
 import { createCallerServer } from './callers/server.js';
 import { createServiceHandler, servicePrefix } from './callers/services.js';
 import { closeHttp, listenHttp } from './listen.js';
+import { createEntryMetrics } from './metrics.js';
 import { createOperatorServer } from './operators/server.js';
 import { type DaemonProcess, drainPollMs } from './process.js';
 import { type Settings } from './settings/schema.js';
@@ -57,6 +58,7 @@
   if (!callersBind) throw new SettingsError('[listen] callers is missing');
   const resources = createDisposableStore();
   const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
   const replica = adapters.replica ?? createConfigurationReplica();
   const connector = createPeerConnector(settings.internal.credential);
   const directory = resources.add(
@@ -76,11 +78,13 @@
     maxBytes: settings.requests.max_body,
     timeoutMs: settings.requests.body_timeout,
   };
-  const completion = { clock, log, replica, dispatcher, limits };
+  const metrics = createEntryMetrics(registry, directory, replica);
+  const completion = { clock, log, replica, dispatcher, limits, metrics };
   const callers = createCallerServer({
     clock,
     log,
     replica,
+    metrics,
     maxHeaderBytes: settings.requests.max_header,
     routes: [
       {
