Add fair queue with deadlines and a long-job share to the agent

Cause: the agent's queue was first-come-first-served without a bound, so under overload every request waited past its deadline, one team could take the whole engine, and short requests waited behind long ones.

Change: start-time fair queueing over teams by weight, priority classes with aging, earliest deadline first, a lane for long jobs (at most half of the places), a length bound, and refusal by expected finish at arrival and before the start. The forecast replays a copy of the queue with the same rules.

--- /dev/null
+++ b/src/scheduling/forecast.ts
@@ -0,0 +1,120 @@
+/** Choice of the next job, and the forecast that replays it into the future. */
+import { type Lane, type LaneJob } from './lane.js';
+
+/** A job in the queue with its class and timing. */
+export interface ScheduledJob extends LaneJob {
+  readonly long: boolean;
+  /** Part of the cost that the engine computes for one request at a time. */
+  readonly prefillMs: number;
+}
+
+/** Waiting jobs of a queue by kind. */
+export interface Lanes<J extends ScheduledJob> {
+  readonly short: Lane<J>;
+  readonly long: Lane<J>;
+}
+
+/** A job that holds a place, with its expected end. */
+export interface RunningJob {
+  readonly endAt: number;
+  readonly long: boolean;
+}
+
+/** Expected times of one job. */
+export interface JobTimes {
+  readonly startAt: number;
+  readonly firstTokenAt: number;
+  readonly endAt: number;
+}
+
+/** Everything that a forecast starts from. Lanes are consumed, so pass copies. */
+export interface QueueSnapshot {
+  readonly now: number;
+  readonly places: number;
+  readonly lanes: Lanes<ScheduledJob>;
+  readonly running: readonly RunningJob[];
+  /** Time at which the prefill work of the running jobs ends. */
+  readonly prefillFreeAt: number;
+}
+
+/** A long job that waited this long gets a place before short ones when no long job runs. */
+export const longPatienceMs = 1_000;
+
+/** Share of the cost kept in reserve before a deadline, as estimates are not exact. */
+const reserveShare = 0.1;
+
+/** Places that long jobs may hold at once. */
+export function longLimit(places: number): number {
+  return Math.max(1, Math.floor(places / 2));
+}
+
+/**
+ * Returns the job that gets the next free place. Short jobs go first. Long jobs get what is left
+ * up to their limit, and one place at least once one of them has waited for its patience.
+ */
+export function nextJob<J extends ScheduledJob>(
+  lanes: Lanes<J>,
+  places: number,
+  longRunning: number,
+  now: number,
+  skipHeld: boolean,
+): J | undefined {
+  const mayRunLong = lanes.long.size > 0 && longRunning < longLimit(places);
+  const overdue = mayRunLong && longRunning === 0 && now - lanes.long.oldest >= longPatienceMs;
+  const first = overdue ? lanes.long.next(skipHeld) : undefined;
+  return (
+    first ?? lanes.short.next(skipHeld) ?? (mayRunLong ? lanes.long.next(skipHeld) : undefined)
+  );
+}
+
+/** Times of a job that starts now. Prefill is serialised, as the engine shares its speed. */
+export function timesFrom(job: ScheduledJob, startAt: number, prefillFreeAt: number): JobTimes {
+  const waitsForPrefill = job.prefillMs > 0 ? Math.max(startAt, prefillFreeAt) : startAt;
+  const firstTokenAt = waitsForPrefill + job.prefillMs;
+  return { startAt, firstTokenAt, endAt: firstTokenAt + job.costMs - job.prefillMs };
+}
+
+/** Tells whether the expected end leaves the reserve before the deadline. */
+export function meetsDeadline(job: ScheduledJob, times: JobTimes): boolean {
+  return times.endAt + job.costMs * reserveShare <= job.deadline;
+}
+
+/** Returns the expected times of a job, which must be in the snapshot's lanes. */
+export function forecastJob(snapshot: QueueSnapshot, job: ScheduledJob): JobTimes {
+  const { lanes, places } = snapshot;
+  const running = [...snapshot.running];
+  let { now, prefillFreeAt } = snapshot;
+  let longRunning = running.filter(({ long }) => long).length;
+
+  /** Moves time to the next expected end and frees that place. */
+  const finishNext = (): void => {
+    let first = 0;
+    for (const [index, { endAt }] of running.entries()) {
+      if (endAt < (running[first] as RunningJob).endAt) first = index;
+    }
+    const [ended] = running.splice(first, 1);
+    now = Math.max(now, ended?.endAt ?? now);
+    if (ended?.long) longRunning -= 1;
+  };
+
+  for (;;) {
+    const hasPlace = running.length < places;
+    const next = hasPlace ? nextJob(lanes, places, longRunning, now, false) : undefined;
+    if (!next) {
+      if (running.length === 0) return timesFrom(job, now, prefillFreeAt);
+      finishNext();
+      continue;
+    }
+    const times = timesFrom(next, now, prefillFreeAt);
+    if (next === job) return times;
+    const lane = next.long ? lanes.long : lanes.short;
+    if (!meetsDeadline(next, times)) {
+      lane.remove(next);
+      continue;
+    }
+    lane.take(next);
+    prefillFreeAt = Math.max(prefillFreeAt, times.firstTokenAt);
+    running.push({ endAt: times.endAt, long: next.long });
+    if (next.long) longRunning += 1;
+  }
+}
--- /dev/null
+++ b/src/scheduling/lane.ts
@@ -0,0 +1,152 @@
+/** Start-time fair queueing over teams for one kind of job. */
+
+/** What the order of a lane depends on. */
+export interface LaneJob {
+  readonly team: string;
+  readonly costMs: number;
+  readonly arrivedAt: number;
+  /** Lower classes go first; see {@link priorityClass}. */
+  readonly priorityClass: number;
+  /** Time by which the answer is due, on the agent's clock. */
+  readonly deadline: number;
+  /** Arrival number; breaks ties. */
+  readonly order: number;
+  /** True while the job should not start yet. */
+  readonly isHeld?: () => boolean;
+}
+
+/**
+ * Waiting jobs of one kind. Teams share by weight: the team with the lowest virtual start time is
+ * next. Inside a team the lowest priority class goes first, then the earliest deadline.
+ */
+export interface Lane<J extends LaneJob> extends Iterable<J> {
+  readonly size: number;
+  /** Arrival time of the job that waits longest, or Infinity. */
+  readonly oldest: number;
+  add(job: J): void;
+  /** Removes a job without charging its team. */
+  remove(job: J): boolean;
+  /** Returns the job that is next, without removing it; held jobs are passed over on request. */
+  next(skipHeld: boolean): J | undefined;
+  /** Removes a job that starts and charges its cost to its team. */
+  take(job: J): void;
+  /** Returns an independent lane with the same jobs and charges, for a forecast. */
+  copy(): Lane<J>;
+}
+
+/** Waiting time that raises a job by one priority level. */
+export const agingMs = 2_000;
+
+/**
+ * Priority class with linear aging. The arrival period stands in for the time waited, so the
+ * order of two jobs never changes and a lane can stay sorted.
+ */
+export function priorityClass(priority: number, arrivedAt: number): number {
+  return Math.floor(arrivedAt / agingMs) - priority;
+}
+
+interface Flow<J> {
+  start: number;
+  jobs: J[];
+}
+
+/** A weight of 0 would starve a team, so weights are at least this. */
+const minWeight = 0.01;
+
+function goesBefore(left: LaneJob, right: LaneJob): boolean {
+  if (left.priorityClass !== right.priorityClass) return left.priorityClass < right.priorityClass;
+  if (left.deadline !== right.deadline) return left.deadline < right.deadline;
+  return left.order < right.order;
+}
+
+function insertSorted<J extends LaneJob>(jobs: J[], job: J): void {
+  let low = 0;
+  let high = jobs.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (goesBefore(job, jobs[middle] as J)) high = middle;
+    else low = middle + 1;
+  }
+  jobs.splice(low, 0, job);
+}
+
+export function createLane<J extends LaneJob>(teamWeight: (team: string) => number): Lane<J> {
+  return laneOf(teamWeight, new Map(), 0);
+}
+
+function laneOf<J extends LaneJob>(
+  teamWeight: (team: string) => number,
+  flows: Map<string, Flow<J>>,
+  initialTime: number,
+): Lane<J> {
+  let virtualTime = initialTime;
+  let size = 0;
+  for (const { jobs } of flows.values()) size += jobs.length;
+
+  const removeFrom = (flow: Flow<J> | undefined, job: J): boolean => {
+    const index = flow?.jobs.indexOf(job) ?? -1;
+    if (index < 0) return false;
+    flow?.jobs.splice(index, 1);
+    size -= 1;
+    return true;
+  };
+
+  /** Forgets idle teams without a charge ahead of the virtual time. */
+  const dropIdle = (): void => {
+    for (const [team, flow] of flows) {
+      if (flow.jobs.length === 0 && flow.start <= virtualTime) flows.delete(team);
+    }
+  };
+
+  return {
+    get size() {
+      return size;
+    },
+    get oldest() {
+      let oldest = Infinity;
+      for (const { jobs } of flows.values()) {
+        for (const { arrivedAt } of jobs) oldest = Math.min(oldest, arrivedAt);
+      }
+      return oldest;
+    },
+    add(job) {
+      let flow = flows.get(job.team);
+      if (!flow) {
+        flow = { start: virtualTime, jobs: [] };
+        flows.set(job.team, flow);
+      }
+      if (flow.jobs.length === 0) flow.start = Math.max(flow.start, virtualTime);
+      insertSorted(flow.jobs, job);
+      size += 1;
+    },
+    remove: (job) => removeFrom(flows.get(job.team), job),
+    next(skipHeld) {
+      let best: J | undefined;
+      let bestStart = Infinity;
+      for (const { start, jobs } of flows.values()) {
+        if (start > bestStart) continue;
+        const job = skipHeld ? jobs.find(({ isHeld }) => !isHeld?.()) : jobs[0];
+        if (!job) continue;
+        if (best && start === bestStart && !goesBefore(job, best)) continue;
+        best = job;
+        bestStart = start;
+      }
+      return best;
+    },
+    take(job) {
+      const flow = flows.get(job.team);
+      if (!flow || !removeFrom(flow, job)) return;
+      virtualTime = Math.max(virtualTime, flow.start);
+      flow.start += job.costMs / Math.max(minWeight, teamWeight(job.team));
+      dropIdle();
+    },
+    copy() {
+      const copies = new Map<string, Flow<J>>();
+      for (const [team, { start, jobs }] of flows) copies.set(team, { start, jobs: [...jobs] });
+      return laneOf(teamWeight, copies, virtualTime);
+    },
+    *[Symbol.iterator]() {
+      for (const { jobs } of flows.values()) yield* jobs;
+    },
+  };
+}
--- a/src/scheduling/queue.ts
+++ b/src/scheduling/queue.ts
@@ -1,16 +1,51 @@
+/** Bounded, fair queue in front of the places of one engine. */
 import { type CancellationToken } from '../base/cancellation.js';
-import { CancelledError } from '../base/errors.js';
+import { type Clock } from '../base/clock.js';
+import { CancelledError, CicadatideError } from '../base/errors.js';
 import { type Disposable, toDisposable } from '../base/lifecycle.js';
+import { RefusalReason } from '../gen/cicadatide/v1/agent_pb.js';
+import {
+  forecastJob,
+  type JobTimes,
+  meetsDeadline,
+  nextJob,
+  type RunningJob,
+  type ScheduledJob,
+  timesFrom,
+} from './forecast.js';
+import { createLane, priorityClass } from './lane.js';
+import { createLongJobDetector } from './longjobs.js';
 
-/** What the queue knows of one waiting request. */
+/** What the queue knows of one request. */
 export interface QueuedJob {
   readonly team: string;
   /** Higher values go first. */
   readonly priority: number;
-  /** Estimated time that the job holds its place. */
+  /** Estimated time that the job holds its place on an otherwise idle engine. */
   readonly costMs: number;
+  /** Part of the cost that is prefill, which concurrent requests share. */
+  readonly prefillMs?: number;
   /** Milliseconds until the answer is due, at the time of the call. */
   readonly remainingMs: number;
+  /** True while the job should not start yet; see {@link WorkQueue.poll}. */
+  readonly isHeld?: () => boolean;
+}
+
+/** Expected durations from now for one job. */
+export interface JobForecast {
+  readonly waitMs: number;
+  readonly firstTokenMs: number;
+  readonly endMs: number;
+  /** False when the queue would refuse the job because of its deadline. */
+  readonly onTime: boolean;
+}
+
+/** A place that a job holds until it is disposed. */
+export interface Place extends Disposable {
+  /** Expected time from the start to the first token, with the prefill of others. */
+  readonly expectedPrefillMs: number;
+  /** Records that the prefill of this job ended. */
+  prefillDone(): void;
 }
 
 /** Bounded queue in front of the places of one target. */
@@ -19,47 +54,204 @@
   readonly waiting: number;
   readonly places: number;
   setPlaces(places: number): void;
-  /** Waits for a place; disposing the result frees it. Rejects when cancelled. */
-  acquire(job: QueuedJob, token: CancellationToken): Promise<Disposable>;
+  /**
+   * Waits for a place. Rejects with {@link QueueRefusedError} when the queue is full or the
+   * deadline can't be met, and with CancelledError when cancelled.
+   */
+  acquire(job: QueuedJob, token: CancellationToken): Promise<Place>;
+  /** Starts what can start; call it when a held job may go on. */
+  poll(): void;
+  /** Forecasts a job that arrives now, after the given jobs that were promised a place. */
+  forecast(job: QueuedJob, promised?: readonly QueuedJob[]): JobForecast;
   /** Expected wait in milliseconds for a job that arrives now. */
   expectedWaitMs(job: QueuedJob): number;
 }
 
-interface Waiter {
-  readonly job: QueuedJob;
-  readonly start: () => void;
+export interface WorkQueueOptions {
+  readonly clock: Clock;
+  readonly places: number;
+  /** Requests that may wait; more are refused. */
+  readonly maxWaiting?: number;
+  /** Share of a team relative to the others. */
+  readonly teamWeight?: (team: string) => number;
 }
 
-export function createWorkQueue(initialPlaces: number): WorkQueue {
-  const waiters: Waiter[] = [];
-  let places = initialPlaces;
-  let running = 0;
-  let runningCostMs = 0;
+/** The queue refused a job before it started. */
+export const QueueRefusedError = CicadatideError.subclass('QueueRefusedError');
+
+/** Instance of {@link QueueRefusedError}. */
+export type QueueRefusedError = Error & {
+  readonly reason: RefusalReason;
+  readonly retryAfterMs: number;
+};
+
+/** Bounds the memory of waiting bodies and the time of one forecast. */
+const defaultMaxWaiting = 512;
+
+/** Share of its cost that a job is expected to need still after its expected end passed. */
+const overdueShare = 0.1;
+
+const minRetryAfterMs = 50;
+
+interface Waiter extends ScheduledJob {
+  readonly start: (times: JobTimes) => void;
+  readonly refuse: (reason: RefusalReason, retryAfterMs: number) => void;
+}
+
+interface Running {
+  readonly job: ScheduledJob;
+  firstTokenAt: number;
+  endAt: number;
+  prefilling: boolean;
+}
+
+function refusedError(reason: RefusalReason, retryAfterMs: number): Error {
+  const detail = `queue refused the request: ${RefusalReason[reason]}`;
+  const props = { reason, retryAfterMs: Math.ceil(Math.max(minRetryAfterMs, retryAfterMs)) };
+  return new QueueRefusedError(`${detail}; try another target`, { props });
+}
+
+export function createWorkQueue(options: WorkQueueOptions): WorkQueue {
+  const { clock, maxWaiting = defaultMaxWaiting, teamWeight = () => 1 } = options;
+  const lanes = { short: createLane<Waiter>(teamWeight), long: createLane<Waiter>(teamWeight) };
+  const detector = createLongJobDetector();
+  const running = new Set<Running>();
+  let { places } = options;
+  let arrivals = 0;
+
+  const waitingCount = (): number => lanes.short.size + lanes.long.size;
+
+  const laneOf = (job: ScheduledJob) => (job.long ? lanes.long : lanes.short);
+
+  const schedule = (job: QueuedJob): ScheduledJob => {
+    const now = clock.now();
+    arrivals += 1;
+    return {
+      team: job.team,
+      costMs: job.costMs,
+      prefillMs: Math.min(job.costMs, job.prefillMs ?? 0),
+      arrivedAt: now,
+      priorityClass: priorityClass(job.priority, now),
+      deadline: now + job.remainingMs,
+      order: arrivals,
+      long: detector.isLong(job.costMs),
+      ...(job.isHeld && { isHeld: job.isHeld }),
+    };
+  };
+
+  /** Expected end of a running job; one that is overdue still needs some time. */
+  const expectedEnd = ({ job, endAt }: Running): number =>
+    Math.max(endAt, clock.now() + job.costMs * overdueShare);
+
+  const prefillFreeAt = (): number => {
+    let freeAt = clock.now();
+    for (const { prefilling, firstTokenAt } of running) {
+      if (prefilling) freeAt = Math.max(freeAt, firstTokenAt);
+    }
+    return freeAt;
+  };
+
+  const timesOf = (job: ScheduledJob, promised: readonly QueuedJob[]): JobTimes => {
+    const copies = { short: lanes.short.copy(), long: lanes.long.copy() };
+    const busy: RunningJob[] = [];
+    for (const item of running) busy.push({ endAt: expectedEnd(item), long: item.job.long });
+    for (const other of [...promised.map(schedule), job]) {
+      (other.long ? copies.long : copies.short).add(other as Waiter);
+    }
+    const now = clock.now();
+    const snapshot = { now, places, lanes: copies, running: busy, prefillFreeAt: prefillFreeAt() };
+    return forecastJob(snapshot, job);
+  };
 
   const startNext = (): void => {
-    while (running < places) {
-      const next = waiters.shift();
+    while (running.size < places) {
+      let longRunning = 0;
+      for (const { job } of running) if (job.long) longRunning += 1;
+      const next = nextJob(lanes, places, longRunning, clock.now(), true);
       if (!next) return;
-      next.start();
+      const times = timesFrom(next, clock.now(), prefillFreeAt());
+      if (meetsDeadline(next, times)) {
+        laneOf(next).take(next);
+        next.start(times);
+      } else {
+        laneOf(next).remove(next);
+        next.refuse(RefusalReason.DEADLINE, times.endAt - next.deadline);
+      }
     }
   };
 
-  const occupy = (job: QueuedJob): Disposable => {
-    running += 1;
-    runningCostMs += job.costMs;
-    return toDisposable(() => {
-      running -= 1;
-      runningCostMs -= job.costMs;
+  const occupy = (job: ScheduledJob, times: JobTimes): Place => {
+    const item: Running = { job, ...times, prefilling: job.prefillMs > 0 };
+    running.add(item);
+    const release = toDisposable(() => {
+      running.delete(item);
       startNext();
     });
+    return {
+      expectedPrefillMs: times.firstTokenAt - times.startAt,
+      prefillDone() {
+        if (!item.prefilling) return;
+        item.prefilling = false;
+        item.endAt = clock.now() + job.costMs - job.prefillMs;
+      },
+      dispose: release.dispose,
+    };
+  };
+
+  /** Refuses waiting jobs that can't meet their deadline even when they start now. */
+  const dropHopeless = (): void => {
+    const now = clock.now();
+    for (const lane of Object.values(lanes)) {
+      for (const job of [...lane]) {
+        const times = timesFrom(job, now, now);
+        if (meetsDeadline(job, times)) continue;
+        lane.remove(job);
+        job.refuse(RefusalReason.DEADLINE, times.endAt - job.deadline);
+      }
+    }
+  };
+
+  const enqueue = (scheduled: ScheduledJob, token: CancellationToken): Promise<Place> =>
+    new Promise((resolve, reject) => {
+      const state: { link?: Disposable } = {};
+      const waiter: Waiter = {
+        ...scheduled,
+        start(times) {
+          state.link?.dispose();
+          resolve(occupy(waiter, times));
+        },
+        refuse(reason, retryAfterMs) {
+          state.link?.dispose();
+          reject(refusedError(reason, retryAfterMs));
+        },
+      };
+      laneOf(waiter).add(waiter);
+      state.link = token.onCancellationRequested((reason) => {
+        if (!laneOf(waiter).remove(waiter)) return;
+        reject(new CancelledError(reason));
+        startNext();
+      });
+      startNext();
+    });
+
+  const forecast = (job: QueuedJob, promised: readonly QueuedJob[] = []): JobForecast => {
+    const now = clock.now();
+    const scheduled = schedule(job);
+    const times = timesOf(scheduled, promised);
+    return {
+      waitMs: times.startAt - now,
+      firstTokenMs: times.firstTokenAt - now,
+      endMs: times.endAt - now,
+      onTime: meetsDeadline(scheduled, times),
+    };
   };
 
   return {
     get running() {
-      return running;
+      return running.size;
     },
     get waiting() {
-      return waiters.length;
+      return waitingCount();
     },
     get places() {
       return places;
@@ -68,31 +260,22 @@
       places = Math.max(1, count);
       startNext();
     },
-    acquire(job, token) {
-      if (running < places && waiters.length === 0) return Promise.resolve(occupy(job));
-      return new Promise((resolve, reject) => {
-        const state: { link?: Disposable } = {};
-        const waiter: Waiter = {
-          job,
-          start() {
-            state.link?.dispose();
-            resolve(occupy(job));
-          },
-        };
-        waiters.push(waiter);
-        state.link = token.onCancellationRequested((reason) => {
-          const index = waiters.indexOf(waiter);
-          if (index < 0) return;
-          waiters.splice(index, 1);
-          reject(new CancelledError(reason));
-        });
-      });
-    },
-    expectedWaitMs() {
-      if (running < places) return 0;
-      let total = runningCostMs / 2;
-      for (const { job } of waiters) total += job.costMs;
-      return total / places;
+    async acquire(job, token) {
+      token.throwIfCancelled();
+      const scheduled = schedule(job);
+      detector.record(job.costMs);
+      const times = timesOf(scheduled, []);
+      if (!meetsDeadline(scheduled, times)) {
+        throw refusedError(RefusalReason.DEADLINE, times.endAt - scheduled.deadline);
+      }
+      if (waitingCount() >= maxWaiting) dropHopeless();
+      if (waitingCount() >= maxWaiting) {
+        throw refusedError(RefusalReason.QUEUE_FULL, times.startAt - clock.now());
+      }
+      return enqueue(scheduled, token);
     },
+    poll: startNext,
+    forecast,
+    expectedWaitMs: (job) => forecast(job).waitMs,
   };
 }
--- a/src/scheduling/worker.ts
+++ b/src/scheduling/worker.ts
@@ -89,7 +89,7 @@
   const index = createCacheIndex();
   const cost = createCostModel();
   const reservations = createReservations(clock);
-  const queue = createWorkQueue(1);
+  const queue = createWorkQueue({ clock, places: 1 });
   const runs = new Map<string, Run>();
   let leaving = false;
 
@@ -273,7 +273,7 @@
         weightsVersion: state?.weightsVersion ?? '',
         incarnation: incarnation(),
         queueMs: Math.round(
-          queue.expectedWaitMs({ team: '', priority: 0, costMs: 0, remainingMs: 0 }),
+          queue.expectedWaitMs({ team: '', priority: 0, costMs: 0, remainingMs: Infinity }),
         ),
         running: queue.running,
         places: queue.places,
