--- a/src/daemon/callers/completions.ts
+++ b/src/daemon/callers/completions.ts
@@ -121,6 +121,8 @@
       outputTokens: readOutputTokens(body),
       priority: readPriority(ctx.req, ctx.team, replica),
       deadline: readDeadline(ctx.req, route.deadlineMs, clock),
+      // Engines keep the answer of a request with `store`, so a second run would keep two.
+      repeatable: body['store'] !== true,
     });
     return { request, body, route };
   };
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -8,11 +8,13 @@
 import { type Logger } from '../base/logging.js';
 import { type Random, systemRandom } from '../base/random.js';
 import { type ConfigurationReplica, createConfigurationReplica } from '../configuration/replica.js';
+import { createRetryBudget } from '../limits/retrybudget.js';
 import { createAgentDirectory } from '../membership/directory.js';
 import { type InstancesPort } from '../ports/instances.js';
 import { type TablePort } from '../ports/table.js';
 import { createDispatcher } from '../routing/dispatcher.js';
-import { createOfferPolicy } from '../routing/placement.js';
+import { createTargetHealth } from '../routing/health.js';
+import { createOfferPolicy, type OfferPolicyOptions } from '../routing/placement.js';
 import {
   createLeastLoadedPolicy,
   createPrefixHashPolicy,
@@ -39,9 +41,9 @@
   readonly replica?: ConfigurationReplica;
 }
 
-const policies: Readonly<Record<PolicyName, (clock: Clock, random: Random) => PlacementPolicy>> = {
+const policies: Readonly<Record<PolicyName, (options: OfferPolicyOptions) => PlacementPolicy>> = {
   roundRobin: () => createRoundRobinPolicy(),
-  leastLoaded: (_clock, random) => createLeastLoadedPolicy(random),
+  leastLoaded: ({ random }) => createLeastLoadedPolicy(random),
   prefixHash: () => createPrefixHashPolicy(),
   cicadatide: createOfferPolicy,
 };
@@ -70,8 +72,10 @@
       self: { instance: settings.process.instance, dataCentre: settings.process.data_centre },
     }),
   );
-  const policy = policies[settings.requests.policy](clock, random);
-  const dispatcher = createDispatcher({ clock, random, log, directory, policy });
+  const health = createTargetHealth(clock);
+  const policy = policies[settings.requests.policy]({ clock, random, health });
+  const budget = createRetryBudget(clock);
+  const dispatcher = createDispatcher({ clock, random, log, directory, policy, health, budget });
   const limits = {
     maxBytes: settings.requests.max_body,
     timeoutMs: settings.requests.body_timeout,
--- /dev/null
+++ b/src/routing/attempt.ts
@@ -0,0 +1,173 @@
+import { Code, ConnectError } from '@connectrpc/connect';
+import { type CancellationToken, createCancellationSource } from '../base/cancellation.js';
+import { type Clock } from '../base/clock.js';
+import { errMessage } from '../base/errors.js';
+import { type Logger } from '../base/logging.js';
+import { RefusalReason, type StreamEnd } from '../gen/cicadatide/v1/agent_pb.js';
+import { type AgentDirectory } from '../membership/directory.js';
+import { type DispatchInit, streamAttempt } from '../streams/attempt.js';
+import { targetOf } from './candidates.js';
+import { type TargetHealth } from './health.js';
+import { type Choice } from './policies.js';
+
+/** Why an attempt did not answer. */
+export interface AttemptFailure {
+  readonly message: string;
+  /** True when the target certainly did not get the request. */
+  readonly notRun: boolean;
+  readonly reasons: readonly RefusalReason[];
+  readonly retryAfterMs: number | undefined;
+  /** True when every agent that was asked refused, so no attempt was dispatched. */
+  readonly byAll?: boolean;
+}
+
+/** One step of an attempt; `end` and `failed` are the last ones. */
+export type AttemptStep =
+  | { readonly kind: 'text'; readonly text: string; readonly tokens: number }
+  | { readonly kind: 'end'; readonly end: StreamEnd }
+  | { readonly kind: 'failed'; readonly failure: AttemptFailure };
+
+/** A dispatched attempt. */
+export interface RunningAttempt {
+  readonly choice: Choice;
+  readonly attempt: number;
+  readonly target: string;
+  /** Returns the next step; a cancelled attempt fails and never rejects. */
+  next(): Promise<AttemptStep>;
+  /** Ends the attempt here and at the agent, unless it has ended. */
+  cancel(reason: string): void;
+}
+
+export interface AttemptParts {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly directory: AgentDirectory;
+  readonly health: TargetHealth;
+  /** Called with the time to the first token. */
+  readonly onFirstToken: (expectedMs: number, actualMs: number) => void;
+}
+
+/** A reader that held a chunk longer than this hides the target's pace, so no gap is recorded. */
+const maxHoldMs = 5;
+
+const cancelTimeoutMs = 1_000;
+
+/** Tells whether a connection was refused, so that nothing was sent to the agent. */
+function isRefusedConnection(err: unknown): boolean {
+  let cause: unknown = err;
+  for (let depth = 0; depth < 5 && cause instanceof Error; depth += 1) {
+    if ((cause as NodeJS.ErrnoException).code === 'ECONNREFUSED') return true;
+    cause = cause.cause;
+  }
+  return false;
+}
+
+/** Dispatches an attempt and measures it against the other targets. */
+export function startAttempt(
+  parts: AttemptParts,
+  choice: Choice,
+  init: DispatchInit,
+  token: CancellationToken,
+): RunningAttempt {
+  const { clock, log, directory, health, onFirstToken } = parts;
+  const { agent } = choice;
+  const target = targetOf(agent);
+  const source = createCancellationSource(token);
+  const tracked = directory.trackRequest(agent.address);
+  const chunks = streamAttempt(agent.connection, init, source.token);
+  const startedAt = clock.now();
+  let last: AttemptStep | undefined;
+  let answered = false;
+  let deliveredAt = 0;
+
+  const finish = (step: AttemptStep): AttemptStep => {
+    last = step;
+    tracked.dispose();
+    source.dispose();
+    return step;
+  };
+
+  const fail = (message: string, notRun: boolean, reasons: readonly RefusalReason[] = []) =>
+    finish({ kind: 'failed', failure: { message, notRun, reasons, retryAfterMs: undefined } });
+
+  /** Tells the agent that nobody waits for the attempt any more. */
+  const cancelAtAgent = (): void => {
+    const { requestId, attempt, team } = init;
+    agent.connection.client
+      .cancel({ requestId, attempt, team }, { timeoutMs: cancelTimeoutMs })
+      .catch((err: unknown) => {
+        log.debug({ requestId, attempt, err: errMessage(err) }, 'cancel was not delivered');
+      });
+  };
+
+  const cancel = (reason: string): void => {
+    if (last) return;
+    fail(reason, false);
+    source.cancel(reason);
+    chunks.return(undefined).catch(() => undefined);
+    cancelAtAgent();
+  };
+  const link = token.onCancellationRequested(cancel);
+
+  const cancelled = new Promise<undefined>((resolve) => {
+    source.token.onCancellationRequested(() => resolve(undefined));
+  });
+
+  const measure = (tokens: number, pulledAt: number): void => {
+    const now = clock.now();
+    if (!answered) {
+      const firstTokenMs = now - startedAt;
+      health.observeFirstToken(target, choice.expectedFirstTokenMs, firstTokenMs);
+      onFirstToken(choice.expectedFirstTokenMs, firstTokenMs);
+    } else if (pulledAt - deliveredAt <= maxHoldMs) {
+      health.observeGap(target, (now - pulledAt) / Math.max(1, tokens));
+    }
+    answered = true;
+    deliveredAt = now;
+  };
+
+  const pull = async (): Promise<AttemptStep> => {
+    for (;;) {
+      const pulledAt = clock.now();
+      const result = await Promise.race([chunks.next(), cancelled]);
+      if (last) return last;
+      if (!result || result.done) return fail('stream of the agent ended early', false);
+      const { part } = result.value;
+      if (part.case === 'text') {
+        const { text, tokens } = part.value;
+        measure(tokens, pulledAt);
+        return { kind: 'text', text, tokens };
+      }
+      if (part.case === 'end') return finish({ kind: 'end', end: part.value });
+      if (part.case !== 'failure') continue;
+      const { message, notRun, refusal, retryAfterMs } = part.value;
+      const reasons = refusal === RefusalReason.UNSPECIFIED ? [] : [refusal];
+      const failure = { message, notRun, reasons, retryAfterMs: retryAfterMs || undefined };
+      return finish({ kind: 'failed', failure });
+    }
+  };
+
+  return {
+    choice,
+    attempt: init.attempt,
+    target,
+    async next() {
+      if (last) return last;
+      try {
+        return await pull();
+      } catch (err) {
+        if (last) return last;
+        const unavailable = ConnectError.from(err).code === Code.Unavailable;
+        if (unavailable) directory.reportFailure(agent.address, errMessage(err));
+        else cancelAtAgent();
+        return fail(errMessage(err), isRefusedConnection(err));
+      } finally {
+        if (last) link.dispose();
+      }
+    },
+    cancel(reason) {
+      cancel(reason);
+      link.dispose();
+    },
+  };
+}
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -1,14 +1,28 @@
-import { Code, ConnectError } from '@connectrpc/connect';
-import { type CancellationToken } from '../base/cancellation.js';
+import { type CancellationToken, createCancellationSource } from '../base/cancellation.js';
 import { type Clock, sleep } from '../base/clock.js';
-import { errMessage } from '../base/errors.js';
 import { type Logger } from '../base/logging.js';
 import { fullJitter, type Random } from '../base/random.js';
-import { refusal, type RefusalError } from '../base/refusals.js';
-import { type StreamEnd, type StreamFailure } from '../gen/cicadatide/v1/agent_pb.js';
+import { type RetryBudget } from '../limits/retrybudget.js';
 import { type AgentDirectory, type AgentView } from '../membership/directory.js';
-import { streamAttempt } from '../streams/attempt.js';
-import { type Choice, type PlacementPolicy } from './policies.js';
+import {
+  type AttemptFailure,
+  type AttemptParts,
+  type RunningAttempt,
+  startAttempt,
+} from './attempt.js';
+import { type TargetHealth } from './health.js';
+import { createHedgeTimer, firstStep, hedgeTargets, type HedgeResult } from './hedging.js';
+import {
+  createProgress,
+  expiredRefusal,
+  failureOf,
+  finalRefusal,
+  isLasting,
+  isStale,
+  noTargetFailure,
+  type Progress,
+} from './outcomes.js';
+import { type AttemptPurpose, type Choice, type PlacementPolicy } from './policies.js';
 import { type CompletionRequest } from './request.js';
 
 /** What the caller's side sees of a running completion. */
@@ -26,9 +40,12 @@
 /** Which agents may serve a request. */
 export type AgentFilter = (agent: AgentView) => boolean;
 
-/** Runs completions: chooses targets, retries, and continues broken streams elsewhere. */
+/** Runs completions: chooses targets, hedges, retries, and continues broken streams elsewhere. */
 export interface Dispatcher {
-  /** Yields events until `end`; throws RefusalError for every other outcome. */
+  /**
+   * Yields events until `end`; throws RefusalError for every other outcome. Events come from one
+   * attempt at a time: a hedge that loses is cancelled before anything of it is passed on.
+   */
   run(
     req: CompletionRequest,
     mayServe: AgentFilter,
@@ -42,32 +59,30 @@
   readonly log: Logger;
   readonly directory: AgentDirectory;
   readonly policy: PlacementPolicy;
+  readonly health: TargetHealth;
+  readonly budget: RetryBudget;
 }
 
-/** Attempts of one request, the first one included. */
-const maxAttempts = 4;
+/** Failed attempts in a row, without text delivered between them. */
+const maxFruitless = 4;
+
+/** Refusals for a stale view that are retried without delay and cost. */
+const maxStale = 2;
 
 const retryBaseMs = 20;
 
 const retryMaxMs = 500;
 
-/** Progress of one request over its attempts. */
-interface Progress {
-  attempt: number;
-  text: string;
-  tokens: number;
-  weightsVersion: string;
-  /** Target of the newest attempt. */
-  target: string;
-  readonly failedTargets: Set<string>;
-}
-
-type AttemptOutcome =
-  | { readonly kind: 'ended'; readonly end: StreamEnd }
-  | { readonly kind: 'failed'; readonly failure: StreamFailure | undefined; readonly err: string };
-
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { clock, random, log, directory, policy } = options;
+  const { clock, random, log, directory, policy, health, budget } = options;
+  const hedgeTimer = createHedgeTimer();
+  const parts: AttemptParts = {
+    clock,
+    log,
+    directory,
+    health,
+    onFirstToken: (expectedMs, actualMs) => hedgeTimer.observe(expectedMs, actualMs),
+  };
 
   const agentsFor = (mayServe: AgentFilter, progress: Progress): readonly AgentView[] => {
     const serving = directory.usable().filter((agent) => {
@@ -79,22 +94,16 @@
     return untried.length > 0 ? untried : serving;
   };
 
-  /** Tells the agent that nobody waits for the attempt any more. */
-  const cancelAttempt = (agent: AgentView, req: CompletionRequest, attempt: number): void => {
-    const call = { requestId: req.requestId, attempt, team: req.team };
-    agent.connection.client.cancel(call, { timeoutMs: 1_000 }).catch((err: unknown) => {
-      log.debug({ requestId: req.requestId, err: errMessage(err) }, 'cancel was not delivered');
-    });
-  };
-
-  async function* runAttempt(
+  const dispatch = (
     req: CompletionRequest,
     choice: Choice,
     progress: Progress,
     token: CancellationToken,
-  ): AsyncGenerator<CompletionEvent, AttemptOutcome> {
-    const { agent } = choice;
-    const version = agent.status?.weightsVersion ?? '';
+  ): RunningAttempt => {
+    progress.attempt += 1;
+    progress.mayHaveRun += 1;
+    // A continuation stays on the weights of the delivered text; the agent refuses other ones.
+    const weightsVersion = progress.weightsVersion || choice.weightsVersion;
     const init = {
       requestId: req.requestId,
       attempt: progress.attempt,
@@ -102,9 +111,9 @@
       model: req.model,
       adapter: req.adapter,
       reservationId: choice.reservationId,
-      incarnation: agent.status?.incarnation ?? '',
-      weightsVersion: version,
-      blockHashes: [...req.blockHashes(version)],
+      incarnation: choice.incarnation,
+      weightsVersion,
+      blockHashes: [...req.blockHashes(weightsVersion)],
       promptTokens: req.promptTokens,
       outputTokens: req.outputTokens,
       priority: req.priority,
@@ -115,85 +124,155 @@
       deliveredTokens: progress.tokens,
       salt: req.salt,
     };
-    const tracked = directory.trackRequest(agent.address);
-    let finished = false;
+    return startAttempt(parts, choice, init, token);
+  };
+
+  /** Records a failed attempt of which the caller saw nothing new. */
+  const noteFailure = (
+    req: CompletionRequest,
+    progress: Progress,
+    { target, attempt, choice }: RunningAttempt,
+    failure: AttemptFailure,
+  ): void => {
+    if (failure.notRun) progress.mayHaveRun -= 1;
+    // One refusal for a stale view says nothing about the target; after a second one, policies
+    // that choose by status would choose it again.
+    if (!isStale(failure) || progress.stale > 0) progress.failedTargets.add(choice.agent.address);
+    const { requestId, team } = req;
+    log.info({ requestId, team, target, attempt, err: failure.message }, 'attempt failed');
+  };
+
+  /** Starts an attempt and, while it has no first token, possibly a hedge. */
+  const start = async (
+    req: CompletionRequest,
+    mayServe: AgentFilter,
+    choice: Choice,
+    progress: Progress,
+    token: CancellationToken,
+  ): Promise<HedgeResult> => {
+    const primary = dispatch(req, choice, progress, token);
+    const delayMs = hedgeTimer.delayMs(choice.expectedFirstTokenMs);
+    const mayHedge = req.repeatable !== false && progress.text === '';
+    if (delayMs === undefined || !mayHedge) {
+      return { attempt: primary, step: await primary.next(), failed: [] };
+    }
+    const startHedge = async (isAnswered: () => boolean): Promise<RunningAttempt | undefined> => {
+      health.observeLate(primary.target, choice.expectedFirstTokenMs, delayMs);
+      const agents = hedgeTargets(agentsFor(mayServe, progress), choice.agent);
+      if (agents.length === 0 || budget.available < 1) return undefined;
+      const placement = await policy.choose(req, agents, token, 'hedge').catch(() => undefined);
+      if (placement?.kind !== 'chosen' || isAnswered() || token.isCancellationRequested) {
+        return undefined;
+      }
+      return budget.withdraw() ? dispatch(req, placement, progress, token) : undefined;
+    };
+    return firstStep(primary, { clock, delayMs, startHedge });
+  };
+
+  /** Runs one choice to its end; returns the failure when the answer is not complete. */
+  async function* runChoice(
+    req: CompletionRequest,
+    mayServe: AgentFilter,
+    choice: Choice,
+    progress: Progress,
+    token: CancellationToken,
+  ): AsyncGenerator<CompletionEvent, AttemptFailure | undefined> {
+    const result = await start(req, mayServe, choice, progress, token);
+    const { attempt: running } = result;
+    for (const { attempt, step } of result.failed) {
+      if (step.kind === 'failed') noteFailure(req, progress, attempt, step.failure);
+    }
+    let { step } = result;
     try {
-      for await (const { part } of streamAttempt(agent.connection, init, token)) {
-        if (part.case === 'accepted') {
-          progress.target = part.value.target;
-          yield { kind: 'accepted', target: part.value.target, attempt: progress.attempt };
-        }
-        if (part.case === 'text') {
-          progress.weightsVersion = version;
-          progress.text += part.value.text;
-          progress.tokens += part.value.tokens;
-          yield { kind: 'text', text: part.value.text, tokens: part.value.tokens };
-        }
-        if (part.case === 'failure') {
-          finished = true;
-          return { kind: 'failed', failure: part.value, err: part.value.message };
-        }
-        if (part.case === 'end') {
-          finished = true;
-          return { kind: 'ended', end: part.value };
-        }
+      if (step.kind !== 'failed') {
+        yield { kind: 'accepted', target: running.target, attempt: running.attempt };
+      }
+      while (step.kind === 'text') {
+        progress.weightsVersion = running.choice.weightsVersion;
+        progress.text += step.text;
+        progress.tokens += step.tokens;
+        progress.fruitless = 0;
+        progress.stale = 0;
+        yield step;
+        step = await running.next();
       }
-      return { kind: 'failed', failure: undefined, err: 'stream ended early' };
-    } catch (err) {
-      token.throwIfCancelled();
-      const refused = ConnectError.from(err).code === Code.Unavailable;
-      if (refused) directory.reportFailure(agent.address, errMessage(err));
-      return { kind: 'failed', failure: undefined, err: errMessage(err) };
     } finally {
-      tracked.dispose();
-      if (!finished) cancelAttempt(agent, req, progress.attempt);
+      running.cancel('caller no longer reads');
+    }
+    token.throwIfCancelled();
+    if (step.kind === 'failed') {
+      noteFailure(req, progress, running, step.failure);
+      return step.failure;
     }
+    const { finishReason, promptTokens, cachedTokens } = step.end;
+    yield { kind: 'end', finishReason, promptTokens, cachedTokens, outputTokens: progress.tokens };
+    return undefined;
   }
 
-  const refuse = (req: CompletionRequest, progress: Progress, detail: string): RefusalError => {
-    const work = progress.tokens > 0 ? 'unknown' : 'not-run';
-    if (req.deadline.remainingMs() <= 0) return refusal('deadline', detail, { work });
-    return refusal('overloaded', detail, { work, retryAfterMs: 1_000 });
+  /** Waits before the next attempt; throws when there must be none. */
+  const prepareRetry = async (
+    req: CompletionRequest,
+    progress: Progress,
+    failure: AttemptFailure,
+    token: CancellationToken,
+  ): Promise<void> => {
+    if (!failure.byAll && isStale(failure)) {
+      progress.stale += 1;
+      if (progress.stale <= maxStale) return;
+    }
+    progress.fruitless += 1;
+    const continues = progress.text !== '';
+    const mayRepeat = progress.mayHaveRun === 0 || req.repeatable !== false;
+    if (!mayRepeat || progress.fruitless >= maxFruitless) throw finalRefusal(progress, failure);
+    if (failure.byAll && isLasting(failure) && !continues) throw finalRefusal(progress, failure);
+    if (continues) budget.charge();
+    else if (!budget.withdraw()) throw finalRefusal(progress, failure);
+    const delayMs = fullJitter(random, retryBaseMs, retryMaxMs, progress.fruitless - 1);
+    await sleep(clock, Math.min(delayMs, req.deadline.remainingMs()), token);
   };
 
-  async function* run(
+  async function* runUntilEnd(
     req: CompletionRequest,
     mayServe: AgentFilter,
+    progress: Progress,
     token: CancellationToken,
   ): AsyncGenerator<CompletionEvent> {
-    const progress: Progress = {
-      attempt: 0,
-      text: '',
-      tokens: 0,
-      weightsVersion: '',
-      target: '',
-      failedTargets: new Set(),
-    };
-    let lastError = 'no target is ready for this route';
-    while (progress.attempt < maxAttempts && req.deadline.remainingMs() > 0) {
-      if (progress.attempt > 0) {
-        const delayMs = fullJitter(random, retryBaseMs, retryMaxMs, progress.attempt - 1);
-        await sleep(clock, Math.min(delayMs, req.deadline.remainingMs()), token);
-      }
+    for (;;) {
+      token.throwIfCancelled();
+      let failure: AttemptFailure | undefined = noTargetFailure;
       const agents = agentsFor(mayServe, progress);
-      const choice = agents.length > 0 ? await policy.choose(req, agents, token) : undefined;
-      progress.attempt += 1;
-      if (!choice) continue;
-      const outcome = yield* runAttempt(req, choice, progress, token);
-      if (outcome.kind === 'ended') {
-        const { finishReason, promptTokens, cachedTokens } = outcome.end;
-        const outputTokens = progress.tokens;
-        yield { kind: 'end', finishReason, promptTokens, cachedTokens, outputTokens };
-        return;
+      if (agents.length > 0) {
+        const purpose: AttemptPurpose = progress.attempt === 0 ? 'first' : 'retry';
+        const placement = await policy.choose(req, agents, token, purpose);
+        failure =
+          placement.kind === 'chosen'
+            ? yield* runChoice(req, mayServe, placement, progress, token)
+            : failureOf(placement);
       }
-      lastError = outcome.err;
-      progress.failedTargets.add(choice.agent.address);
-      const { requestId, team } = req;
-      const { attempt, target } = progress;
-      log.info({ requestId, team, target, attempt, err: lastError }, 'attempt failed');
+      if (!failure) return;
+      await prepareRetry(req, progress, failure, token);
     }
-    throw refuse(req, progress, lastError);
   }
 
-  return { run };
+  return {
+    async *run(req, mayServe, token) {
+      budget.deposit();
+      const progress = createProgress();
+      const source = createCancellationSource(token);
+      let expired = false;
+      const timer = clock.setTimer(req.deadline.remainingMs(), () => {
+        expired = true;
+        source.cancel('deadline passed');
+      });
+      try {
+        yield* runUntilEnd(req, mayServe, progress, source.token);
+      } catch (err) {
+        if (expired && !token.isCancellationRequested) throw expiredRefusal(progress);
+        throw err;
+      } finally {
+        timer.dispose();
+        source.dispose();
+      }
+    },
+  };
 }
--- /dev/null
+++ b/src/routing/health.ts
@@ -0,0 +1,226 @@
+import { type Clock } from '../base/clock.js';
+
+/** Agents in normal service, and the one that gets this request as a probe. */
+export interface HealthSelection<T> {
+  readonly serving: readonly T[];
+  readonly probe: T | undefined;
+}
+
+/**
+ * Finds slow targets from the timings of this entry's own requests. Only timings relative to
+ * the other targets count, so a slowdown of all of them at once takes none out.
+ */
+export interface TargetHealth {
+  /** Records the time to a first token beside what the agent's offer expected. */
+  observeFirstToken(target: string, expectedMs: number, actualMs: number): void;
+  /** Records a first token that is late already; the ratio so far is a lower bound. */
+  observeLate(target: string, expectedMs: number, waitedMs: number): void;
+  /** Records the time between two pieces of text, per token. */
+  observeGap(target: string, msPerToken: number): void;
+  /** Factor of at least 1 for what the target's agent expects. */
+  factor(target: string): number;
+  /** Separates targets on probation: at most a third, the slowest first. */
+  select<T>(candidates: readonly T[], targetOf: (candidate: T) => string): HealthSelection<T>;
+}
+
+/**
+ * Weight of a new first-token ratio in the moving geometric mean, which starts at 1: two ratios
+ * of 5 reach the probation limit, and one of 20 among normal ones does not.
+ */
+const ratioSmoothing = 0.4;
+
+/** Weight of a new gap. Gaps are frequent and vary with the batch, so each one weighs less. */
+const gapSmoothing = 0.15;
+
+/** Delays below this are dominated by scheduling noise and do not make a ratio large. */
+const noiseMs = 25;
+
+/** Samples before a mean is used. */
+const minRatios = 2;
+
+const minGaps = 6;
+
+/** Slowness relative to the median from which the expectation is multiplied. */
+const slowFrom = 1.5;
+
+/** Slowness from which the target goes on probation. */
+const probationFrom = 2.5;
+
+/** Slowness of a probe that counts as recovered. */
+const recoveredBelow = 1.5;
+
+/** Good probes in a row that end probation. */
+const probesToRecover = 2;
+
+/** Time between probe requests to one target on probation. */
+const probeIntervalMs = 1_000;
+
+/** Without new timings a target is taken as healthy again after this time. */
+const forgetAfterMs = 30_000;
+
+const maxRatio = 20;
+
+/** Gaps below this come from pieces that arrived together. */
+const minGapMs = 0.5;
+
+interface TargetState {
+  ratio: number;
+  ratios: number;
+  gap: number;
+  gaps: number;
+  updatedAt: number;
+  onProbation: boolean;
+  goodProbes: number;
+  probedAt: number;
+}
+
+/** Moving geometric mean; single outliers weigh less than in the arithmetic one. */
+function blend(mean: number, value: number, weight: number): number {
+  return mean ** (1 - weight) * value ** weight;
+}
+
+function medianOf(values: readonly number[]): number | undefined {
+  if (values.length === 0) return undefined;
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor((sorted.length - 1) / 2)];
+}
+
+export function createTargetHealth(clock: Clock): TargetHealth {
+  const states = new Map<string, TargetState>();
+
+  const stateOf = (target: string): TargetState => {
+    let state = states.get(target);
+    if (!state || clock.now() - state.updatedAt > forgetAfterMs) {
+      state = {
+        ratio: 1,
+        ratios: 0,
+        gap: 0,
+        gaps: 0,
+        updatedAt: clock.now(),
+        onProbation: false,
+        goodProbes: 0,
+        probedAt: -Infinity,
+      };
+      states.set(target, state);
+    }
+    return state;
+  };
+
+  /** Median over the other targets that have enough samples. */
+  const medianOfOthers = (
+    target: string,
+    read: (state: TargetState) => number | undefined,
+  ): number | undefined => {
+    const values: number[] = [];
+    for (const [name, state] of states) {
+      if (name === target || clock.now() - state.updatedAt > forgetAfterMs) continue;
+      const value = read(state);
+      if (value !== undefined) values.push(value);
+    }
+    return medianOf(values);
+  };
+
+  const readRatio = (state: TargetState): number | undefined =>
+    state.ratios >= minRatios ? state.ratio : undefined;
+
+  const readGap = (state: TargetState): number | undefined =>
+    state.gaps >= minGaps ? state.gap : undefined;
+
+  /** Ratio relative to the other targets; offers of all of them may be off in the same way. */
+  const relativeRatio = (target: string, ratio: number): number =>
+    ratio / Math.max(1, medianOfOthers(target, readRatio) ?? 1);
+
+  const slowness = (target: string, state: TargetState): number => {
+    const ratio = readRatio(state);
+    const gap = readGap(state);
+    const otherGap = medianOfOthers(target, readGap);
+    const byRatio = ratio === undefined ? 1 : relativeRatio(target, ratio);
+    const byGap = gap === undefined || !otherGap ? 1 : gap / otherGap;
+    return Math.max(1, byRatio, byGap);
+  };
+
+  const judge = (target: string, state: TargetState): void => {
+    if (state.onProbation || slowness(target, state) < probationFrom) return;
+    state.onProbation = true;
+    state.goodProbes = 0;
+    state.probedAt = clock.now();
+  };
+
+  const judgeProbe = (target: string, state: TargetState, ratio: number): void => {
+    const gap = readGap(state);
+    const byGap = gap === undefined ? 1 : gap / (medianOfOthers(target, readGap) ?? gap);
+    if (Math.max(relativeRatio(target, ratio), byGap) >= recoveredBelow) {
+      state.goodProbes = 0;
+      return;
+    }
+    state.goodProbes += 1;
+    if (state.goodProbes >= probesToRecover) states.delete(target);
+  };
+
+  const ratioOf = (expectedMs: number, actualMs: number): number =>
+    Math.min(maxRatio, (actualMs + noiseMs) / (expectedMs + noiseMs));
+
+  const addRatio = (state: TargetState, ratio: number): void => {
+    state.ratio = blend(state.ratio, ratio, ratioSmoothing);
+    state.ratios += 1;
+    state.updatedAt = clock.now();
+  };
+
+  return {
+    observeFirstToken(target, expectedMs, actualMs) {
+      if (expectedMs <= 0) return;
+      const state = stateOf(target);
+      const ratio = ratioOf(expectedMs, actualMs);
+      addRatio(state, ratio);
+      if (state.onProbation) judgeProbe(target, state, ratio);
+      else judge(target, state);
+    },
+    observeLate(target, expectedMs, waitedMs) {
+      if (expectedMs <= 0) return;
+      const state = stateOf(target);
+      const ratio = ratioOf(expectedMs, waitedMs);
+      if (ratio <= state.ratio) return;
+      addRatio(state, ratio);
+      if (state.onProbation) state.goodProbes = 0;
+      else judge(target, state);
+    },
+    observeGap(target, msPerToken) {
+      const state = stateOf(target);
+      state.gap =
+        state.gaps === 0 ? msPerToken : state.gap + gapSmoothing * (msPerToken - state.gap);
+      state.gaps += 1;
+      state.updatedAt = clock.now();
+      judge(target, state);
+    },
+    factor(target) {
+      const state = states.get(target);
+      if (!state || clock.now() - state.updatedAt > forgetAfterMs) return 1;
+      const slow = slowness(target, state);
+      return slow < slowFrom ? 1 : slow;
+    },
+    select(candidates, targetOf) {
+      const slow: { readonly candidate: (typeof candidates)[number]; readonly score: number }[] =
+        [];
+      for (const candidate of candidates) {
+        const target = targetOf(candidate);
+        const state = states.get(target);
+        if (!state?.onProbation) continue;
+        if (clock.now() - state.updatedAt > forgetAfterMs) states.delete(target);
+        else slow.push({ candidate, score: slowness(target, state) });
+      }
+      if (slow.length === 0) return { serving: candidates, probe: undefined };
+      slow.sort((a, b) => b.score - a.score);
+      const out = new Set(
+        slow.slice(0, Math.floor(candidates.length / 3)).map(({ candidate }) => candidate),
+      );
+      const serving = candidates.filter((candidate) => !out.has(candidate));
+      for (const candidate of out) {
+        const state = stateOf(targetOf(candidate));
+        if (clock.now() - state.probedAt < probeIntervalMs) continue;
+        state.probedAt = clock.now();
+        return { serving, probe: candidate };
+      }
+      return { serving, probe: undefined };
+    },
+  };
+}
--- /dev/null
+++ b/src/routing/hedging.ts
@@ -0,0 +1,117 @@
+import { type Clock, withTimeout } from '../base/clock.js';
+import { type AgentView } from '../membership/directory.js';
+import { type AttemptStep, type RunningAttempt } from './attempt.js';
+
+/** Says how long a first token may take before a second attempt is worth its cost. */
+export interface HedgeTimer {
+  /** Records a first token; expectations of 0 are unknown and ignored. */
+  observe(expectedMs: number, actualMs: number): void;
+  /** Returns undefined when the expectation is not known. */
+  delayMs(expectedMs: number): number | undefined;
+}
+
+/** Ratios that the percentile is taken over. */
+const maxRatios = 256;
+
+/** Ratios needed before the percentile is used. */
+const minRatios = 20;
+
+/** Ratio assumed until enough were observed. */
+const assumedRatio = 3;
+
+/**
+ * Bounds of the percentile. Without the upper one, a third of the targets slowed by 5 would
+ * raise the p95 to 5 and delay the hedges that are needed most.
+ */
+const minRatio = 1.5;
+
+const maxRatio = 4;
+
+/** Delays below this are dominated by scheduling noise. */
+const noiseMs = 25;
+
+const minDelayMs = 50;
+
+export function createHedgeTimer(): HedgeTimer {
+  const ratios: number[] = [];
+  let next = 0;
+  let p95: number | undefined;
+
+  const percentile = (): number => {
+    if (ratios.length < minRatios) return assumedRatio;
+    if (p95 === undefined) {
+      const sorted = [...ratios].sort((a, b) => a - b);
+      p95 = sorted[Math.ceil(sorted.length * 0.95) - 1] as number;
+    }
+    return Math.min(maxRatio, Math.max(minRatio, p95));
+  };
+
+  return {
+    observe(expectedMs, actualMs) {
+      if (expectedMs <= 0) return;
+      ratios[next] = (actualMs + noiseMs) / (expectedMs + noiseMs);
+      next = (next + 1) % maxRatios;
+      p95 = undefined;
+    },
+    delayMs(expectedMs) {
+      if (expectedMs <= 0) return undefined;
+      return Math.max(minDelayMs, (expectedMs + noiseMs) * percentile() - noiseMs);
+    },
+  };
+}
+
+/** Agents that can take a hedge: only those with a free place, so that overload stops hedging. */
+export function hedgeTargets(
+  agents: readonly AgentView[],
+  primary: AgentView,
+): readonly AgentView[] {
+  return agents.filter(({ address, status, inflight }) => {
+    if (!status || address === primary.address) return false;
+    return Math.max(status.running, inflight) < status.places;
+  });
+}
+
+/** First step of the attempt that goes on. */
+export interface HedgeResult {
+  readonly attempt: RunningAttempt;
+  readonly step: AttemptStep;
+  /** Attempts that failed before the one that goes on. */
+  readonly failed: readonly { readonly attempt: RunningAttempt; readonly step: AttemptStep }[];
+}
+
+export interface HedgeOptions {
+  readonly clock: Clock;
+  readonly delayMs: number;
+  /** Starts the second attempt; `isAnswered` tells that it is no longer needed. */
+  readonly startHedge: (isAnswered: () => boolean) => Promise<RunningAttempt | undefined>;
+}
+
+/**
+ * Waits for the first step of an attempt and starts a second one after the delay. The first
+ * attempt that does not fail wins; the other is cancelled, and nothing of it is passed on.
+ */
+export async function firstStep(
+  primary: RunningAttempt,
+  options: HedgeOptions,
+): Promise<HedgeResult> {
+  const { clock, delayMs, startHedge } = options;
+  let answered = false;
+  const read = async (attempt: RunningAttempt) => {
+    const step = await attempt.next();
+    answered = true;
+    return { attempt, step };
+  };
+  const first = read(primary);
+  const early = await withTimeout(clock, delayMs, first);
+  if (early) return { ...early, failed: [] };
+  const hedge = await startHedge(() => answered);
+  if (!hedge) return { ...(await first), failed: [] };
+  const second = read(hedge);
+  const leader = await Promise.race([first, second]);
+  const isFirst = leader.attempt === primary;
+  if (leader.step.kind !== 'failed') {
+    (isFirst ? hedge : primary).cancel('another attempt answered first');
+    return { ...leader, failed: [] };
+  }
+  return { ...(await (isFirst ? second : first)), failed: [leader] };
+}
--- /dev/null
+++ b/src/routing/hotprefix.ts
@@ -0,0 +1,127 @@
+import { type Clock } from '../base/clock.js';
+
+/** Rates of frequent keys over about the last second, in bounded memory. */
+export interface HeavyHitters {
+  record(key: bigint): void;
+  /** Occurrences per second that are certain; 0 for a key that is not among the frequent ones. */
+  rate(key: bigint): number;
+}
+
+const windowMs = 1_000;
+
+/** Keys kept per window. A key with more than 1/128 of all occurrences is always among them. */
+const sketchSize = 128;
+
+interface Counter {
+  count: number;
+  /** Count that was taken over from an evicted key and may belong to others. */
+  error: number;
+}
+
+/** One window of the Space-Saving algorithm. */
+type Window = Map<bigint, Counter>;
+
+function addTo(window: Window, key: bigint): void {
+  const known = window.get(key);
+  if (known) {
+    known.count += 1;
+    return;
+  }
+  let error = 0;
+  if (window.size >= sketchSize) {
+    let least = 0n;
+    error = Infinity;
+    for (const [other, { count }] of window) {
+      if (count >= error) continue;
+      least = other;
+      error = count;
+      if (count === 1) break;
+    }
+    window.delete(least);
+  }
+  window.set(key, { count: error + 1, error });
+}
+
+function certainCount(window: Window, key: bigint): number {
+  const counter = window.get(key);
+  return counter ? counter.count - counter.error : 0;
+}
+
+/** Keeps the current and the previous window and weighs the latter by its overlap. */
+export function createHeavyHitters(clock: Clock): HeavyHitters {
+  let current: Window = new Map();
+  let previous: Window = new Map();
+  let startedAt = clock.now();
+
+  const turn = (): void => {
+    const age = clock.now() - startedAt;
+    if (age < windowMs) return;
+    previous = age < 2 * windowMs ? current : new Map();
+    current = new Map();
+    startedAt += Math.floor(age / windowMs) * windowMs;
+  };
+
+  return {
+    record(key) {
+      turn();
+      addTo(current, key);
+    },
+    rate(key) {
+      turn();
+      const overlap = 1 - (clock.now() - startedAt) / windowMs;
+      return certainCount(current, key) + certainCount(previous, key) * overlap;
+    },
+  };
+}
+
+/** Number of targets that a prefix may use. */
+export interface HotPrefixes {
+  record(key: bigint): void;
+  /** Returns 1 for a prefix that is not hot, and at most the limit. */
+  width(key: bigint, limit: number): number;
+}
+
+/** Requests per second of one prefix and entry that one target serves before the set widens. */
+const ratePerTarget = 8;
+
+/**
+ * Time between steps of one target. Targets join in rendezvous order, the same at every entry,
+ * so at most one more target computes the prefix per step and entries do not move at once.
+ */
+const stepMs = 100;
+
+/** Hot prefixes with a width above 1 that are remembered. */
+const maxWidths = 64;
+
+export function createHotPrefixes(clock: Clock): HotPrefixes {
+  const hitters = createHeavyHitters(clock);
+  const widths = new Map<bigint, { width: number; changedAt: number }>();
+
+  const dropCold = (): void => {
+    for (const key of widths.keys()) {
+      if (hitters.rate(key) < ratePerTarget) widths.delete(key);
+    }
+  };
+
+  return {
+    record: (key) => hitters.record(key),
+    width(key, limit) {
+      const wanted = Math.min(limit, 1 + Math.floor(hitters.rate(key) / ratePerTarget));
+      const state = widths.get(key);
+      if (!state) {
+        if (wanted <= 1) return 1;
+        if (widths.size >= maxWidths) dropCold();
+        if (widths.size < maxWidths) widths.set(key, { width: 1, changedAt: clock.now() });
+        return 1;
+      }
+      const steps = Math.floor((clock.now() - state.changedAt) / stepMs);
+      if (steps >= 1) {
+        state.changedAt += steps * stepMs;
+        if (wanted > state.width) state.width += 1;
+        else state.width = Math.max(wanted, state.width - steps);
+      }
+      if (state.width <= 1 && wanted <= 1) widths.delete(key);
+      return Math.max(1, Math.min(limit, state.width));
+    },
+  };
+}
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -4,8 +4,10 @@
 import { type OfferReply, RefusalReason } from '../gen/cicadatide/v1/agent_pb.js';
 import { type AgentView } from '../membership/directory.js';
 import { sampleChain } from './blocks.js';
-import { type Choice, type PlacementPolicy } from './policies.js';
-import { rankByRendezvous } from './rendezvous.js';
+import { createCandidateSelector, loadOf, targetOf } from './candidates.js';
+import { type TargetHealth } from './health.js';
+import { createHotPrefixes } from './hotprefix.js';
+import { chooseByStatus, type Choice, type NoChoice, type PlacementPolicy } from './policies.js';
 import { type CompletionRequest } from './request.js';
 
 /** Time allowed for the answers to one round of offers. */
@@ -14,9 +16,26 @@
 /** Offers within this factor of the best one count as equal. */
 const nearEqualFactor = 1.05;
 
-interface Offer {
+/**
+ * Weight of prompt tokens that another asked target holds in its cache. Waiting up to a quarter
+ * longer for the cached prefix saves the whole site more time than it costs this request.
+ */
+const recomputeWeight = 0.25;
+
+/** Agents of the second round, asked when all of the first one refuse. */
+const secondRoundSize = 4;
+
+export interface OfferPolicyOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly health: TargetHealth;
+}
+
+/** Answer of one agent; no reply when it failed, no `settled` when it was too late. */
+interface Answer {
   readonly agent: AgentView;
-  readonly reply: OfferReply;
+  readonly settled: boolean;
+  readonly reply: OfferReply | undefined;
 }
 
 /**
@@ -24,16 +43,17 @@
  * Candidates come from rendezvous hashing of the prompt's prefix levels, so every entry finds
  * the same ones without shared state, and a new entry places as well as an old one.
  */
-export function createOfferPolicy(clock: Clock, random: Random): PlacementPolicy {
+export function createOfferPolicy(options: OfferPolicyOptions): PlacementPolicy {
+  const { clock, random, health } = options;
+  const candidates = createCandidateSelector(random, createHotPrefixes(clock));
+
   const askAgent = async (
     req: CompletionRequest,
     agent: AgentView,
     token: CancellationToken,
-  ): Promise<Offer | undefined> => {
-    const { status } = agent;
-    if (!status) return undefined;
-    const sample = sampleChain(req.blockHashes(status.weightsVersion));
-    const reply = await agent.connection.client.offer(
+  ): Promise<OfferReply> => {
+    const sample = sampleChain(req.blockHashes(agent.status?.weightsVersion ?? ''));
+    return agent.connection.client.offer(
       {
         requestId: req.requestId,
         team: req.team,
@@ -48,59 +68,99 @@
       },
       { signal: token.signal },
     );
-    return { agent, reply };
   };
 
-  const candidatesOf = (
+  const askAll = async (
     req: CompletionRequest,
     agents: readonly AgentView[],
-  ): readonly AgentView[] => {
-    const version = agents[0]?.status?.weightsVersion ?? '';
-    const hashes = req.blockHashes(version);
-    const nameOf = (agent: AgentView): string => agent.status?.target ?? agent.address;
-    const chosen = new Set<AgentView>();
-    const first = hashes[0] ?? 0n;
-    for (const agent of rankByRendezvous(first.toString(16), agents, nameOf).slice(0, 2)) {
-      chosen.add(agent);
-    }
-    let idle: AgentView | undefined;
-    for (const agent of agents) {
-      const load = (agent.status?.queueMs ?? 0) + agent.inflight;
-      const idleLoad = idle ? (idle.status?.queueMs ?? 0) + idle.inflight : Infinity;
-      if (load < idleLoad) idle = agent;
-    }
-    if (idle) chosen.add(idle);
-    return [...chosen];
+    token: CancellationToken,
+  ): Promise<readonly Answer[]> => {
+    const source = createCancellationSource(token);
+    const asked = agents.map(async (agent): Promise<Answer> => {
+      const answer = askAgent(req, agent, source.token).then(
+        (reply) => ({ agent, settled: true, reply }),
+        () => ({ agent, settled: true, reply: undefined }),
+      );
+      const late = { agent, settled: false, reply: undefined };
+      return (await withTimeout(clock, offerTimeoutMs, answer)) ?? late;
+    });
+    const answers = await Promise.all(asked);
+    source.cancel('offers collected');
+    source.dispose();
+    token.throwIfCancelled();
+    return answers;
   };
 
-  const pickOffer = (offers: readonly Offer[]): Choice | undefined => {
-    const accepted = offers.filter(({ reply }) => reply.refusal === RefusalReason.UNSPECIFIED);
-    let best = Infinity;
-    for (const { reply } of accepted) best = Math.min(best, reply.expectedFirstTokenMs);
-    const nearBest = accepted.filter(
-      ({ reply }) => reply.expectedFirstTokenMs <= best * nearEqualFactor,
+  const pickOffer = (req: CompletionRequest, answers: readonly Answer[]): Choice | undefined => {
+    const offers = answers.flatMap(({ agent, reply }) =>
+      reply?.refusal === RefusalReason.UNSPECIFIED ? [{ agent, reply }] : [],
     );
+    let mostCached = 0;
+    for (const { reply } of offers) mostCached = Math.max(mostCached, reply.cachedTokens);
+    const scored = offers.map(({ agent, reply }) => {
+      const missed = (mostCached - reply.cachedTokens) / Math.max(1, req.promptTokens);
+      const expectedMs = reply.expectedFirstTokenMs * health.factor(targetOf(agent));
+      return { agent, reply, score: (expectedMs + 1) * (1 + recomputeWeight * missed) };
+    });
+    let best = Infinity;
+    for (const { score } of scored) best = Math.min(best, score);
+    const nearBest = scored.filter(({ score }) => score <= best * nearEqualFactor);
     const offer = nearBest[random.integer(nearBest.length)];
     if (!offer) return undefined;
+    const { reservationId, incarnation, weightsVersion, cachedTokens } = offer.reply;
     return {
+      kind: 'chosen',
       agent: offer.agent,
-      reservationId: offer.reply.reservationId,
-      expectedFirstTokenMs: offer.reply.expectedFirstTokenMs,
-      cachedTokens: offer.reply.cachedTokens,
+      reservationId,
+      incarnation,
+      weightsVersion,
+      // 0 stands for an unknown expectation, so an immediate answer is expected in 1 ms.
+      expectedFirstTokenMs: Math.max(1, offer.reply.expectedFirstTokenMs),
+      cachedTokens,
     };
   };
 
+  /** Least loaded by status, slow targets weighed by their factor. */
+  const guess = (agents: readonly AgentView[]): AgentView | undefined => {
+    const weigh = (agent: AgentView): number =>
+      (loadOf(agent) + 1) * health.factor(targetOf(agent));
+    return [...agents].sort((a, b) => weigh(a) - weigh(b))[0];
+  };
+
+  const refusedBy = (answers: readonly Answer[]): NoChoice => {
+    const reasons: RefusalReason[] = [];
+    let retryAfterMs: number | undefined;
+    for (const { reply } of answers) {
+      if (!reply) continue;
+      reasons.push(reply.refusal);
+      if (reply.retryAfterMs <= 0) continue;
+      retryAfterMs = Math.min(retryAfterMs ?? Infinity, reply.retryAfterMs);
+    }
+    return { kind: 'refused', reasons, retryAfterMs };
+  };
+
   return {
-    async choose(req, agents, token) {
-      const source = createCancellationSource(token);
-      const asked = candidatesOf(req, agents).map(async (agent) => {
-        const offer = askAgent(req, agent, source.token).catch(() => undefined);
-        return withTimeout(clock, offerTimeoutMs, offer);
-      });
-      const offers = (await Promise.all(asked)).filter((offer) => offer !== undefined);
-      source.cancel('offers collected');
-      source.dispose();
-      return pickOffer(offers);
+    async choose(req, agents, token, purpose = 'first') {
+      const { serving, probe } = health.select(agents, targetOf);
+      if (probe && purpose === 'first') {
+        const probed = pickOffer(req, await askAll(req, [probe], token));
+        if (probed) return probed;
+      }
+      const first = candidates.select(req, serving);
+      const answers = [...(await askAll(req, first, token))];
+      const offer = pickOffer(req, answers);
+      if (offer) return offer;
+      const late = answers.filter(({ settled }) => !settled).map(({ agent }) => agent);
+      if (late.length > 0) return chooseByStatus(guess(late));
+      const rest = serving.filter((agent) => !first.includes(agent));
+      const second = [...rest].sort((a, b) => loadOf(a) - loadOf(b)).slice(0, secondRoundSize);
+      const secondAnswers = await askAll(req, second, token);
+      const secondOffer = pickOffer(req, secondAnswers);
+      if (secondOffer) return secondOffer;
+      answers.push(...secondAnswers);
+      const lateSecond = secondAnswers.filter(({ settled }) => !settled);
+      if (lateSecond.length > 0) return chooseByStatus(guess(lateSecond.map(({ agent }) => agent)));
+      return refusedBy(answers);
     },
   };
 }
--- a/src/routing/policies.ts
+++ b/src/routing/policies.ts
@@ -1,28 +1,48 @@
 import { type CancellationToken } from '../base/cancellation.js';
 import { type Random } from '../base/random.js';
+import { type RefusalReason } from '../gen/cicadatide/v1/agent_pb.js';
 import { type AgentView } from '../membership/directory.js';
-import { rankByRendezvous } from './rendezvous.js';
+import { commonVersion, targetOf } from './candidates.js';
+import { createRendezvousTable } from './rendezvous.js';
 import { type CompletionRequest } from './request.js';
 
 /** Target that a policy chose for one attempt. */
 export interface Choice {
+  readonly kind: 'chosen';
   readonly agent: AgentView;
   /** Reservation of the agent, or an empty string. */
   readonly reservationId: string;
+  /** Incarnation and weights that the attempt is bound to. */
+  readonly incarnation: string;
+  readonly weightsVersion: string;
+  /** Expected time from dispatch to the first token; 0 when it is not known. */
   readonly expectedFirstTokenMs: number;
   readonly cachedTokens: number;
-  /** Wait that the agents asked for, when none accepted. */
-  readonly retryAfterMs?: number;
 }
 
+/** No agent accepts the request now. */
+export interface NoChoice {
+  readonly kind: 'refused';
+  /** Reasons of the agents that were asked; empty when none answered. */
+  readonly reasons: readonly RefusalReason[];
+  /** Least wait that an agent asked for. */
+  readonly retryAfterMs: number | undefined;
+}
+
+/** Result of a placement. */
+export type Placement = Choice | NoChoice;
+
+/** What kind of attempt is placed. */
+export type AttemptPurpose = 'first' | 'retry' | 'hedge';
+
 /** Chooses the target of one attempt among the agents that serve its model. */
 export interface PlacementPolicy {
-  /** Returns undefined when no agent accepts the request. */
   choose(
     req: CompletionRequest,
     agents: readonly AgentView[],
     token: CancellationToken,
-  ): Promise<Choice | undefined>;
+    purpose?: AttemptPurpose,
+  ): Promise<Placement>;
 }
 
 /** Names of the policies that settings and measurements accept. */
@@ -31,13 +51,18 @@
 /** One of the {@link policyNames}. */
 export type PolicyName = (typeof policyNames)[number];
 
-function withoutReservation(agent: AgentView | undefined): Choice | undefined {
-  if (!agent) return undefined;
-  return { agent, reservationId: '', expectedFirstTokenMs: 0, cachedTokens: 0 };
-}
-
-function targetOf(agent: AgentView): string {
-  return agent.status?.target ?? agent.address;
+/** Choice by status alone, without an offer. */
+export function chooseByStatus(agent: AgentView | undefined): Placement {
+  if (!agent) return { kind: 'refused', reasons: [], retryAfterMs: undefined };
+  return {
+    kind: 'chosen',
+    agent,
+    reservationId: '',
+    incarnation: agent.status?.incarnation ?? '',
+    weightsVersion: agent.status?.weightsVersion ?? '',
+    expectedFirstTokenMs: 0,
+    cachedTokens: 0,
+  };
 }
 
 /** Takes the targets in turn. */
@@ -48,7 +73,7 @@
       const sorted = [...agents].sort((a, b) => (targetOf(a) < targetOf(b) ? -1 : 1));
       const agent = sorted[next % Math.max(1, sorted.length)];
       next += 1;
-      return withoutReservation(agent);
+      return chooseByStatus(agent);
     },
   };
 }
@@ -66,7 +91,7 @@
         ties = load === bestLoad ? ties + 1 : 1;
         if (load < bestLoad || random.integer(ties) === 0) best = agent;
       }
-      return withoutReservation(best);
+      return chooseByStatus(best);
     },
   };
 }
@@ -75,9 +100,8 @@
 export function createPrefixHashPolicy(): PlacementPolicy {
   return {
     async choose(req, agents) {
-      const version = agents[0]?.status?.weightsVersion ?? '';
-      const first = req.blockHashes(version)[0] ?? 0n;
-      return withoutReservation(rankByRendezvous(first.toString(16), agents, targetOf)[0]);
+      const first = req.blockHashes(commonVersion(agents))[0] ?? 0n;
+      return chooseByStatus(createRendezvousTable(agents, targetOf).top(first, 1)[0]);
     },
   };
 }
--- a/src/routing/rendezvous.ts
+++ b/src/routing/rendezvous.ts
@@ -2,18 +2,79 @@
 
 const { h32 } = await xxhash();
 
-/**
- * Orders candidates by rendezvous hashing: every process gives the same order for a key, and
- * adding or removing a candidate moves only the keys of that candidate.
- */
-export function rankByRendezvous<T>(
-  key: string,
+/** Names whose hashes are kept; far above the number of targets of one site. */
+const maxKnownNames = 16_384;
+
+const nameHashes = new Map<string, number>();
+
+function hashName(name: string): number {
+  const known = nameHashes.get(name);
+  if (known !== undefined) return known;
+  if (nameHashes.size >= maxKnownNames) nameHashes.clear();
+  const hash = h32(name);
+  nameHashes.set(name, hash);
+  return hash;
+}
+
+/** Finaliser of MurmurHash3: every input bit changes every output bit with even odds. */
+function mix(value: number): number {
+  let mixed = value ^ (value >>> 16);
+  mixed = Math.imul(mixed, 0x85ebca6b);
+  mixed ^= mixed >>> 13;
+  mixed = Math.imul(mixed, 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+
+/** Candidates with the hashes of their names, so that many keys can be ranked cheaply. */
+export interface RendezvousTable<T> {
+  /**
+   * Returns the first candidates in the order of a key. Every process gives the same order, and
+   * adding or removing a candidate moves only the keys of that candidate.
+   */
+  top(key: bigint, count: number, accept?: (candidate: T) => boolean): readonly T[];
+}
+
+export function createRendezvousTable<T>(
   candidates: readonly T[],
   nameOf: (candidate: T) => string,
-): readonly T[] {
-  return candidates
-    .map((candidate) => ({ candidate, name: nameOf(candidate) }))
-    .map(({ candidate, name }) => ({ candidate, name, score: h32(`${key}\n${name}`) }))
-    .sort((a, b) => b.score - a.score || (a.name < b.name ? -1 : 1))
-    .map(({ candidate }) => candidate);
+): RendezvousTable<T> {
+  const hashes = new Uint32Array(candidates.length);
+  for (const [index, candidate] of candidates.entries()) {
+    hashes[index] = hashName(nameOf(candidate));
+  }
+
+  const isBefore = (a: number, scoreA: number, b: number, scoreB: number): boolean => {
+    if (scoreA !== scoreB) return scoreA > scoreB;
+    return nameOf(candidates[a] as T) < nameOf(candidates[b] as T);
+  };
+
+  return {
+    top(key, count, accept) {
+      const low = Number(BigInt.asUintN(32, key));
+      const high = Number(BigInt.asUintN(32, key >> 32n));
+      const indexes: number[] = [];
+      const scores: number[] = [];
+      for (let index = 0; index < hashes.length; index += 1) {
+        const score = mix(mix((hashes[index] as number) ^ low) ^ high);
+        const full = indexes.length >= count;
+        if (full && score < (scores[count - 1] ?? Infinity)) continue;
+        if (accept && !accept(candidates[index] as T)) continue;
+        let place = indexes.length;
+        while (
+          place > 0 &&
+          isBefore(index, score, indexes[place - 1] as number, scores[place - 1] as number)
+        ) {
+          place -= 1;
+        }
+        if (place >= count) continue;
+        indexes.splice(place, 0, index);
+        scores.splice(place, 0, score);
+        if (full) {
+          indexes.pop();
+          scores.pop();
+        }
+      }
+      return indexes.map((index) => candidates[index] as T);
+    },
+  };
 }
--- a/src/routing/request.ts
+++ b/src/routing/request.ts
@@ -19,6 +19,8 @@
   readonly outputTokens: number;
   readonly priority: number;
   readonly deadline: Deadline;
+  /** False when a second run would have lasting effects; then no attempt is repeated or hedged. */
+  readonly repeatable?: boolean;
   /** Block hashes for one weights version; computed once per version. */
   blockHashes(weightsVersion: string): readonly bigint[];
 }
--- /dev/null
+++ b/test/routing/placement.test.ts
@@ -0,0 +1,135 @@
+import { expect, test } from 'vitest';
+import { noCancellation } from '../../src/base/cancellation.js';
+import { createSeededRandom } from '../../src/base/random.js';
+import { RefusalReason } from '../../src/gen/cicadatide/v1/agent_pb.js';
+import { createCandidateSelector } from '../../src/routing/candidates.js';
+import { createTargetHealth } from '../../src/routing/health.js';
+import { createHeavyHitters, createHotPrefixes } from '../../src/routing/hotprefix.js';
+import { createOfferPolicy } from '../../src/routing/placement.js';
+import { type Placement } from '../../src/routing/policies.js';
+import { createManualClock } from '../standins/clock.js';
+import { fakeAgent, fakeRequest, type FakeAgentSpec } from './fakes.js';
+
+const document = (id: string, blocks = 40): string => id.repeat(512 * blocks);
+
+async function place(specs: readonly FakeAgentSpec[], promptText = 'short', seed = 1) {
+  const clock = createManualClock();
+  const agents = specs.map((spec) => fakeAgent(clock, spec));
+  const policy = createOfferPolicy({
+    clock,
+    random: createSeededRandom(seed),
+    health: createTargetHealth(clock),
+  });
+  const views = agents.map(({ view }) => view);
+  let placement: Placement | undefined;
+  const placed = policy.choose(fakeRequest(clock, { promptText }), views, noCancellation);
+  placed.then(
+    (value) => {
+      placement = value;
+    },
+    () => undefined,
+  );
+  await clock.advance(100);
+  return placement;
+}
+
+const never = () => new Promise<never>(() => undefined);
+const expecting =
+  (expectedFirstTokenMs: number, cachedTokens = 0) =>
+  () => ({
+    expectedFirstTokenMs,
+    cachedTokens,
+  });
+const refusing = (refusal: RefusalReason, retryAfterMs: number) => () => ({
+  refusal,
+  retryAfterMs,
+});
+
+// Guards against a worse offer, a lost reservation, or a wait for agents that do not answer.
+test.each([
+  ['earliest first token', { a: expecting(90), b: expecting(50) }, 'b', 'reserved-b'],
+  ['cached prefix when slightly later', { a: expecting(105, 1), b: expecting(100) }, 'a', ''],
+  ['silent agent is not waited for', { a: never, b: expecting(900) }, 'b', 'reserved-b'],
+  ['status when nobody answers', { a: never, b: never }, 'b', ''],
+  ['acceptance beside a refusal', { a: refusing(2, 10), b: expecting(900) }, 'b', 'reserved-b'],
+])('chooses: %s', async (_name, offers, target, reservationId) => {
+  const status = { a: { queueMs: 500 }, b: {} };
+  const names = ['a', 'b'] as const;
+  const placement = await place(
+    names.map((name) => ({ name, offer: offers[name], status: status[name] })),
+  );
+  expect(placement).toMatchObject({ kind: 'chosen', agent: { address: target } });
+  if (reservationId) expect(placement).toMatchObject({ reservationId, incarnation: 'one' });
+});
+
+// Guards against a refusal without its reason, or with a longer wait than needed.
+test('reports all reasons and the least wait when every agent refuses', async () => {
+  const names = ['a', 'b', 'c', 'd', 'e', 'f'];
+  const placement = await place(
+    names.map((name, index) => ({
+      name,
+      offer: refusing(RefusalReason.QUEUE_FULL, 700 - index * 100),
+    })),
+  );
+  expect(placement).toEqual({ kind: 'refused', reasons: Array(6).fill(2), retryAfterMs: 200 });
+});
+
+function select(promptText: string, seed: number, loads: Readonly<Record<string, number>> = {}) {
+  const clock = createManualClock();
+  const agents = Array.from({ length: 30 }, (_, index) => {
+    const name = `engine-${index}`;
+    return fakeAgent(clock, { name, status: { queueMs: loads[name] ?? 0 } }).view;
+  });
+  const selector = createCandidateSelector(createSeededRandom(seed), createHotPrefixes(clock));
+  return selector.select(fakeRequest(clock, { promptText }), agents).map((view) => view.address);
+}
+
+// Guards against a new entry that must learn before it finds the targets of a prefix.
+test('entries without shared state choose the same targets for one prefix', () => {
+  const first = select(`${document('d')}question one`, 1);
+  const second = select(`${document('d')}another`, 2);
+  expect(first.slice(0, 3)).toEqual(second.slice(0, 3));
+  const longer = select(`${document('d')}${'q'.repeat(512 * 12)}`, 3);
+  expect(longer.some((target) => first.slice(0, 3).includes(target))).toBe(true);
+  expect(first.length).toBeLessThanOrEqual(4);
+});
+
+// Guards against an overloaded favourite that keeps its keys.
+test('an overloaded favourite spills to others', () => {
+  const [favourite = ''] = select(document('d'), 1);
+  expect(select(document('d'), 1, { [favourite]: 5_000 })).not.toContain(favourite);
+});
+
+// Guards against a sketch that forgets a hot key among many rare ones, or never forgets it.
+test('the sketch finds a hot key among rare ones and forgets it', async () => {
+  const clock = createManualClock();
+  const hitters = createHeavyHitters(clock);
+  for (let index = 0; index < 5_000; index += 1) {
+    hitters.record(BigInt(index + 10));
+    if (index % 20 === 0) hitters.record(1n);
+  }
+  expect(hitters.rate(1n)).toBeGreaterThan(200);
+  expect(hitters.rate(1n)).toBeLessThanOrEqual(250);
+  expect(hitters.rate(4_000n)).toBeLessThanOrEqual(1);
+  await clock.advance(2_000);
+  expect(hitters.rate(1n)).toBe(0);
+});
+
+// Guards against a hot prefix that moves to all targets at once, or stays wide for ever.
+test('the set of a hot prefix grows step by step with its rate and shrinks again', async () => {
+  const clock = createManualClock();
+  const hot = createHotPrefixes(clock);
+  const widths: number[] = [];
+  for (let tick = 0; tick < 30; tick += 1) {
+    for (let index = 0; index < 5; index += 1) hot.record(1n);
+    widths.push(hot.width(1n, 30));
+    await clock.advance(100);
+  }
+  for (let index = 1; index < widths.length; index += 1) {
+    expect(widths[index]).toBeLessThanOrEqual((widths[index - 1] as number) + 1);
+  }
+  expect(widths.at(-1)).toBeGreaterThanOrEqual(5);
+  expect(widths.at(-1)).toBeLessThanOrEqual(8);
+  await clock.advance(3_000);
+  expect(hot.width(1n, 30)).toBe(1);
+});
