Test dispatcher and target health; bound attempts and outliers

Cause: the new fault tables showed that a target which breaks every stream after one piece was tried without bound (200 attempts until the deadline in the test), and that one outlying first token (100 times the expectation) put a target on probation.

Change: at most 12 attempts per request; probation needs two slow first tokens or four slow gaps in a row; means are geometric. The median over the targets is kept for 100 ms instead of being sorted for every piece of text.

--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -66,6 +66,9 @@
 /** Failed attempts in a row, without text delivered between them. */
 const maxFruitless = 4;
 
+/** Attempts of one request, so that a target that breaks every stream is not tried for ever. */
+const maxAttempts = 12;
+
 /** Refusals for a stale view that are retried without delay and cost. */
 const maxStale = 2;
 
@@ -223,7 +226,8 @@
     progress.fruitless += 1;
     const continues = progress.text !== '';
     const mayRepeat = progress.mayHaveRun === 0 || req.repeatable !== false;
-    if (!mayRepeat || progress.fruitless >= maxFruitless) throw finalRefusal(progress, failure);
+    const exhausted = progress.fruitless >= maxFruitless || progress.attempt >= maxAttempts;
+    if (!mayRepeat || exhausted) throw finalRefusal(progress, failure);
     if (failure.byAll && isLasting(failure) && !continues) throw finalRefusal(progress, failure);
     if (continues) budget.charge();
     else if (!budget.withdraw()) throw finalRefusal(progress, failure);
--- a/src/routing/health.ts
+++ b/src/routing/health.ts
@@ -32,6 +32,9 @@
 /** Weight of a new gap. Gaps are frequent and vary with the batch, so each one weighs less. */
 const gapSmoothing = 0.15;
 
+/** Age at which a median is recomputed; sorting on every piece of text would cost too much. */
+const medianAgeMs = 100;
+
 /** Delays below this are dominated by scheduling noise and do not make a ratio large. */
 const noiseMs = 25;
 
@@ -46,6 +49,11 @@
 /** Slowness from which the target goes on probation. */
 const probationFrom = 2.5;
 
+/** Slow timings in a row that probation needs, so that a single pause takes no target out. */
+const minSlowRatios = 2;
+
+const minSlowGaps = 4;
+
 /** Slowness of a probe that counts as recovered. */
 const recoveredBelow = 1.5;
 
@@ -68,6 +76,9 @@
   ratios: number;
   gap: number;
   gaps: number;
+  /** Slow first tokens and slow gaps in a row. */
+  slowRatios: number;
+  slowGaps: number;
   updatedAt: number;
   onProbation: boolean;
   goodProbes: number;
@@ -96,6 +107,8 @@
         ratios: 0,
         gap: 0,
         gaps: 0,
+        slowRatios: 0,
+        slowGaps: 0,
         updatedAt: clock.now(),
         onProbation: false,
         goodProbes: 0,
@@ -106,41 +119,48 @@
     return state;
   };
 
-  /** Median over the other targets that have enough samples. */
-  const medianOfOthers = (
-    target: string,
-    read: (state: TargetState) => number | undefined,
-  ): number | undefined => {
-    const values: number[] = [];
-    for (const [name, state] of states) {
-      if (name === target || clock.now() - state.updatedAt > forgetAfterMs) continue;
-      const value = read(state);
-      if (value !== undefined) values.push(value);
-    }
-    return medianOf(values);
-  };
-
   const readRatio = (state: TargetState): number | undefined =>
     state.ratios >= minRatios ? state.ratio : undefined;
 
   const readGap = (state: TargetState): number | undefined =>
     state.gaps >= minGaps ? state.gap : undefined;
 
+  /** Lower median over all targets that have enough samples, recomputed now and then. */
+  const createMedian = (read: (state: TargetState) => number | undefined) => {
+    let value: number | undefined;
+    let computedAt = -Infinity;
+    return (): number | undefined => {
+      if (value !== undefined && clock.now() - computedAt < medianAgeMs) return value;
+      const values: number[] = [];
+      for (const state of states.values()) {
+        if (clock.now() - state.updatedAt > forgetAfterMs) continue;
+        const sample = read(state);
+        if (sample !== undefined) values.push(sample);
+      }
+      computedAt = clock.now();
+      value = medianOf(values);
+      return value;
+    };
+  };
+  const medianRatio = createMedian(readRatio);
+  const medianGap = createMedian(readGap);
+
   /** Ratio relative to the other targets; offers of all of them may be off in the same way. */
-  const relativeRatio = (target: string, ratio: number): number =>
-    ratio / Math.max(1, medianOfOthers(target, readRatio) ?? 1);
+  const relativeRatio = (ratio: number): number => ratio / Math.max(1, medianRatio() ?? 1);
 
-  const slowness = (target: string, state: TargetState): number => {
+  const slowness = (state: TargetState): number => {
     const ratio = readRatio(state);
     const gap = readGap(state);
-    const otherGap = medianOfOthers(target, readGap);
-    const byRatio = ratio === undefined ? 1 : relativeRatio(target, ratio);
+    const otherGap = medianGap();
+    const byRatio = ratio === undefined ? 1 : relativeRatio(ratio);
     const byGap = gap === undefined || !otherGap ? 1 : gap / otherGap;
     return Math.max(1, byRatio, byGap);
   };
 
-  const judge = (target: string, state: TargetState): void => {
-    if (state.onProbation || slowness(target, state) < probationFrom) return;
+  const judge = (state: TargetState): void => {
+    if (state.onProbation) return;
+    if (state.slowRatios < minSlowRatios && state.slowGaps < minSlowGaps) return;
+    if (slowness(state) < probationFrom) return;
     state.onProbation = true;
     state.goodProbes = 0;
     state.probedAt = clock.now();
@@ -148,8 +168,8 @@
 
   const judgeProbe = (target: string, state: TargetState, ratio: number): void => {
     const gap = readGap(state);
-    const byGap = gap === undefined ? 1 : gap / (medianOfOthers(target, readGap) ?? gap);
-    if (Math.max(relativeRatio(target, ratio), byGap) >= recoveredBelow) {
+    const byGap = gap === undefined ? 1 : gap / (medianGap() ?? gap);
+    if (Math.max(relativeRatio(ratio), byGap) >= recoveredBelow) {
       state.goodProbes = 0;
       return;
     }
@@ -161,6 +181,7 @@
     Math.min(maxRatio, (actualMs + noiseMs) / (expectedMs + noiseMs));
 
   const addRatio = (state: TargetState, ratio: number): void => {
+    state.slowRatios = relativeRatio(ratio) >= slowFrom ? state.slowRatios + 1 : 0;
     state.ratio = blend(state.ratio, ratio, ratioSmoothing);
     state.ratios += 1;
     state.updatedAt = clock.now();
@@ -173,7 +194,7 @@
       const ratio = ratioOf(expectedMs, actualMs);
       addRatio(state, ratio);
       if (state.onProbation) judgeProbe(target, state, ratio);
-      else judge(target, state);
+      else judge(state);
     },
     observeLate(target, expectedMs, waitedMs) {
       if (expectedMs <= 0) return;
@@ -182,20 +203,22 @@
       if (ratio <= state.ratio) return;
       addRatio(state, ratio);
       if (state.onProbation) state.goodProbes = 0;
-      else judge(target, state);
+      else judge(state);
     },
     observeGap(target, msPerToken) {
       const state = stateOf(target);
-      state.gap =
-        state.gaps === 0 ? msPerToken : state.gap + gapSmoothing * (msPerToken - state.gap);
+      const gap = Math.max(minGapMs, msPerToken);
+      const usualGap = medianGap() ?? gap;
+      state.slowGaps = gap >= usualGap * slowFrom ? state.slowGaps + 1 : 0;
+      state.gap = state.gaps === 0 ? gap : blend(state.gap, gap, gapSmoothing);
       state.gaps += 1;
       state.updatedAt = clock.now();
-      judge(target, state);
+      judge(state);
     },
     factor(target) {
       const state = states.get(target);
       if (!state || clock.now() - state.updatedAt > forgetAfterMs) return 1;
-      const slow = slowness(target, state);
+      const slow = slowness(state);
       return slow < slowFrom ? 1 : slow;
     },
     select(candidates, targetOf) {
@@ -206,7 +229,7 @@
         const state = states.get(target);
         if (!state?.onProbation) continue;
         if (clock.now() - state.updatedAt > forgetAfterMs) states.delete(target);
-        else slow.push({ candidate, score: slowness(target, state) });
+        else slow.push({ candidate, score: slowness(state) });
       }
       if (slow.length === 0) return { serving: candidates, probe: undefined };
       slow.sort((a, b) => b.score - a.score);
--- /dev/null
+++ b/test/routing/dispatcher.test.ts
@@ -0,0 +1,230 @@
+import { ConnectError, Code } from '@connectrpc/connect';
+import { expect, test } from 'vitest';
+import { createCancellationSource } from '../../src/base/cancellation.js';
+import { createNullLogger } from '../../src/base/logging.js';
+import { createSeededRandom } from '../../src/base/random.js';
+import { RefusalReason } from '../../src/gen/cicadatide/v1/agent_pb.js';
+import { createRetryBudget } from '../../src/limits/retrybudget.js';
+import { type CompletionEvent, createDispatcher } from '../../src/routing/dispatcher.js';
+import { createTargetHealth } from '../../src/routing/health.js';
+import { createOfferPolicy } from '../../src/routing/placement.js';
+import { type CompletionRequest } from '../../src/routing/request.js';
+import { createManualClock } from '../standins/clock.js';
+import {
+  end,
+  failure,
+  fakeAgent,
+  type FakeAgentSpec,
+  fakeDirectory,
+  fakeRequest,
+  text,
+} from './fakes.js';
+
+interface Options {
+  readonly request?: Partial<CompletionRequest> & { readonly deadlineMs?: number };
+  readonly emptyBudget?: boolean;
+  readonly cancelAfterMs?: number;
+}
+
+async function run(specs: readonly FakeAgentSpec[], options: Options = {}) {
+  const clock = createManualClock();
+  const agents = specs.map((spec) => fakeAgent(clock, spec));
+  const health = createTargetHealth(clock);
+  const random = createSeededRandom(3);
+  const budget = createRetryBudget(clock);
+  if (options.emptyBudget) while (budget.withdraw());
+  const dispatcher = createDispatcher({
+    clock,
+    random,
+    log: createNullLogger(),
+    directory: fakeDirectory(agents),
+    policy: createOfferPolicy({ clock, random, health }),
+    health,
+    budget,
+  });
+  const source = createCancellationSource();
+  const events: CompletionEvent[] = [];
+  let error: unknown;
+  let done = false;
+  const consume = async () => {
+    const req = fakeRequest(clock, options.request);
+    for await (const event of dispatcher.run(req, () => true, source.token)) events.push(event);
+  };
+  const consumed = consume()
+    .catch((err: unknown) => {
+      error = err;
+    })
+    .finally(() => {
+      done = true;
+    });
+  if (options.cancelAfterMs) clock.setTimer(options.cancelAfterMs, () => source.cancel('left'));
+  for (let step = 0; step < 4_000 && !done; step += 1) await clock.advance(step % 10 ? 0 : 50);
+  await consumed;
+  const answer = events.map((event) => (event.kind === 'text' ? event.text : '')).join('');
+  return { agents, events, answer, error, budget, clock };
+}
+
+const first = { expectedFirstTokenMs: 10 };
+const second = { expectedFirstTokenMs: 100 };
+const unavailable = new ConnectError('connection reset', Code.Unavailable);
+const refusedConnection = new ConnectError(
+  'connect failed',
+  Code.Unavailable,
+  undefined,
+  undefined,
+  Object.assign(new Error('connect'), { code: 'ECONNREFUSED' }),
+);
+
+// Guards against an answer that is lost, repeated or mixed after a fault of the first target.
+test.each([
+  ['stale incarnation', [failure(RefusalReason.INCARNATION)], 'ab'],
+  ['other version', [failure(RefusalReason.VERSION)], 'ab'],
+  ['full queue', [failure(RefusalReason.QUEUE_FULL)], 'ab'],
+  ['engine failure before text', [failure(0, false)], 'ab'],
+  ['refused connection', [refusedConnection], 'ab'],
+  ['reset before text', [unavailable], 'ab'],
+  ['reset in the stream', [text('a'), unavailable], 'ab'],
+  ['end without terminal chunk', [text('a')], 'ab'],
+])('recovers from: %s', async (_name, steps, expected) => {
+  const result = await run([
+    {
+      name: 'one',
+      offer: () => first,
+      dispatch: ({ attempt }) => (attempt === 1 ? steps : [text('a'), text('b'), end]),
+    },
+    {
+      name: 'two',
+      offer: () => second,
+      dispatch: (req) => (req.deliveredText ? [text('b'), end] : [text('a'), text('b'), end]),
+    },
+  ]);
+  expect(result.error).toBeUndefined();
+  expect(result.answer).toBe(expected);
+  expect(result.events.at(-1)).toMatchObject({ kind: 'end', outputTokens: 2 });
+});
+
+// Guards against a target that is avoided, or a budget that is used, for the entry's stale view.
+test('a stale view is retried at once on the same target and costs nothing', async () => {
+  const { agents, answer, budget, clock } = await run([
+    {
+      name: 'one',
+      offer: () => first,
+      dispatch: ({ attempt }) =>
+        attempt === 1 ? [failure(RefusalReason.INCARNATION)] : [text('a'), end],
+    },
+    { name: 'two', offer: () => second },
+  ]);
+  expect(answer).toBe('a');
+  expect(agents.map(({ dispatched }) => dispatched.length)).toEqual([2, 0]);
+  expect(budget.available).toBe(10);
+  expect(clock.now()).toBe(50);
+});
+
+// Guards against a refusal that hides that work may have run, or that asks for a wait too long.
+test.each([
+  ['all full', [failure(2)], 2, { code: 'overloaded', work: 'not-run', retryAfterMs: 40 }],
+  ['all too late', [failure(3)], 3, { code: 'deadline', work: 'not-run', retryAfterMs: 40 }],
+  ['engines failed', [failure(0, false)], 0, { code: 'targetFailed', work: 'unknown' }],
+  ['engines refused', [failure(0, true)], 0, { code: 'overloaded', work: 'not-run' }],
+  ['reset', [unavailable], 0, { code: 'targetFailed', work: 'unknown' }],
+  ['refused connection', [refusedConnection], 0, { code: 'overloaded', work: 'not-run' }],
+  ['broken off', [text('a'), unavailable], 0, { code: 'targetFailed', work: 'unknown' }],
+])('ends with an explicit error: %s', async (_name, steps, refusalReason, expected) => {
+  const offer = () => ({ refusal: refusalReason, retryAfterMs: 40 });
+  const broken = ({ deliveredText }: { readonly deliveredText: string }) =>
+    deliveredText ? [unavailable] : steps;
+  const specs = ['one', 'two'].map((name) => ({ name, offer, dispatch: broken }));
+  const { error, events } = await run(specs);
+  expect(error).toMatchObject(expected);
+  expect(events.some(({ kind }) => kind === 'end')).toBe(false);
+});
+
+// Guards against a continuation that mixes the texts of two weights versions.
+test('a stream is not continued on other weights', async () => {
+  const { agents, error, answer } = await run([
+    { name: 'one', offer: () => first, dispatch: () => [text('a'), unavailable] },
+    {
+      name: 'two',
+      status: { weightsVersion: 'v2' },
+      offer: () => ({ ...second, weightsVersion: 'v2' }),
+    },
+  ]);
+  expect(agents[1]?.dispatched).toHaveLength(0);
+  expect(agents[0]?.dispatched.every(({ weightsVersion }) => weightsVersion === 'v1')).toBe(true);
+  // The target breaks every stream after one piece; the attempts are bounded all the same.
+  expect(answer.length).toBeLessThanOrEqual(12);
+  expect(error).toMatchObject({ code: 'targetFailed', work: 'unknown' });
+});
+
+const slowPrimary: FakeAgentSpec = {
+  name: 'one',
+  offer: () => first,
+  dispatch: () => [2_000, text('late'), end],
+};
+const fastSecondary: FakeAgentSpec = {
+  name: 'two',
+  offer: () => second,
+  dispatch: () => [10, text('x'), 100, text('y'), end],
+};
+
+// Guards against chunks of both attempts in one answer, and against a loser that goes on.
+test('the faster attempt wins and the other is cancelled', async () => {
+  const { agents, answer, events } = await run([slowPrimary, fastSecondary]);
+  expect(answer).toBe('xy');
+  expect(events[0]).toEqual({ kind: 'accepted', target: 'two', attempt: 2 });
+  expect(agents[0]?.cancelled).toEqual([1]);
+  expect(agents[1]?.cancelled).toEqual([]);
+});
+
+// Guards against hedges that add load, repeat a request, or break a started stream.
+test.each([
+  ['empty budget', {}, fastSecondary, slowPrimary, { emptyBudget: true }],
+  ['no free place', {}, { ...fastSecondary, status: { running: 8 } }, slowPrimary, {}],
+  ['not repeatable', {}, fastSecondary, slowPrimary, { request: { repeatable: false } }],
+  [
+    'after the first token',
+    {},
+    fastSecondary,
+    { ...slowPrimary, dispatch: () => [text('la'), 2_000, text('te'), end] },
+    {},
+  ],
+])('no hedge: %s', async (_name, _fields, secondary, primary, options) => {
+  const { agents, answer } = await run([primary, secondary], options);
+  expect(answer).toBe('late');
+  expect(agents[1]?.dispatched).toHaveLength(0);
+});
+
+// Guards against a second run of a request that may have run and must not be repeated.
+test.each([
+  ['before text', [failure(0, false)]],
+  ['in the stream', [text('a'), unavailable]],
+])('what may not be repeated is not retried: %s', async (_name, steps) => {
+  const specs = ['one', 'two'].map((name) => ({ name, dispatch: () => steps }));
+  const { agents, error } = await run(specs, { request: { repeatable: false } });
+  expect(agents.flatMap(({ dispatched }) => dispatched)).toHaveLength(1);
+  expect(error).toMatchObject({ code: 'targetFailed', work: 'unknown' });
+});
+
+// Guards against retries beyond the budget, and against streams that break for its lack.
+test('an empty budget stops retries but not continuations', async () => {
+  const dispatch = ({ attempt }: { readonly attempt: number }) =>
+    attempt === 1 ? [failure(0, false)] : [text('a'), end];
+  const retried = await run([{ name: 'one', dispatch }], { emptyBudget: true });
+  expect(retried.error).toMatchObject({ code: 'targetFailed' });
+  const broken = ({ attempt }: { readonly attempt: number }) =>
+    attempt === 1 ? [text('a'), unavailable] : [text('b'), end];
+  const continued = await run([{ name: 'one', dispatch: broken }], { emptyBudget: true });
+  expect(continued.answer).toBe('ab');
+});
+
+// Guards against attempts that go on after the deadline or after the caller has left.
+test('the deadline and a leaving caller cancel the attempt', async () => {
+  const slow = { name: 'one', dispatch: () => [5_000, text('a'), end] };
+  const late = await run([slow], { request: { deadlineMs: 300 } });
+  expect(late.error).toMatchObject({ code: 'deadline', work: 'unknown' });
+  expect(late.agents[0]?.cancelled).toEqual([1]);
+  expect(late.clock.now()).toBeLessThanOrEqual(350);
+  const left = await run([slow], { cancelAfterMs: 100 });
+  expect(left.error).toMatchObject({ name: 'CancelledError' });
+  expect(left.agents[0]?.cancelled).toEqual([1]);
+});
--- /dev/null
+++ b/test/routing/health.test.ts
@@ -0,0 +1,91 @@
+import { expect, test } from 'vitest';
+import { createSeededRandom } from '../../src/base/random.js';
+import { createTargetHealth } from '../../src/routing/health.js';
+import { createHedgeTimer } from '../../src/routing/hedging.js';
+import { createManualClock } from '../standins/clock.js';
+
+const targets = ['a', 'b', 'c', 'd', 'e', 'f'];
+const self = (name: string): string => name;
+
+/** Health after twenty normal requests per target with timings that vary by a third. */
+function warmHealth() {
+  const clock = createManualClock();
+  const random = createSeededRandom(5);
+  const health = createTargetHealth(clock);
+  const vary = (value: number) => value * (0.67 + random.next() * 0.66);
+  const request = (target: string, slowdown = 1) => {
+    health.observeFirstToken(target, 200, vary(200 * slowdown));
+    for (let gap = 0; gap < 10; gap += 1) health.observeGap(target, vary(20 * slowdown));
+  };
+  for (let index = 0; index < 20; index += 1) for (const target of targets) request(target);
+  const serving = () => health.select(targets, self).serving;
+  return { clock, health, request, serving, vary };
+}
+
+// Guards against slow targets found late, and against healthy ones taken for slow.
+test.each([
+  ['first tokens', 3, 0],
+  ['gaps', 0, 10],
+])('a five times slower target is found within a few %s', (_name, ratios, gaps) => {
+  const { health, serving, vary } = warmHealth();
+  expect(serving()).toEqual(targets);
+  for (const target of targets) expect(health.factor(target)).toBe(1);
+  for (let index = 0; index < ratios; index += 1) health.observeFirstToken('b', 200, vary(1_000));
+  for (let index = 0; index < gaps; index += 1) health.observeGap('b', vary(100));
+  expect(health.factor('b')).toBeGreaterThan(2);
+  expect(serving()).toEqual(['a', 'c', 'd', 'e', 'f']);
+});
+
+// Guards against a target taken out for one outlier, such as a pause of this process.
+test('one outlier takes no target out', () => {
+  const { health, serving } = warmHealth();
+  health.observeFirstToken('b', 200, 20_000);
+  health.observeGap('b', 2_000);
+  expect(serving()).toEqual(targets);
+});
+
+// Guards against taking out so many targets that the others are overloaded.
+test('a slowdown of all takes none out, and of most at most a third', async () => {
+  const all = warmHealth();
+  for (let index = 0; index < 10; index += 1) {
+    for (const target of targets) all.request(target, 5);
+    await all.clock.advance(200);
+  }
+  for (const target of targets) expect(all.health.factor(target)).toBeLessThan(2);
+  const most = warmHealth();
+  for (const target of ['a', 'b', 'c', 'd', 'e', 'f']) {
+    for (let index = 0; index < 4; index += 1) most.request(target, 5);
+    await most.clock.advance(200);
+  }
+  expect(most.serving().length).toBeGreaterThanOrEqual(4);
+});
+
+// Guards against probation that ends too early, never ends, or sends more than single probes.
+test('probation sends single probes and ends after good ones', async () => {
+  const { clock, health, request, serving } = warmHealth();
+  for (let index = 0; index < 4; index += 1) request('b', 5);
+  expect(health.select(targets, self)).toMatchObject({ probe: undefined });
+  await clock.advance(1_000);
+  expect(health.select(targets, self).probe).toBe('b');
+  expect(health.select(targets, self).probe).toBeUndefined();
+  request('b', 5);
+  for (let probes = 0; probes < 10 && serving().length < 6; probes += 1) {
+    await clock.advance(1_000);
+    expect(health.select(targets, self).probe).toBe('b');
+    request('b', 1);
+    if (probes === 0) expect(serving()).not.toContain('b');
+  }
+  expect(serving()).toEqual(targets);
+  expect(health.factor('b')).toBe(1);
+});
+
+// Guards against a hedge delay that follows the slow tail, or one without an expectation.
+test('the hedge delay follows the p95 of the ratio within bounds', () => {
+  const timer = createHedgeTimer();
+  expect(timer.delayMs(0)).toBeUndefined();
+  expect(timer.delayMs(175)).toBe(575);
+  for (let index = 0; index < 100; index += 1) timer.observe(175, index < 94 ? 175 : 375);
+  expect(timer.delayMs(175)).toBe(375);
+  for (let index = 0; index < 100; index += 1) timer.observe(175, 10_000);
+  expect(timer.delayMs(175)).toBe(775);
+});
