Run non-idempotent service calls at most once by a claim in the table

Cause: the service handler dispatched without a claim, the agent answered not-run for any duplicate, forgot attempts after ten minutes and executed a body that was cut on the way.

Change: a call is claimed by one conditional write, dispatched once and settled by one write. Broken replies are settled by the bound agent's Result call, which also vetoes attempts that it has not seen. Results are kept in the row or in the object store.

--- /dev/null
+++ b/src/adapters/memory/objects.ts
@@ -0,0 +1,12 @@
+import { type ObjectPort } from '../../ports/objects.js';
+
+/** Object store in the memory of one process, for the quickstart and tests. */
+export function createMemoryObjects(): ObjectPort {
+  const objects = new Map<string, Uint8Array>();
+  return {
+    async put(key, body) {
+      objects.set(key, body.slice());
+    },
+    get: async (key) => objects.get(key)?.slice(),
+  };
+}
--- a/src/daemon/callers/completions.ts
+++ b/src/daemon/callers/completions.ts
@@ -14,6 +14,7 @@
 import { errorBody, headerNames, toRefusal } from './errors.js';
 import { type AnswerHead, answerFormats, usageOf } from './format.js';
 import { readOutputTokens, readPrompt } from './prompt.js';
+import { writeEvent } from './write.js';
 
 /** Parts that the completion handlers use. */
 export interface CompletionOptions {
@@ -61,24 +62,6 @@
   return Buffer.from(JSON.stringify({ ...Object.fromEntries(kept), model }));
 }
 
-/** Waits until a slow reader has taken what was written. */
-function waitForDrain(res: ServerResponse): Promise<void> {
-  return new Promise((resolve) => {
-    const done = (): void => {
-      res.off('drain', done);
-      res.off('close', done);
-      resolve();
-    };
-    res.on('drain', done);
-    res.on('close', done);
-  });
-}
-
-async function writeEvent(res: ServerResponse, data: string): Promise<void> {
-  if (res.destroyed) return;
-  if (!res.write(`data: ${data}\n\n`)) await waitForDrain(res);
-}
-
 function setAnswerHeaders(
   res: ServerResponse,
   requestId: string,
--- a/src/daemon/callers/errors.ts
+++ b/src/daemon/callers/errors.ts
@@ -11,6 +11,8 @@
   attempt: 'x-cicadatide-attempt',
   deadline: 'x-cicadatide-deadline-ms',
   priority: 'x-cicadatide-priority',
+  key: 'idempotency-key',
+  replayed: 'x-cicadatide-replayed',
 } as const;
 
 /** JSON error body in the shape that language-model clients expect. */
--- a/src/daemon/callers/services.ts
+++ b/src/daemon/callers/services.ts
@@ -2,16 +2,20 @@
 import { type IncomingMessage } from 'node:http';
 import { Code, ConnectError } from '@connectrpc/connect';
 import { create } from '@bufbuild/protobuf';
-import { type Clock } from '../../base/clock.js';
+import { type Clock, withTimeout } from '../../base/clock.js';
 import { errMessage } from '../../base/errors.js';
 import { type Random } from '../../base/random.js';
 import { isRefusal, refusal } from '../../base/refusals.js';
 import { type RecordOf } from '../../configuration/records.js';
 import { type ConfigurationReplica } from '../../configuration/replica.js';
 import { type CallPart, CallPartSchema } from '../../gen/cicadatide/v1/agent_pb.js';
+import { type OnceCall, type OnceCaller, type ResponseSink } from '../../idempotency/calls.js';
+import { bufferBody, fingerprintOf } from '../../idempotency/fingerprint.js';
 import { type AgentDirectory, type AgentView } from '../../membership/directory.js';
+import { type HeaderList } from '../../ports/service.js';
 import { type CallerContext, readDeadline, readPriority } from './context.js';
 import { headerNames } from './errors.js';
+import { waitForDrain } from './write.js';
 
 /** Parts that the service handler uses. */
 export interface ServiceOptions {
@@ -19,6 +23,10 @@
   readonly random: Random;
   readonly replica: ConfigurationReplica;
   readonly directory: AgentDirectory;
+  /** Runs non-idempotent calls; they are refused when it is absent. */
+  readonly onceCaller: OnceCaller | undefined;
+  /** Time for the part of a body that is buffered before the call is claimed. */
+  readonly bodyTimeoutMs: number;
 }
 
 /** Path below which plain services are reached: `/services/{route}/{path of the service}`. */
@@ -60,8 +68,28 @@
   return route;
 }
 
+const keyPattern = /^[\x21-\x7e]{1,255}$/;
+
+/** Returns the caller's idempotency key, or a new one; the response names it in either case. */
+function readKey(req: IncomingMessage): string {
+  const given = req.headers[headerNames.key];
+  if (given === undefined) return randomUUID();
+  if (typeof given === 'string' && keyPattern.test(given)) return given;
+  throw refusal('invalidRequest', 'Idempotency-Key needs 1 to 255 visible ASCII characters');
+}
+
+function sendHead(ctx: CallerContext, status: number, headers: HeaderList, target: string): void {
+  const { res, requestId } = ctx;
+  res.statusCode = status;
+  for (const [name, value] of headers) {
+    if (!droppedHeaders.has(name)) res.appendHeader(name, value);
+  }
+  res.setHeader(headerNames.requestId, requestId);
+  res.setHeader(headerNames.target, target);
+}
+
 export function createServiceHandler(options: ServiceOptions) {
-  const { clock, random, replica, directory } = options;
+  const { clock, random, replica, directory, onceCaller, bodyTimeoutMs } = options;
 
   const chooseAgent = (route: RecordOf<'route'>): AgentView => {
     const serving = directory.usable().filter(({ status }) => {
@@ -81,13 +109,61 @@
     return best;
   };
 
+  const runOnce = async (
+    ctx: CallerContext,
+    fields: Pick<OnceCall, 'service' | 'method' | 'path' | 'priority' | 'deadline'>,
+    choose: () => AgentView,
+  ): Promise<void> => {
+    const { req, res, team, requestId, source } = ctx;
+    if (!onceCaller) throw refusal('storeDown', 'no table is configured for claims');
+    const key = readKey(req);
+    res.setHeader(headerNames.key, key);
+    const body = await withTimeout(clock, bodyTimeoutMs, bufferBody(req));
+    if (!body) throw refusal('bodyTimeout', 'the body did not arrive in time');
+    const declared = req.headers['content-length'] ?? 'chunked';
+    const fingerprint = fingerprintOf(fields.method, fields.path, body, declared);
+    const headers = forwardedHeaders(req)
+      .filter(({ name }) => name !== headerNames.key)
+      .map(({ name, value }) => [name, value] as const);
+    const call: OnceCall = {
+      ...fields,
+      requestId,
+      team: team.name,
+      key,
+      headers: [...headers, [headerNames.key, key]],
+      body,
+      fingerprint,
+    };
+    const sink: ResponseSink = {
+      head(status, responseHeaders, target, replayed) {
+        sendHead(ctx, status, responseHeaders, target);
+        res.setHeader(headerNames.key, key);
+        if (replayed) res.setHeader(headerNames.replayed, 'true');
+      },
+      async data(bytes) {
+        if (res.destroyed || res.write(bytes)) return;
+        await waitForDrain(res);
+      },
+    };
+    await onceCaller.run(call, choose, sink, source.token);
+    res.end();
+  };
+
   return async (ctx: CallerContext): Promise<void> => {
     const { req, res, url, team, requestId } = ctx;
     const [, , name = '', ...rest] = url.pathname.split('/');
     const route = findServiceRoute(replica, team, name);
     const deadline = readDeadline(req, route.deadlineMs, clock);
-    const agent = chooseAgent(route);
     const method = req.method ?? 'GET';
+    const path = `/${rest.join('/')}${url.search}`;
+    const priority = readPriority(req, team, replica);
+    if (!route.idempotentMethods.includes(method)) {
+      await runOnce(ctx, { service: route.name, method, path, priority, deadline }, () =>
+        chooseAgent(route),
+      );
+      return;
+    }
+    const agent = chooseAgent(route);
     const head = {
       requestId,
       attemptId: randomUUID(),
@@ -95,11 +171,11 @@
       service: route.name,
       incarnation: agent.status?.incarnation ?? '',
       method,
-      path: `/${rest.join('/')}${url.search}`,
+      path,
       headers: forwardedHeaders(req),
       remainingMs: Math.floor(deadline.remainingMs()),
-      priority: readPriority(req, team, replica),
-      once: !route.idempotentMethods.includes(method),
+      priority,
+      once: false,
     };
     async function* parts(): AsyncGenerator<CallPart> {
       yield create(CallPartSchema, { part: { case: 'head', value: head } });
@@ -113,12 +189,8 @@
       const reply = agent.connection.client.call(parts(), { signal: ctx.source.token.signal });
       for await (const { part } of reply) {
         if (part.case === 'response') {
-          res.statusCode = part.value.status;
-          for (const header of part.value.headers) {
-            if (!droppedHeaders.has(header.name)) res.appendHeader(header.name, header.value);
-          }
-          res.setHeader(headerNames.requestId, requestId);
-          res.setHeader(headerNames.target, agent.status?.target ?? '');
+          const headers = part.value.headers.map(({ name: key, value }) => [key, value] as const);
+          sendHead(ctx, part.value.status, headers, agent.status?.target ?? '');
         }
         if (part.case === 'data') res.write(part.value);
         if (part.case === 'end') res.end();
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -8,8 +8,13 @@
 import { type Logger } from '../base/logging.js';
 import { type Random, systemRandom } from '../base/random.js';
 import { type ConfigurationReplica, createConfigurationReplica } from '../configuration/replica.js';
-import { createAgentDirectory } from '../membership/directory.js';
+import { createOnceCaller, type OnceCaller } from '../idempotency/calls.js';
+import { type ClaimStore, createClaimStore } from '../idempotency/claims.js';
+import { createOutcomeSource } from '../idempotency/outcomes.js';
+import { createResultKeeper } from '../idempotency/results.js';
+import { type AgentDirectory, createAgentDirectory } from '../membership/directory.js';
 import { type InstancesPort } from '../ports/instances.js';
+import { type ObjectPort } from '../ports/objects.js';
 import { type TablePort } from '../ports/table.js';
 import { createDispatcher } from '../routing/dispatcher.js';
 import { createOfferPolicy } from '../routing/placement.js';
@@ -33,7 +38,10 @@
 export interface EntryAdapters {
   readonly clock?: Clock;
   readonly random?: Random;
+  /** Without a table, non-idempotent calls are refused. */
   readonly table?: TablePort;
+  /** Keeps results over 64 KB; without it they are not kept for repeats. */
+  readonly objects?: ObjectPort;
   readonly instances?: InstancesPort;
   /** Replica that is already filled, for the quickstart and tests. */
   readonly replica?: ConfigurationReplica;
@@ -46,6 +54,24 @@
   cicadatide: createOfferPolicy,
 };
 
+function createOnceStack(
+  clock: Clock,
+  log: Logger,
+  claims: ClaimStore,
+  objects: ObjectPort | undefined,
+  directory: AgentDirectory,
+): OnceCaller {
+  const connectionTo = (address: string) =>
+    directory.all().find((agent) => agent.address === address)?.connection;
+  return createOnceCaller({
+    clock,
+    log,
+    claims,
+    results: createResultKeeper(log, objects),
+    outcomes: createOutcomeSource({ clock, log, connectionTo }),
+  });
+}
+
 /** Composes and starts one entry. */
 export async function startEntry(
   settings: Settings,
@@ -77,6 +103,8 @@
     timeoutMs: settings.requests.body_timeout,
   };
   const completion = { clock, log, replica, dispatcher, limits };
+  const claims = adapters.table && createClaimStore({ clock, log, table: adapters.table });
+  const onceCaller = claims && createOnceStack(clock, log, claims, adapters.objects, directory);
   const callers = createCallerServer({
     clock,
     log,
@@ -94,7 +122,17 @@
         handler: createCompletionHandler(completion, 'text'),
       },
       { path: '/v1/models', methods: ['GET'], handler: createModelsHandler(clock, replica) },
-      { path: servicePrefix, handler: createServiceHandler({ clock, random, replica, directory }) },
+      {
+        path: servicePrefix,
+        handler: createServiceHandler({
+          clock,
+          random,
+          replica,
+          directory,
+          onceCaller,
+          bodyTimeoutMs: limits.timeoutMs,
+        }),
+      },
     ],
   });
   let draining = false;
--- /dev/null
+++ b/src/idempotency/dispatch.ts
@@ -0,0 +1,142 @@
+/** Hands one claimed attempt to its agent, once, and classifies how that ended. */
+import { create } from '@bufbuild/protobuf';
+import { createCancellationSource } from '../base/cancellation.js';
+import { type Clock, withTimeout } from '../base/clock.js';
+import { errMessage } from '../base/errors.js';
+import { type RefusalCode } from '../base/refusals.js';
+import {
+  type CallPart,
+  CallPartSchema,
+  RefusalReason,
+  type StreamFailure,
+} from '../gen/cicadatide/v1/agent_pb.js';
+import { type AgentView } from '../membership/directory.js';
+import { type HeaderList } from '../ports/service.js';
+import { type OnceCall, type ResponseSink } from './calls.js';
+import { type Claim } from './claims.js';
+import { isConnectionRefused } from './outcomes.js';
+import { maxResultBytes, type ServiceResult } from './results.js';
+
+/** How the dispatch of an attempt ended. */
+export interface Dispatched {
+  /** `notRun` is proven; after `broken` the agent must be asked. */
+  readonly kind: 'completed' | 'notRun' | 'broken';
+  /** Absent when the response was larger than what is kept. */
+  readonly result?: ServiceResult;
+  readonly code: RefusalCode;
+  readonly message: string;
+  readonly retryAfterMs?: number;
+  /** True when the sink got the response head. */
+  readonly started: boolean;
+  readonly sentBytes: number;
+}
+
+export interface DispatchOptions {
+  readonly clock: Clock;
+  readonly claim: Claim;
+  readonly agent: AgentView;
+  readonly call: OnceCall;
+  readonly sink: ResponseSink;
+}
+
+/** Body bytes in one message to the agent. */
+const partBytes = 65_536;
+
+/** Time after the deadline in which the agent's own answer about it can still arrive. */
+const deadlineSlackMs = 250;
+
+const refusalCodes: Readonly<Partial<Record<RefusalReason, RefusalCode>>> = {
+  [RefusalReason.DEADLINE]: 'deadline',
+  [RefusalReason.LEAVING]: 'overloaded',
+  [RefusalReason.QUEUE_FULL]: 'overloaded',
+  [RefusalReason.INCARNATION]: 'overloaded',
+};
+
+/** Message parts of a call: head, body and the end without which the agent does not run it. */
+async function* callParts({ claim, agent, call }: DispatchOptions): AsyncGenerator<CallPart> {
+  const head = {
+    requestId: call.requestId,
+    attemptId: claim.row.attemptId,
+    team: call.team,
+    service: call.service,
+    incarnation: agent.status?.incarnation ?? '',
+    method: call.method,
+    path: call.path,
+    headers: call.headers.map(([name, value]) => ({ name, value })),
+    remainingMs: Math.floor(call.deadline.remainingMs()),
+    priority: call.priority,
+    once: true,
+  };
+  yield create(CallPartSchema, { part: { case: 'head', value: head } });
+  const { head: bytes, rest } = call.body;
+  for (let at = 0; at < bytes.length; at += partBytes) {
+    const value = bytes.subarray(at, at + partBytes);
+    yield create(CallPartSchema, { part: { case: 'data', value } });
+  }
+  for await (const value of rest ?? []) {
+    yield create(CallPartSchema, { part: { case: 'data', value } });
+  }
+  yield create(CallPartSchema, { part: { case: 'end', value: {} } });
+}
+
+function ofFailure(failure: StreamFailure): Pick<Dispatched, 'kind' | 'code' | 'retryAfterMs'> {
+  if (!failure.notRun) return { kind: 'broken', code: 'targetFailed' };
+  const code = refusalCodes[failure.refusal] ?? 'targetFailed';
+  return { kind: 'notRun', code, retryAfterMs: failure.retryAfterMs };
+}
+
+/** Dispatches a claimed attempt; never rejects and never sends the attempt a second time. */
+export async function dispatchOnce(options: DispatchOptions): Promise<Dispatched> {
+  const { clock, agent, call, sink } = options;
+  const progress = { started: false, sentBytes: 0 };
+  let status = 0;
+  let headers: HeaderList = [];
+  const kept: Uint8Array[] = [];
+  const remainingMs = call.deadline.remainingMs();
+  if (remainingMs < 1) {
+    const message = 'the deadline passed before the call was dispatched';
+    return { kind: 'notRun', code: 'deadline', message, ...progress };
+  }
+  const source = createCancellationSource();
+  const timer = clock.setTimer(remainingMs + deadlineSlackMs, () =>
+    source.cancel('the deadline passed'),
+  );
+  try {
+    const { signal } = source.token;
+    const reply = agent.connection.client.call(callParts(options), { signal });
+    for await (const { part } of reply) {
+      if (part.case === 'response') {
+        progress.started = true;
+        status = part.value.status;
+        headers = part.value.headers.map(({ name, value }) => [name, value] as const);
+        sink.head(status, headers, agent.status?.target ?? '', false);
+      }
+      if (part.case === 'data') {
+        progress.sentBytes += part.value.length;
+        const written = sink.data(part.value);
+        if (progress.sentBytes <= maxResultBytes) kept.push(part.value);
+        // A result that is kept does not wait for a slow caller.
+        else await withTimeout(clock, call.deadline.remainingMs(), written);
+      }
+      if (part.case === 'end') {
+        const whole = progress.sentBytes <= maxResultBytes;
+        const result = whole ? { status, headers, body: Buffer.concat(kept) } : undefined;
+        return { kind: 'completed', code: 'internal', message: '', result, ...progress };
+      }
+      if (part.case === 'failure') {
+        const { message } = part.value;
+        return { ...ofFailure(part.value), message: `the call failed: ${message}`, ...progress };
+      }
+    }
+    const message = 'the stream of the agent ended without an outcome';
+    return { kind: 'broken', code: 'targetFailed', message, ...progress };
+  } catch (err) {
+    const refused = isConnectionRefused(err);
+    const message = `the call failed: ${errMessage(err)}`;
+    if (refused) return { kind: 'notRun', code: 'noTarget', message, ...progress };
+    return { kind: 'broken', code: 'targetFailed', message, ...progress };
+  } finally {
+    timer.dispose();
+    source.dispose();
+  }
+}
--- a/test/daemon/path.test.ts
+++ b/test/daemon/path.test.ts
@@ -67,8 +67,8 @@
   await expect(unknown).rejects.toMatchObject({ status: 404, code: 'unknownModel' });
 });
 
-// Guards against a service call that loses its body, path or status on the way.
-test('a service call keeps method, path and body', async () => {
+// Guards against a service call that loses its body, path or status on the way, or runs again.
+test('a service call keeps method, path and body, and runs once', async () => {
   const res = await fetch(`${entry.addresses.callers}/services/desk/orders/7?x=1`, {
     method: 'PUT',
     headers: { authorization: `Bearer ${teamKey('red')}`, 'idempotency-key': 'order-7' },
@@ -78,4 +78,12 @@
   const body: unknown = await res.json();
   expect(body).toEqual({ method: 'PUT', path: '/orders/7?x=1', received: 'four reels', run: 1 });
   expect(service.runs.get('order-7')).toBe(1);
+  const repeat = await fetch(`${entry.addresses.callers}/services/desk/orders/7?x=1`, {
+    method: 'PUT',
+    headers: { authorization: `Bearer ${teamKey('red')}`, 'idempotency-key': 'order-7' },
+    body: 'four reels',
+  });
+  expect(repeat.headers.get('x-cicadatide-replayed')).toBe('true');
+  expect(await repeat.json()).toEqual(body);
+  expect(service.runs.get('order-7')).toBe(1);
 });
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -1,3 +1,5 @@
+import { createMemoryObjects } from '../../src/adapters/memory/objects.js';
+import { createMemoryTable } from '../../src/adapters/memory/table.js';
 import { createNullLogger, type Logger } from '../../src/base/logging.js';
 import { type ConfigurationSnapshot, type StoredRecord } from '../../src/configuration/records.js';
 import { createConfigurationReplica, hashKey } from '../../src/configuration/replica.js';
@@ -89,6 +91,9 @@
   readonly adapters?: EntryAdapters;
 }
 
+/** Table and object store that all stand-in entries of a test file share. */
+const platform = { table: createMemoryTable(), objects: createMemoryObjects() };
+
 /** Starts an entry in this process. */
 export function startSiteEntry(
   spec: EntrySpec,
@@ -104,7 +109,11 @@
   });
   const replica = createConfigurationReplica();
   replica.apply(spec.configuration);
-  return startEntry(parseSettings(text, spec.name), log, { replica, ...spec.adapters });
+  return startEntry(parseSettings(text, spec.name), log, {
+    replica,
+    ...platform,
+    ...spec.adapters,
+  });
 }
 
 /** Polls until the check holds; fails after the time allowed. */
