Accept configuration changes in one transaction with their audit line

Cause: records could only be put into a replica by hand; nothing stored them. Change: ConfigurationStore.submit writes head, record, change, submission and audit rows in one transaction. A lost reply is settled by reading the submission's own row back and repeating the same transaction, which can take effect once only.

--- a/src/configuration/records.ts
+++ b/src/configuration/records.ts
@@ -80,6 +80,19 @@
 /** Schema of each known record kind at its newest schema version. */
 export const recordSchemas = { team, route, target, priority, operator, rollout } as const;
 
+/**
+ * Newest schema version of each kind. Records of older and newer versions stand side by side;
+ * a newer record is read with the fields that this version knows and kept as it is.
+ */
+export const schemaVersions: Readonly<Record<keyof typeof recordSchemas, number>> = {
+  team: 1,
+  route: 1,
+  target: 1,
+  priority: 1,
+  operator: 1,
+  rollout: 1,
+};
+
 /** Kind of a record that this version knows. */
 export type RecordKind = keyof typeof recordSchemas;
 
@@ -97,7 +110,7 @@
   readonly deleted: boolean;
 }
 
-/** All records at one revision. */
+/** All records at one revision, with the tombstones of deleted ones. */
 export interface ConfigurationSnapshot {
   readonly revision: number;
   readonly records: readonly StoredRecord[];
--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -15,6 +15,11 @@
   readonly ready: boolean;
   /** Replaces the records when the snapshot is newer; returns whether it was. */
   apply(snapshot: ConfigurationSnapshot): boolean;
+  /**
+   * Adds the records that changed after `base` up to and including `revision`; returns whether
+   * the replica went forward. Changes that would leave a gap are not applied.
+   */
+  applyChanges(base: number, revision: number, records: readonly StoredRecord[]): boolean;
   snapshot(): ConfigurationSnapshot;
   get<K extends RecordKind>(kind: K, name: string): RecordOf<K> | undefined;
   list<K extends RecordKind>(kind: K): readonly RecordOf<K>[];
@@ -46,6 +51,18 @@
   return Object.fromEntries(kinds.map((kind) => [kind, parseKind(kind)])) as unknown as Parsed;
 }
 
+function mergeRecords(
+  older: readonly StoredRecord[],
+  changes: readonly StoredRecord[],
+): readonly StoredRecord[] {
+  const merged = new Map(older.map((record) => [`${record.kind}/${record.name}`, record]));
+  for (const record of changes) {
+    const key = `${record.kind}/${record.name}`;
+    if (record.revision > (merged.get(key)?.revision ?? -1)) merged.set(key, record);
+  }
+  return [...merged.values()];
+}
+
 export function createConfigurationReplica(): ConfigurationReplica {
   const listeners = new Set<() => void>();
   let current: ConfigurationSnapshot = { revision: 0, records: [] };
@@ -64,6 +81,15 @@
     operatorsByToken = new Map(operators.map((operator) => [operator.tokenHash, operator]));
   };
 
+  const apply = (snapshot: ConfigurationSnapshot): boolean => {
+    if (ready && snapshot.revision <= current.revision) return false;
+    current = snapshot;
+    ready = true;
+    rebuild();
+    for (const listener of listeners) listener();
+    return true;
+  };
+
   return {
     get revision() {
       return current.revision;
@@ -71,13 +97,10 @@
     get ready() {
       return ready;
     },
-    apply(snapshot) {
-      if (ready && snapshot.revision <= current.revision) return false;
-      current = snapshot;
-      ready = true;
-      rebuild();
-      for (const listener of listeners) listener();
-      return true;
+    apply,
+    applyChanges(base, revision, records) {
+      if (base > current.revision) return false;
+      return apply({ revision, records: mergeRecords(current.records, records) });
     },
     snapshot: () => current,
     get: (kind, name) => parsed[kind].get(name),
--- /dev/null
+++ b/src/configuration/store.ts
@@ -0,0 +1,296 @@
+import { createHash } from 'node:crypto';
+import { type CancellationToken, noCancellation } from '../base/cancellation.js';
+import { type Clock, sleep } from '../base/clock.js';
+import { errMessage, StoreReplyLostError, StoreUnavailableError } from '../base/errors.js';
+import { type Logger } from '../base/logging.js';
+import { fullJitter, type Random } from '../base/random.js';
+import { type TableItem, type TablePort, type TableWrite } from '../ports/table.js';
+import { type StoredRecord } from './records.js';
+import { type ConfigurationReplica } from './replica.js';
+import {
+  type AuditEntry,
+  auditKey,
+  changeKey,
+  headKey,
+  partitions,
+  readHeadRow,
+  readRecordRow,
+  recordKey,
+  type SubmissionRow,
+  submissionKey,
+} from './rows.js';
+import { type Submission, validateSubmission } from './validation.js';
+
+/**
+ * Outcome of a submission. `unavailable` means that nothing took effect; `unknown` that the
+ * table could not be asked whether the change took effect.
+ */
+export interface SubmissionOutcome {
+  readonly submissionId: string;
+  readonly state: 'accepted' | 'refused' | 'conflict' | 'unavailable' | 'unknown';
+  /** Revision of an accepted change; the record's revision for a conflict; else 0. */
+  readonly revision: number;
+  /** What to do, one line per mistake; empty for an accepted change. */
+  readonly problems: readonly string[];
+}
+
+/** Accepts configuration changes, one transaction each, and reads them back. */
+export interface ConfigurationStore {
+  /** Never rejects for a fault of the table; the outcome says what is known. */
+  submit(
+    submission: Submission,
+    operator: string,
+    token: CancellationToken,
+  ): Promise<SubmissionOutcome>;
+  /** Records a refusal that was decided before the submission reached the store. */
+  auditRefusal(submission: Submission, operator: string, reason: string): Promise<void>;
+  /** Reads the outcome of an earlier submission; undefined when none is recorded. */
+  outcome(submissionId: string, token: CancellationToken): Promise<SubmissionOutcome | undefined>;
+  /** Reads a record, also a deleted one; with a revision, as that change wrote it. */
+  read(
+    kind: string,
+    name: string,
+    token: CancellationToken,
+    revision?: number,
+  ): Promise<StoredRecord | undefined>;
+  /** Lists audit entries after a time in ISO 8601, oldest first. */
+  audit(since: string, limit: number, token: CancellationToken): Promise<readonly AuditEntry[]>;
+}
+
+export interface StoreOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly table: TablePort;
+  readonly replica: ConfigurationReplica;
+}
+
+/**
+ * Attempts of one submission. An attempt that lost only the race for the head row is repeated;
+ * 420 changes a day make 8 lost races in a row unlikely outside of a script.
+ */
+const maxAttempts = 8;
+
+/** Longest submitted text that a line of the audit trail repeats. */
+const maxAuditText = 64;
+
+const retryBaseMs = 10;
+
+const retryMaxMs = 200;
+
+const repeatRemedy = 'submit again with the same submission id; it takes effect at most once';
+
+function digestOf(submission: Submission): string {
+  const { kind, name, schemaVersion, baseRevision, value, remove = false } = submission;
+  const text = JSON.stringify([kind, name, schemaVersion, baseRevision, remove, value ?? null]);
+  return createHash('sha256').update(text).digest('hex');
+}
+
+function toOutcome({ submissionId, state, revision, problems }: SubmissionRow): SubmissionOutcome {
+  return { submissionId, state, revision, problems };
+}
+
+export function createConfigurationStore(options: StoreOptions): ConfigurationStore {
+  const { clock, random, log, table, replica } = options;
+
+  const readSubmission = async (id: string, token: CancellationToken) => {
+    const item = await table.get(submissionKey(id), token);
+    return item && (JSON.parse(item.value) as SubmissionRow);
+  };
+
+  const auditEntry = (
+    submission: Submission,
+    operator: string,
+    revision: number,
+    reason: string,
+  ): AuditEntry => ({
+    at: new Date(clock.wallTime()).toISOString(),
+    operator,
+    submissionId: submission.submissionId.slice(0, maxAuditText),
+    kind: submission.kind.slice(0, maxAuditText),
+    name: submission.name.slice(0, maxAuditText),
+    action: submission.remove ? 'delete' : 'write',
+    state: revision > 0 ? 'accepted' : 'refused',
+    fromRevision: submission.baseRevision,
+    toRevision: revision,
+    reason,
+  });
+
+  const auditWrite = (entry: AuditEntry): TableWrite => ({
+    ...auditKey(entry, random.integer(2 ** 32)),
+    value: JSON.stringify(entry),
+    condition: { version: 0 },
+  });
+
+  const submissionWrite = (row: SubmissionRow): TableWrite => ({
+    ...submissionKey(row.submissionId),
+    value: JSON.stringify(row),
+    condition: { version: 0 },
+  });
+
+  /** The audit of a refusal is best effort: a refusal stands whether or not it was recorded. */
+  const writeRefusal = async (writes: readonly TableWrite[], token: CancellationToken) => {
+    try {
+      await table.transact(writes, token);
+    } catch (err) {
+      log.warn({ err: errMessage(err) }, 'refused submission could not be written to the audit');
+    }
+  };
+
+  const refuse = async (
+    submission: Submission,
+    operator: string,
+    token: CancellationToken,
+    refusal: Pick<SubmissionRow, 'state' | 'revision' | 'problems'>,
+    keepRow = true,
+  ): Promise<SubmissionOutcome> => {
+    const { submissionId } = submission;
+    const row = { submissionId, digest: digestOf(submission), ...refusal };
+    const writes = [auditWrite(auditEntry(submission, operator, 0, row.problems.join('; ')))];
+    if (keepRow) writes.push(submissionWrite(row));
+    await writeRefusal(writes, token);
+    return toOutcome(row);
+  };
+
+  /** Returns the recorded outcome of the same submission, if there is one. */
+  const findRecorded = async (
+    submission: Submission,
+    operator: string,
+    token: CancellationToken,
+  ): Promise<SubmissionOutcome | undefined> => {
+    const row = await readSubmission(submission.submissionId, token);
+    if (!row) return undefined;
+    if (row.digest === digestOf(submission)) return toOutcome(row);
+    const problems = ['submissionId: was used for another change; write a new id'];
+    return refuse(submission, operator, token, { state: 'refused', revision: 0, problems }, false);
+  };
+
+  const writesOf = (
+    submission: Submission,
+    operator: string,
+    head: TableItem | undefined,
+    stored: TableItem | undefined,
+  ): { readonly revision: number; readonly writes: readonly TableWrite[] } => {
+    const { kind, name, schemaVersion, submissionId } = submission;
+    const revision = readHeadRow(head) + 1;
+    const deleted = submission.remove ?? false;
+    const value = deleted ? null : submission.value;
+    const record: StoredRecord = { kind, name, schemaVersion, revision, value, deleted };
+    const row = {
+      submissionId,
+      digest: digestOf(submission),
+      state: 'accepted',
+      revision,
+    } as const;
+    const text = JSON.stringify(record);
+    const writes: readonly TableWrite[] = [
+      {
+        ...headKey,
+        value: JSON.stringify({ revision }),
+        condition: { version: head?.version ?? 0 },
+      },
+      { ...recordKey(kind, name), value: text, condition: { version: stored?.version ?? 0 } },
+      { ...changeKey(revision), value: text, condition: { version: 0 } },
+      submissionWrite({ ...row, problems: [] }),
+      auditWrite(auditEntry(submission, operator, revision, '')),
+    ];
+    return { revision, writes };
+  };
+
+  /** Says why the submission doesn't fit the stored record, or returns undefined. */
+  const findMismatch = (submission: Submission, stored: StoredRecord | undefined) => {
+    const { kind, name, baseRevision, remove } = submission;
+    const current = stored?.revision ?? 0;
+    const absent = !stored || stored.deleted;
+    if (remove && absent) {
+      const problems = [`name: ${kind} "${name}" does not exist; there is nothing to delete`];
+      return { state: 'refused', revision: 0, problems } as const;
+    }
+    if (baseRevision === current || (baseRevision === 0 && absent)) return undefined;
+    const problems = [
+      `baseRevision: ${kind} "${name}" is at revision ${current}, not ${baseRevision}; read it ` +
+        'with `cicadatide show`, apply the change to it and submit again with its revision',
+    ];
+    return { state: 'conflict', revision: current, problems } as const;
+  };
+
+  /** One attempt; undefined when it must be repeated because another change went first. */
+  const attempt = async (
+    submission: Submission,
+    operator: string,
+    token: CancellationToken,
+  ): Promise<SubmissionOutcome | undefined> => {
+    const { kind, name, submissionId } = submission;
+    const recorded = await findRecorded(submission, operator, token);
+    if (recorded) return recorded;
+    const head = await table.get(headKey, token);
+    if (readHeadRow(head) < replica.revision) {
+      throw new StoreUnavailableError('the table returned a head row older than this replica');
+    }
+    const stored = await table.get(recordKey(kind, name), token);
+    const mismatch = findMismatch(submission, stored && readRecordRow(stored));
+    if (mismatch) {
+      // The mismatch may come from this very submission, when an earlier attempt took effect late.
+      const late = await findRecorded(submission, operator, token);
+      return late ?? refuse(submission, operator, token, mismatch);
+    }
+    const { revision, writes } = writesOf(submission, operator, head, stored);
+    const result = await table.transact(writes, token);
+    if (result === 'conflict') return undefined;
+    return { submissionId, state: 'accepted', revision, problems: [] };
+  };
+
+  const submit: ConfigurationStore['submit'] = async (submission, operator, token) => {
+    const { submissionId } = submission;
+    const mistakes = validateSubmission(submission, replica);
+    if (mistakes.length > 0) {
+      const outcome = { state: 'refused', revision: 0, problems: mistakes } as const;
+      return refuse(submission, operator, token, outcome, !mistakes[0]?.startsWith('submissionId'));
+    }
+    let replyLost = false;
+    let reason = 'other changes were accepted first each time';
+    for (let count = 0; count < maxAttempts; count += 1) {
+      try {
+        const outcome = await attempt(submission, operator, token);
+        if (outcome) return outcome;
+      } catch (err) {
+        reason = errMessage(err);
+        if (err instanceof StoreReplyLostError) {
+          // The next attempt starts by reading the submission's own row back.
+          replyLost = true;
+        } else if (err instanceof StoreUnavailableError) {
+          break;
+        } else {
+          throw err;
+        }
+      }
+      await sleep(clock, fullJitter(random, retryBaseMs, retryMaxMs, count), token);
+    }
+    const problems = [`${reason}; ${repeatRemedy}`];
+    const state = replyLost ? 'unknown' : 'unavailable';
+    log.warn({ submissionId, state, reason }, 'submission was not settled');
+    return { submissionId, state, revision: 0, problems };
+  };
+
+  return {
+    submit,
+    async auditRefusal(submission, operator, reason) {
+      const writes = [auditWrite(auditEntry(submission, operator, 0, reason))];
+      await writeRefusal(writes, noCancellation);
+    },
+    async outcome(submissionId, token) {
+      const row = await readSubmission(submissionId, token);
+      return row && toOutcome(row);
+    },
+    async read(kind, name, token, revision) {
+      const key = revision === undefined ? recordKey(kind, name) : changeKey(revision);
+      const item = await table.get(key, token);
+      const record = item && readRecordRow(item);
+      return record?.kind === kind && record.name === name ? record : undefined;
+    },
+    async audit(since, limit, token) {
+      const items = await table.query(partitions.audit, since, limit, token);
+      return items.map(({ value }) => JSON.parse(value) as AuditEntry);
+    },
+  };
+}
