Keep the configuration of every process current and monotone

Cause: replicas were filled by hand and stayed at their first revision. Change: entries poll the head row and read changed rows only; agents, and entries without the table, take the newest revision of their peers; accepted changes are pushed to the entries. PeerService serves the configuration as a part of its own, from agents too, so that the configuration survives the loss of all entries during an outage.

--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -37,13 +37,18 @@
 
 type Parsed = { readonly [K in RecordKind]: ReadonlyMap<string, RecordOf<K>> };
 
-function parseRecords(records: readonly StoredRecord[]): Parsed {
+/**
+ * Reads the records of known kinds. A record that this version can't read, such as one of a newer
+ * schema, stays in force as it was last readable.
+ */
+function parseRecords(records: readonly StoredRecord[], older?: Parsed): Parsed {
   const parseKind = (kind: RecordKind): ReadonlyMap<string, unknown> => {
     const parsed = new Map<string, unknown>();
     for (const record of records) {
       if (record.kind !== kind || record.deleted) continue;
       const result = recordSchemas[kind].safeParse(record.value);
-      if (result.success) parsed.set(record.name, result.data);
+      const value = result.success ? result.data : older?.[kind].get(record.name);
+      if (value) parsed.set(record.name, value);
     }
     return parsed;
   };
@@ -72,7 +77,7 @@
   let ready = false;
 
   const rebuild = (): void => {
-    parsed = parseRecords(current.records);
+    parsed = parseRecords(current.records, parsed);
     teamsByKey = new Map();
     for (const team of parsed.team.values()) {
       for (const keyHash of team.keyHashes) teamsByKey.set(keyHash, team);
--- a/src/daemon/agent.ts
+++ b/src/daemon/agent.ts
@@ -1,6 +1,8 @@
 import { Registry } from 'prom-client';
 import { type AgentIdentity, agentRoutes } from '../adapters/connect/agentservice.js';
+import { createPeerConnector } from '../adapters/connect/connector.js';
 import { listenInternal } from '../adapters/connect/listener.js';
+import { peerRoutes } from '../adapters/connect/peerservice.js';
 import { createHttpService } from '../adapters/http/service.js';
 import { createOpenaiEngine } from '../adapters/openai/engine.js';
 import { noCancellation } from '../base/cancellation.js';
@@ -8,9 +10,12 @@
 import { SettingsError } from '../base/errors.js';
 import { createDisposableStore } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
+import { type Random, systemRandom } from '../base/random.js';
 import { createConfigurationReplica } from '../configuration/replica.js';
 import { createServiceWorker } from '../idempotency/serviceworker.js';
 import { createEngineWorker } from '../scheduling/worker.js';
+import { type InstancesPort } from '../ports/instances.js';
+import { startConfiguration } from './configuration.js';
 import { listenHttp } from './listen.js';
 import { createOperatorServer } from './operators/server.js';
 import { type DaemonProcess, drainPollMs } from './process.js';
@@ -19,6 +24,8 @@
 /** Outside systems of an agent; tests pass their own. */
 export interface AgentAdapters {
   readonly clock?: Clock;
+  readonly random?: Random;
+  readonly instances?: InstancesPort;
 }
 
 /** Composes and starts the agent beside one target. */
@@ -27,12 +34,30 @@
   log: Logger,
   adapters: AgentAdapters = {},
 ): Promise<DaemonProcess> {
-  const { clock = systemClock } = adapters;
+  const { clock = systemClock, random = systemRandom, instances } = adapters;
   const { name: target, kind, url, service: serviceRoute = '', places } = settings.target;
   if (!target || !kind || !url) throw new SettingsError('[target] name, kind and url are missing');
   const resources = createDisposableStore();
   const registry = new Registry();
   const replica = createConfigurationReplica();
+  const connector = createPeerConnector(settings.internal.credential);
+  const configuration = startConfiguration(
+    {
+      settings,
+      clock,
+      random,
+      log,
+      replica,
+      connector,
+      table: undefined,
+      instances,
+      directory: undefined,
+    },
+    resources,
+  );
+  /** Agents of a site without known entries serve without configuration. */
+  const isConfigured = (): boolean =>
+    replica.ready || (settings.peers.entries.length === 0 && !instances);
   const identity: AgentIdentity = {
     instance: settings.process.instance,
     target,
@@ -53,23 +78,27 @@
   const activeCount = (): number => (engine?.active ?? 0) + (service?.running ?? 0);
 
   let leaving = false;
+  const agents = agentRoutes({
+    clock,
+    identity,
+    engine,
+    service,
+    serviceRoute,
+    isLeaving: () => leaving,
+    configurationRevision: () => BigInt(replica.revision),
+  });
   const internal = await listenInternal(
     settings.listen.internal,
     settings.internal.credential,
-    agentRoutes({
-      clock,
-      identity,
-      engine,
-      service,
-      serviceRoute,
-      isLeaving: () => leaving,
-      configurationRevision: () => BigInt(replica.revision),
-    }),
+    (router) => {
+      agents(router);
+      peerRoutes(configuration.part)(router);
+    },
   );
   const operators = createOperatorServer({
     log,
     registry,
-    isReady: () => !leaving && engine?.status.targetDown !== true,
+    isReady: () => !leaving && isConfigured() && engine?.status.targetDown !== true,
     routes: [],
   });
   const addresses = {
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,6 +1,7 @@
 import { Registry } from 'prom-client';
 import { createPeerConnector } from '../adapters/connect/connector.js';
 import { listenInternal } from '../adapters/connect/listener.js';
+import { peerRoutes } from '../adapters/connect/peerservice.js';
 import { noCancellation } from '../base/cancellation.js';
 import { type Clock, sleep, systemClock } from '../base/clock.js';
 import { SettingsError } from '../base/errors.js';
@@ -24,6 +25,7 @@
 import { createModelsHandler } from './callers/models.js';
 import { createCallerServer } from './callers/server.js';
 import { createServiceHandler, servicePrefix } from './callers/services.js';
+import { startConfiguration } from './configuration.js';
 import { closeHttp, listenHttp } from './listen.js';
 import { createOperatorServer } from './operators/server.js';
 import { type DaemonProcess, drainPollMs } from './process.js';
@@ -52,7 +54,7 @@
   log: Logger,
   adapters: EntryAdapters = {},
 ): Promise<DaemonProcess> {
-  const { clock = systemClock, random = systemRandom, instances } = adapters;
+  const { clock = systemClock, random = systemRandom, table, instances } = adapters;
   const { callers: callersBind } = settings.listen;
   if (!callersBind) throw new SettingsError('[listen] callers is missing');
   const resources = createDisposableStore();
@@ -70,6 +72,10 @@
       self: { instance: settings.process.instance, dataCentre: settings.process.data_centre },
     }),
   );
+  const configuration = startConfiguration(
+    { settings, clock, random, log, replica, connector, table, instances, directory },
+    resources,
+  );
   const policy = policies[settings.requests.policy](clock, random);
   const dispatcher = createDispatcher({ clock, random, log, directory, policy });
   const limits = {
@@ -107,7 +113,7 @@
   const internal = await listenInternal(
     settings.listen.internal,
     settings.internal.credential,
-    () => undefined,
+    peerRoutes(configuration.part),
   );
   const addresses = {
     internal: internal.address,
