--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -15,6 +15,11 @@
   readonly ready: boolean;
   /** Replaces the records when the snapshot is newer; returns whether it was. */
   apply(snapshot: ConfigurationSnapshot): boolean;
+  /**
+   * Adds the records that changed after `base` up to and including `revision`; returns whether
+   * the replica went forward. Changes that would leave a gap are not applied.
+   */
+  applyChanges(base: number, revision: number, records: readonly StoredRecord[]): boolean;
   snapshot(): ConfigurationSnapshot;
   get<K extends RecordKind>(kind: K, name: string): RecordOf<K> | undefined;
   list<K extends RecordKind>(kind: K): readonly RecordOf<K>[];
@@ -32,13 +37,18 @@
 
 type Parsed = { readonly [K in RecordKind]: ReadonlyMap<string, RecordOf<K>> };
 
-function parseRecords(records: readonly StoredRecord[]): Parsed {
+/**
+ * Reads the records of known kinds. A record that this version can't read, such as one of a newer
+ * schema, stays in force as it was last readable.
+ */
+function parseRecords(records: readonly StoredRecord[], older?: Parsed): Parsed {
   const parseKind = (kind: RecordKind): ReadonlyMap<string, unknown> => {
     const parsed = new Map<string, unknown>();
     for (const record of records) {
       if (record.kind !== kind || record.deleted) continue;
       const result = recordSchemas[kind].safeParse(record.value);
-      if (result.success) parsed.set(record.name, result.data);
+      const value = result.success ? result.data : older?.[kind].get(record.name);
+      if (value) parsed.set(record.name, value);
     }
     return parsed;
   };
@@ -46,6 +56,18 @@
   return Object.fromEntries(kinds.map((kind) => [kind, parseKind(kind)])) as unknown as Parsed;
 }
 
+function mergeRecords(
+  older: readonly StoredRecord[],
+  changes: readonly StoredRecord[],
+): readonly StoredRecord[] {
+  const merged = new Map(older.map((record) => [`${record.kind}/${record.name}`, record]));
+  for (const record of changes) {
+    const key = `${record.kind}/${record.name}`;
+    if (record.revision > (merged.get(key)?.revision ?? -1)) merged.set(key, record);
+  }
+  return [...merged.values()];
+}
+
 export function createConfigurationReplica(): ConfigurationReplica {
   const listeners = new Set<() => void>();
   let current: ConfigurationSnapshot = { revision: 0, records: [] };
@@ -55,7 +77,7 @@
   let ready = false;
 
   const rebuild = (): void => {
-    parsed = parseRecords(current.records);
+    parsed = parseRecords(current.records, parsed);
     teamsByKey = new Map();
     for (const team of parsed.team.values()) {
       for (const keyHash of team.keyHashes) teamsByKey.set(keyHash, team);
@@ -64,6 +86,15 @@
     operatorsByToken = new Map(operators.map((operator) => [operator.tokenHash, operator]));
   };
 
+  const apply = (snapshot: ConfigurationSnapshot): boolean => {
+    if (ready && snapshot.revision <= current.revision) return false;
+    current = snapshot;
+    ready = true;
+    rebuild();
+    for (const listener of listeners) listener();
+    return true;
+  };
+
   return {
     get revision() {
       return current.revision;
@@ -71,13 +102,10 @@
     get ready() {
       return ready;
     },
-    apply(snapshot) {
-      if (ready && snapshot.revision <= current.revision) return false;
-      current = snapshot;
-      ready = true;
-      rebuild();
-      for (const listener of listeners) listener();
-      return true;
+    apply,
+    applyChanges(base, revision, records) {
+      if (base > current.revision) return false;
+      return apply({ revision, records: mergeRecords(current.records, records) });
     },
     snapshot: () => current,
     get: (kind, name) => parsed[kind].get(name),
--- a/src/daemon/agent.ts
+++ b/src/daemon/agent.ts
@@ -1,6 +1,8 @@
 import { collectDefaultMetrics, Registry } from 'prom-client';
 import { type AgentIdentity, agentRoutes } from '../adapters/connect/agentservice.js';
+import { createPeerConnector } from '../adapters/connect/connector.js';
 import { listenInternal } from '../adapters/connect/listener.js';
+import { peerRoutes } from '../adapters/connect/peerservice.js';
 import { createHttpService } from '../adapters/http/service.js';
 import { createOpenaiEngine } from '../adapters/openai/engine.js';
 import { createCancellationSource, noCancellation } from '../base/cancellation.js';
@@ -8,9 +10,12 @@
 import { SettingsError } from '../base/errors.js';
 import { createDisposableStore } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
+import { type Random, systemRandom } from '../base/random.js';
 import { createConfigurationReplica } from '../configuration/replica.js';
 import { createServiceWorker } from '../idempotency/serviceworker.js';
 import { createEngineWorker } from '../scheduling/worker.js';
+import { type InstancesPort } from '../ports/instances.js';
+import { startConfiguration } from './configuration.js';
 import { listenHttp } from './listen.js';
 import { registerAgentMetrics } from './metrics.js';
 import { createOperatorServer } from './operators/server.js';
@@ -20,6 +25,8 @@
 /** Outside systems of an agent; tests pass their own. */
 export interface AgentAdapters {
   readonly clock?: Clock;
+  readonly random?: Random;
+  readonly instances?: InstancesPort;
 }
 
 /** Composes and starts the agent beside one target. */
@@ -28,13 +35,31 @@
   log: Logger,
   adapters: AgentAdapters = {},
 ): Promise<DaemonProcess> {
-  const { clock = systemClock } = adapters;
+  const { clock = systemClock, random = systemRandom, instances } = adapters;
   const { name: target, kind, url, service: serviceRoute = '', places } = settings.target;
   if (!target || !kind || !url) throw new SettingsError('[target] name, kind and url are missing');
   const resources = createDisposableStore();
   const registry = new Registry();
   collectDefaultMetrics({ register: registry });
   const replica = createConfigurationReplica();
+  const connector = createPeerConnector(settings.internal.credential);
+  const configuration = startConfiguration(
+    {
+      settings,
+      clock,
+      random,
+      log,
+      replica,
+      connector,
+      table: undefined,
+      instances,
+      directory: undefined,
+    },
+    resources,
+  );
+  /** Agents of a site without known entries serve without configuration. */
+  const isConfigured = (): boolean =>
+    replica.ready || (settings.peers.entries.length === 0 && !instances);
   const identity: AgentIdentity = {
     instance: settings.process.instance,
     target,
@@ -59,24 +84,31 @@
     return { running: service?.running ?? 0, places, queueMs: 0 };
   });
   const leaving = createCancellationSource();
+  const agents = agentRoutes({
+    clock,
+    identity,
+    engine,
+    service,
+    serviceRoute,
+    isLeaving: () => leaving.token.isCancellationRequested,
+    onLeaving: (listener) => leaving.token.onCancellationRequested(listener),
+    configurationRevision: () => BigInt(replica.revision),
+  });
   const internal = await listenInternal(
     settings.listen.internal,
     settings.internal.credential,
-    agentRoutes({
-      clock,
-      identity,
-      engine,
-      service,
-      serviceRoute,
-      isLeaving: () => leaving.token.isCancellationRequested,
-      onLeaving: (listener) => leaving.token.onCancellationRequested(listener),
-      configurationRevision: () => BigInt(replica.revision),
-    }),
+    (router) => {
+      agents(router);
+      peerRoutes(configuration.part)(router);
+    },
   );
   const operators = createOperatorServer({
     log,
     registry,
-    isReady: () => !leaving.token.isCancellationRequested && engine?.status.targetDown !== true,
+    isReady: () =>
+      !leaving.token.isCancellationRequested &&
+      isConfigured() &&
+      engine?.status.targetDown !== true,
     routes: [],
   });
   const addresses = {
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,6 +1,7 @@
 import { collectDefaultMetrics, Registry } from 'prom-client';
 import { createPeerConnector } from '../adapters/connect/connector.js';
 import { listenInternal } from '../adapters/connect/listener.js';
+import { peerRoutes } from '../adapters/connect/peerservice.js';
 import { noCancellation } from '../base/cancellation.js';
 import { type Clock, sleep, systemClock } from '../base/clock.js';
 import { SettingsError } from '../base/errors.js';
@@ -31,6 +32,7 @@
 import { createModelsHandler } from './callers/models.js';
 import { createCallerServer } from './callers/server.js';
 import { createServiceHandler, servicePrefix } from './callers/services.js';
+import { startConfiguration } from './configuration.js';
 import { closeHttp, listenHttp } from './listen.js';
 import { createEntryMetrics } from './metrics.js';
 import { createOperatorServer } from './operators/server.js';
@@ -81,7 +83,7 @@
   log: Logger,
   adapters: EntryAdapters = {},
 ): Promise<DaemonProcess> {
-  const { clock = systemClock, random = systemRandom, instances } = adapters;
+  const { clock = systemClock, random = systemRandom, table, instances } = adapters;
   const { callers: callersBind } = settings.listen;
   if (!callersBind) throw new SettingsError('[listen] callers is missing');
   const resources = createDisposableStore();
@@ -100,6 +102,10 @@
       self: { instance: settings.process.instance, dataCentre: settings.process.data_centre },
     }),
   );
+  const configuration = startConfiguration(
+    { settings, clock, random, log, replica, connector, table, instances, directory },
+    resources,
+  );
   const health = createTargetHealth(clock);
   const policy = policies[settings.requests.policy]({ clock, random, health });
   const budget = createRetryBudget(clock);
@@ -153,7 +159,7 @@
   const internal = await listenInternal(
     settings.listen.internal,
     settings.internal.credential,
-    () => undefined,
+    peerRoutes(configuration.part),
   );
   const addresses = {
     internal: internal.address,
--- a/src/membership/subset.ts
+++ b/src/membership/subset.ts
@@ -1,5 +1,5 @@
 import { type ListedInstance } from '../ports/instances.js';
-import { rankByRendezvous } from '../routing/rendezvous.js';
+import { createRendezvousTable, hashText } from '../routing/rendezvous.js';
 
 /**
  * Agents that one entry connects to. Each connection costs the entry about 180 B/s of status
@@ -24,8 +24,9 @@
   limit: number = maxConnectedAgents,
 ): readonly ListedInstance[] {
   if (agents.length <= limit) return agents;
+  const key = hashText(owner.instance);
   const rank = (items: readonly ListedInstance[]): readonly ListedInstance[] =>
-    rankByRendezvous(owner.instance, items, ({ instance }) => instance);
+    createRendezvousTable(items, ({ instance }) => instance).top(key, limit);
   const near = rank(agents.filter(({ dataCentre }) => dataCentre === owner.dataCentre));
   const far = rank(agents.filter(({ dataCentre }) => dataCentre !== owner.dataCentre));
   return [...near, ...far].slice(0, limit);
--- a/src/routing/rendezvous.ts
+++ b/src/routing/rendezvous.ts
@@ -1,6 +1,6 @@
 import xxhash from 'xxhash-wasm';
 
-const { h32 } = await xxhash();
+const { h32, h64 } = await xxhash();
 
 /** Names whose hashes are kept; far above the number of targets of one site. */
 const maxKnownNames = 16_384;
@@ -16,6 +16,11 @@
   return hash;
 }
 
+/** Key of a text for {@link RendezvousTable.top}. */
+export function hashText(text: string): bigint {
+  return h64(text);
+}
+
 /** Finaliser of MurmurHash3: every input bit changes every output bit with even odds. */
 function mix(value: number): number {
   let mixed = value ^ (value >>> 16);
