Give the stand-in engine a batch, a limited cache and faults

Cause: measurements need engines whose prefix cache, batch and reports behave like those of a real deployment. Change: the stand-in engine runs a continuous batch over an LRU block cache, publishes cache events with delay and loss, reports load with lag, continues answers, carries out orders, exports and imports cache entries, and can slow down or crash. Its records allow checks that don't depend on the router.

--- a/test/standins/engine.ts
+++ b/test/standins/engine.ts
@@ -1,7 +1,15 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { type AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
-import { hashBlocks } from '../../src/routing/blocks.js';
+import { createSeededRandom } from '../../src/base/random.js';
+import { blockTokens, charsPerToken, hashBlocks } from '../../src/routing/blocks.js';
+import { type AnswerStyle, createAnswer } from './engine/answer.js';
+import { createBatch } from './engine/batch.js';
+import { createBlockCache } from './engine/blockcache.js';
+import { createEventPublisher } from './engine/events.js';
+import { completionFormat, promptOf, readBody, readBytes, sendJson } from './engine/http.js';
+import { createLaggingLoad } from './engine/loadreport.js';
+import { createOrderHandler, type LoadGate, type OrderBody } from './engine/orders.js';
 
 /** Properties of a stand-in engine. */
 export interface EngineOptions {
@@ -11,73 +19,104 @@
   readonly prefillTokensPerSecond?: number;
   readonly decodeTokensPerSecond?: number;
   readonly cacheBlocks?: number;
+  readonly answers?: AnswerStyle;
+  readonly eventDelayMs?: number;
+  /** Share of cache events that are lost. */
+  readonly eventLossRate?: number;
+  readonly loadLagMs?: number;
+  readonly checksFencing?: boolean;
+  /** Time of one load of weights or an adapter when at most two run at once. */
+  readonly loadMs?: number;
+  /** Shared by the engines of one site. */
+  readonly loadGate?: LoadGate;
+  readonly tickMs?: number;
+  readonly seed?: number;
+}
+
+/** What an engine did for one attempt, for checks that don't depend on the router. */
+export interface EngineRun {
+  /** Request id and attempt as the agent sent them. */
+  readonly id: string;
+  /** Wall-clock time, comparable between processes. */
+  readonly startedAt: number;
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+  /** Hits on blocks that a request with another owner stored. */
+  readonly foreignBlocks: number;
+  prefilledTokens: number;
+  outcome: 'running' | 'completed' | 'cut';
 }
 
 /** A stand-in engine that listens on loopback. */
 export interface StandInEngine {
   readonly url: string;
+  /** Completions accepted so far. */
   readonly requests: number;
+  readonly incarnation: string;
+  readonly runs: readonly EngineRun[];
+  /** Divides all speeds by the factor, without any report of it. */
+  slow(factor: number): void;
+  /** Cuts all connections and comes back as a new incarnation with an empty cache. */
+  crash(downMs: number): Promise<void>;
   close(): Promise<void>;
 }
 
-const blockTokens = 128;
-
-async function readBody(req: IncomingMessage): Promise<Record<string, unknown>> {
-  const parts: Buffer[] = [];
-  for await (const part of req as AsyncIterable<Buffer>) parts.push(part);
-  const text = Buffer.concat(parts).toString();
-  return (text ? JSON.parse(text) : {}) as Record<string, unknown>;
+/** Owner of a request's blocks: the part of the request id before the first dot. */
+export function ownerOf(id: string): string {
+  return id.split('.')[0] ?? '';
 }
 
-function promptOf(body: Record<string, unknown>): string {
-  if (typeof body['prompt'] === 'string') return body['prompt'];
-  const messages = (body['messages'] ?? []) as { role: string; content: string }[];
-  return messages.map(({ role, content }) => `${role}\n${content}\n`).join('');
-}
+type Handler = (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
 
 /** Starts a stand-in engine with the OpenAI protocol and this project's extensions. */
 export async function startEngine(options: EngineOptions): Promise<StandInEngine> {
-  const {
-    model,
-    weightsVersion = 'v1',
-    places = 8,
-    prefillTokensPerSecond = 20_000,
-    decodeTokensPerSecond = 200,
-    cacheBlocks = 4_096,
-  } = options;
-  const incarnation = `engine-${Math.floor(Math.random() * 1e9).toString(36)}`;
-  const cache = new Set<bigint>();
-  const watchers = new Set<ServerResponse>();
-  let seq = 0;
-  let running = 0;
+  const { model, places = 8, prefillTokensPerSecond = 20_000 } = options;
+  const { decodeTokensPerSecond = 200, tickMs = 5, answers = 'numbered' } = options;
+  const { eventDelayMs = 0, eventLossRate = 0, loadLagMs = 2_000, seed = 1 } = options;
+  const random = createSeededRandom(seed);
+  const newIncarnation = (): string => `engine-${Math.floor(Math.random() * 2 ** 40).toString(36)}`;
+  const cache = createBlockCache(options.cacheBlocks ?? 4_096);
+  const speeds = { places, prefillTokensPerSecond, decodeTokensPerSecond };
+  const batch = createBatch({ ...speeds, blockTokens }, cache);
+  const events = createEventPublisher({ delayMs: eventDelayMs, lossRate: eventLossRate, random });
+  const load = createLaggingLoad(loadLagMs);
+  const runs: EngineRun[] = [];
+  let incarnation = newIncarnation();
+  let weightsVersion = options.weightsVersion ?? 'v1';
+  let adapters: readonly string[] = [];
+  let role = 'mixed';
   let requests = 0;
+  let ticker: NodeJS.Timeout | undefined;
+  let lastTick = 0;
 
-  const publish = (stored: readonly bigint[], evicted: readonly bigint[]): void => {
-    seq += 1;
-    const event = {
-      incarnation,
-      seq,
-      weightsVersion,
-      cleared: false,
-      stored: stored.map((hash) => hash.toString(16)),
-      evicted: evicted.map((hash) => hash.toString(16)),
-    };
-    for (const watcher of watchers) watcher.write(`data: ${JSON.stringify(event)}\n\n`);
+  const publishChanges = (): void => {
+    const { stored, evicted } = cache.takeChanges();
+    if (stored.length + evicted.length === 0) return;
+    events.publish({ incarnation, weightsVersion, stored, evicted, cleared: false });
   };
 
-  const store = (hashes: readonly bigint[]): void => {
-    const added = hashes.filter((hash) => !cache.has(hash));
-    for (const hash of hashes) {
-      cache.delete(hash);
-      cache.add(hash);
-    }
-    const evicted: bigint[] = [];
-    for (const hash of cache) {
-      if (cache.size <= cacheBlocks) break;
-      cache.delete(hash);
-      evicted.push(hash);
-    }
-    if (added.length + evicted.length > 0) publish(added, evicted);
+  const recordLoad = (): void =>
+    load.record(performance.now(), { running: batch.running, waiting: batch.waiting });
+
+  const tick = (): void => {
+    const now = performance.now();
+    batch.advance(now - lastTick);
+    lastTick = now;
+    publishChanges();
+    if (batch.running > 0 || !ticker) return;
+    clearInterval(ticker);
+    ticker = undefined;
+  };
+
+  const startTicking = (): void => {
+    if (ticker) return;
+    lastTick = performance.now();
+    ticker = setInterval(tick, tickMs);
+  };
+
+  const reload = (): void => {
+    cache.clear();
+    events.publish({ incarnation, weightsVersion, stored: [], evicted: [], cleared: true });
   };
 
   const complete = async (
@@ -87,104 +126,155 @@
   ): Promise<void> => {
     const body = await readBody(req);
     if (body['weights_version'] !== weightsVersion || body['model'] !== model) {
-      res.statusCode = 409;
-      res.end(JSON.stringify({ error: { message: 'another model or weights version is loaded' } }));
+      sendJson(res, { error: { message: 'another model or weights version is loaded' } }, 409);
       return;
     }
-    requests += 1;
-    running += 1;
-    try {
-      const text = promptOf(body);
-      const seed = { salt: String(body['cache_salt']), model, weightsVersion, adapter: '' };
-      const hashes = hashBlocks(seed, text);
-      let cached = 0;
-      while (cached < hashes.length && cache.has(hashes[cached] as bigint)) cached += 1;
-      const promptTokens = Math.ceil(text.length / 4);
-      const prefillMs = ((promptTokens - cached * blockTokens) / prefillTokensPerSecond) * 1_000;
-      await delay(prefillMs);
-      store(hashes);
-      const max = Number(body['max_tokens'] ?? body['max_completion_tokens'] ?? 16);
-      const done = Number(body['continue_tokens'] ?? 0);
-      res.setHeader('content-type', 'text/event-stream');
-      const send = (value: unknown): void => {
-        res.write(`data: ${JSON.stringify(value)}\n\n`);
-      };
-      const choice = (content: string, finish: string | null) => {
-        const index = 0;
-        if (kind === 'chat') return { index, delta: { content }, finish_reason: finish };
-        return { index, text: content, finish_reason: finish };
-      };
-      for (let token = done; token < max && !res.destroyed; token += 1) {
-        send({ choices: [choice(`w${token} `, null)] });
-        await delay(1_000 / decodeTokensPerSecond);
-      }
-      send({ choices: [choice('', 'stop')] });
-      send({
-        choices: [],
-        usage: {
-          prompt_tokens: promptTokens,
-          completion_tokens: max,
-          prompt_tokens_details: { cached_tokens: cached * blockTokens },
-        },
-      });
-      res.end('data: [DONE]\n\n');
-    } finally {
-      running -= 1;
+    const text = promptOf(body);
+    const answer = createAnswer(text, answers);
+    const firstToken = Number(body['continue_tokens'] ?? 0);
+    if (firstToken > 0 && body['continue_text'] !== answer.text(0, firstToken)) {
+      sendJson(res, { error: { message: 'continue_text is not the start of this answer' } }, 400);
+      return;
     }
+    requests += 1;
+    const id = String(body['request_id'] ?? '');
+    const owner = ownerOf(id);
+    const chain = { salt: String(body['cache_salt']), model, weightsVersion, adapter: '' };
+    const hashes = hashBlocks(chain, text);
+    const promptTokens = Math.ceil(text.length / charsPerToken);
+    const maxTokens = Number(body['max_tokens'] ?? body['max_completion_tokens'] ?? 16);
+    const format = completionFormat(kind);
+    let run: EngineRun | undefined;
+    const cancel = batch.add({
+      priority: Number(body['priority'] ?? 0),
+      hashes,
+      owner,
+      promptTokens,
+      firstToken,
+      maxTokens,
+      onStart(cachedBlocks) {
+        const used = hashes.slice(0, cachedBlocks);
+        run = {
+          id,
+          startedAt: Date.now(),
+          promptTokens,
+          cachedTokens: cachedBlocks * blockTokens,
+          foreignBlocks: used.filter((hash) => cache.ownerOf(hash) !== owner).length,
+          prefilledTokens: 0,
+          outcome: 'running',
+        };
+        runs.push(run);
+        recordLoad();
+      },
+      onTokens(from, to) {
+        if (!res.headersSent) res.setHeader('content-type', 'text/event-stream');
+        for (let index = from; index < to; index += 1) res.write(format.text(answer.word(index)));
+      },
+      onEnd() {
+        if (run) run.outcome = 'completed';
+        res.end(format.end(promptTokens, run?.cachedTokens ?? 0, maxTokens));
+      },
+      onLeave(prefilledTokens) {
+        if (run) {
+          run.prefilledTokens = Math.round(prefilledTokens);
+          if (run.outcome === 'running') run.outcome = 'cut';
+        }
+        recordLoad();
+      },
+    });
+    recordLoad();
+    startTicking();
+    res.once('close', () => {
+      cancel();
+    });
   };
 
-  const sendJson = (res: ServerResponse, value: unknown): void => {
-    res.setHeader('content-type', 'application/json');
-    res.end(JSON.stringify(value));
-  };
+  const runOrder = createOrderHandler({
+    checksFencing: options.checksFencing ?? false,
+    loadMs: options.loadMs ?? 500,
+    gate: options.loadGate ?? { active: 0 },
+    apply(order) {
+      if (order.action === 'change-role') role = order.role;
+      if (order.action === 'load-adapter') adapters = [...adapters, order.adapter];
+      if (order.action !== 'load-weights') return;
+      weightsVersion = order.version;
+      reload();
+    },
+  });
 
-  const handlers: Readonly<
-    Record<string, (req: IncomingMessage, res: ServerResponse) => Promise<void> | void>
-  > = {
+  const handlers: Readonly<Record<string, Handler>> = {
     '/v1/chat/completions': (req, res) => complete(req, res, 'chat'),
     '/v1/completions': (req, res) => complete(req, res, 'text'),
     '/engine/state': (_req, res) =>
-      sendJson(res, {
-        incarnation,
-        models: [model],
-        weightsVersion,
-        adapters: [],
-        role: 'mixed',
-        places,
-        prefillTokensPerSecond,
-        decodeTokensPerSecond,
-      }),
-    '/engine/load': (_req, res) => sendJson(res, { running, waiting: 0 }),
-    '/engine/cache-events': (_req, res) => {
-      res.setHeader('content-type', 'text/event-stream');
-      res.flushHeaders();
-      watchers.add(res);
-      res.once('close', () => watchers.delete(res));
+      sendJson(res, { incarnation, models: [model], weightsVersion, adapters, role, ...speeds }),
+    '/engine/load': (_req, res) => sendJson(res, load.read(performance.now())),
+    '/engine/cache-events': (_req, res) => events.addWatcher(res),
+    async '/engine/orders'(req, res) {
+      sendJson(res, await runOrder((await readBody(req)) as unknown as OrderBody));
+    },
+    async '/engine/cache/export'(req, res) {
+      const { hashes } = (await readBody(req)) as unknown as { readonly hashes: string[] };
+      const blocks = hashes
+        .map((hex) => ({ hex, owner: cache.ownerOf(BigInt(`0x${hex}`)) }))
+        .filter(({ owner }) => owner !== undefined);
+      sendJson(res, { weightsVersion, blocks });
+    },
+    async '/engine/cache/import'(req, res) {
+      const data = JSON.parse((await readBytes(req)).toString()) as {
+        readonly weightsVersion: string;
+        readonly blocks: readonly { readonly hex: string; readonly owner: string }[];
+      };
+      const accepted = data.weightsVersion === weightsVersion ? data.blocks : [];
+      for (const { hex, owner } of accepted) {
+        const hash = BigInt(`0x${hex}`);
+        if (cache.store(hash, owner)) cache.release([hash]);
+      }
+      publishChanges();
+      sendJson(res, { accepted: accepted.length });
     },
   };
 
   const server = createServer((req, res) => {
     const handler = handlers[req.url ?? ''];
     if (!handler) {
-      res.statusCode = 404;
-      res.end();
+      sendJson(res, { error: { message: 'unknown path' } }, 404);
       return;
     }
     Promise.resolve(handler(req, res)).catch(() => res.destroy());
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
+  const listen = (port: number): Promise<void> =>
+    new Promise((resolve) => {
+      server.listen(port, '127.0.0.1', resolve);
+    });
+  const close = (): Promise<void> =>
+    new Promise((resolve) => {
+      server.close(() => resolve());
+      server.closeAllConnections();
+      batch.clear();
+      clearInterval(ticker);
+      ticker = undefined;
+    });
+  await listen(0);
+  const { port } = server.address() as AddressInfo;
+
   return {
-    url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    url: `http://127.0.0.1:${port}`,
+    runs,
     get requests() {
       return requests;
     },
-    close() {
-      server.closeAllConnections();
-      return new Promise((resolve) => {
-        server.close(() => resolve());
-      });
+    get incarnation() {
+      return incarnation;
+    },
+    slow: (factor) => batch.setSlowFactor(factor),
+    async crash(downMs) {
+      await close();
+      cache.clear();
+      incarnation = newIncarnation();
+      events.restart();
+      await delay(downMs);
+      await listen(port);
     },
+    close,
   };
 }
--- /dev/null
+++ b/test/standins/engine/events.ts
@@ -0,0 +1,57 @@
+import { type ServerResponse } from 'node:http';
+import { type Random } from '../../../src/base/random.js';
+
+/** Faults of a cache event stream. */
+export interface EventFaults {
+  readonly delayMs: number;
+  /** Share of events that are lost; each leaves a jump in the sequence numbers. */
+  readonly lossRate: number;
+  readonly random: Random;
+}
+
+export interface CacheChange {
+  readonly incarnation: string;
+  readonly weightsVersion: string;
+  readonly stored: readonly bigint[];
+  readonly evicted: readonly bigint[];
+  readonly cleared: boolean;
+}
+
+/** Sends an engine's cache events to its watchers. */
+export interface EventPublisher {
+  addWatcher(res: ServerResponse): void;
+  publish(change: CacheChange): void;
+  /** Starts the numbering again, as a new incarnation does. */
+  restart(): void;
+}
+
+const toHex = (hash: bigint): string => hash.toString(16);
+
+export function createEventPublisher(faults: EventFaults): EventPublisher {
+  const watchers = new Set<ServerResponse>();
+  let seq = 0;
+
+  return {
+    addWatcher(res) {
+      res.setHeader('content-type', 'text/event-stream');
+      res.flushHeaders();
+      watchers.add(res);
+      res.once('close', () => watchers.delete(res));
+    },
+    publish(change) {
+      seq += 1;
+      if (faults.lossRate > 0 && faults.random.next() < faults.lossRate) return;
+      const stored = change.stored.map(toHex);
+      const evicted = change.evicted.map(toHex);
+      const data = `data: ${JSON.stringify({ ...change, seq, stored, evicted })}\n\n`;
+      const send = (): void => {
+        for (const watcher of watchers) watcher.write(data);
+      };
+      if (faults.delayMs === 0) send();
+      else setTimeout(send, faults.delayMs);
+    },
+    restart() {
+      seq = 0;
+    },
+  };
+}
