--- /dev/null
+++ b/measure/load/generator.ts
@@ -0,0 +1,150 @@
+import { Agent, request } from 'undici';
+import { teamKey } from '../../test/standins/site.js';
+import { parameters } from '../parameters.js';
+import { readStream, type StreamReading } from './stream.js';
+import { type ScheduledCall, type ScheduledRequest, type Workload } from './workload.js';
+
+/** What became of one scheduled request, as its caller saw it. */
+export interface RequestOutcome {
+  readonly request: ScheduledRequest;
+  /** HTTP status, or 0 without a response. */
+  readonly status: number;
+  /** Work state that a refusal or an error event gave. */
+  readonly work: string;
+  readonly reading: StreamReading | undefined;
+  /** Milliseconds from the scheduled arrival to the end. */
+  readonly totalMs: number;
+}
+
+/** What became of one service call. */
+export interface CallOutcome {
+  readonly call: ScheduledCall;
+  readonly status: number;
+  readonly work: string;
+}
+
+/** Outcomes of a whole run. */
+export interface LoadOutcome {
+  readonly requests: readonly RequestOutcome[];
+  readonly calls: readonly CallOutcome[];
+}
+
+/** Sends load to entries; a call ends with an outcome, never with an error. */
+export interface LoadGenerator {
+  /** Sends each request at its scheduled time and waits for all outcomes. */
+  run(workload: Workload, onStart: (startedAt: number) => void): Promise<LoadOutcome>;
+  close(): Promise<void>;
+}
+
+const workHeader = 'x-cicadatide-work';
+
+/** Pause before the balancer tries again when no entry accepts connections. */
+const reconnectMs = 50;
+
+const refusedCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+
+const pause = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, Math.max(0, ms));
+  });
+
+/**
+ * Creates an open-loop generator: arrivals follow the schedule however slow the answers are, and
+ * latencies count from the scheduled arrival. The entries are used in turn, as a load balancer
+ * would; an entry that refuses the connection is passed over.
+ */
+export function createLoadGenerator(entries: readonly string[]): LoadGenerator {
+  const dispatcher = new Agent({
+    connections: 1_024,
+    pipelining: 1,
+    connect: { timeout: 1_000 },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  let turn = 0;
+
+  const post = async (
+    path: string,
+    headers: Readonly<Record<string, string>>,
+    body: string,
+    limitMs: number,
+  ) => {
+    const signal = AbortSignal.timeout(Math.max(1, Math.ceil(limitMs)));
+    for (let attempt = 1; ; attempt += 1) {
+      const url = `${entries[turn % entries.length]}${path}`;
+      turn += 1;
+      try {
+        return await request(url, { method: 'POST', dispatcher, headers, body, signal });
+      } catch (err) {
+        const { code = '' } = err as { readonly code?: string };
+        if (signal.aborted || !refusedCodes.has(code)) return undefined;
+        if (attempt % entries.length === 0) await pause(reconnectMs);
+      }
+    }
+  };
+
+  const sendRequest = async (
+    scheduled: ScheduledRequest,
+    startedAt: number,
+  ): Promise<RequestOutcome> => {
+    const sinceArrivalMs = (): number => performance.now() - startedAt - scheduled.atMs;
+    const { deadlineMs } = scheduled;
+    const headers = {
+      authorization: `Bearer ${teamKey(scheduled.team)}`,
+      'content-type': 'application/json',
+      'x-request-id': scheduled.id,
+      'x-cicadatide-deadline-ms': String(deadlineMs),
+    };
+    const body = JSON.stringify({
+      model: parameters.model,
+      stream: true,
+      stream_options: { include_usage: true },
+      max_tokens: scheduled.outputTokens,
+      messages: [
+        { role: 'system', content: scheduled.system },
+        { role: 'user', content: scheduled.user },
+      ],
+    });
+    const limitMs = deadlineMs + parameters.graceMs - sinceArrivalMs();
+    const res = await post('/v1/chat/completions', headers, body, limitMs);
+    const outcome = { request: scheduled, reading: undefined, work: '' };
+    if (!res) return { ...outcome, status: 0, totalMs: sinceArrivalMs() };
+    const work = String(res.headers[workHeader] ?? '');
+    if (res.statusCode !== 200) {
+      await res.body.dump().catch(() => undefined);
+      return { ...outcome, status: res.statusCode, work, totalMs: sinceArrivalMs() };
+    }
+    const reading = await readStream(res.body, sinceArrivalMs);
+    const totalMs = sinceArrivalMs();
+    return { ...outcome, status: 200, work: reading.errorWork ?? work, reading, totalMs };
+  };
+
+  const sendCall = async (call: ScheduledCall): Promise<CallOutcome> => {
+    const headers = {
+      authorization: `Bearer ${teamKey(call.team)}`,
+      'idempotency-key': call.key,
+      'x-cicadatide-deadline-ms': '2000',
+    };
+    const res = await post('/services/desk/orders', headers, call.key, 2_500);
+    if (!res) return { call, status: 0, work: '' };
+    await res.body.dump().catch(() => undefined);
+    return { call, status: res.statusCode, work: String(res.headers[workHeader] ?? '') };
+  };
+
+  return {
+    async run(workload, onStart) {
+      const startedAt = performance.now();
+      onStart(startedAt);
+      const at = async <T>(atMs: number, send: () => Promise<T>): Promise<T> => {
+        await pause(startedAt + atMs - performance.now());
+        return send();
+      };
+      const requests = workload.requests.map((scheduled) =>
+        at(scheduled.atMs, () => sendRequest(scheduled, startedAt)),
+      );
+      const calls = workload.calls.map((call) => at(call.atMs, () => sendCall(call)));
+      return { requests: await Promise.all(requests), calls: await Promise.all(calls) };
+    },
+    close: () => dispatcher.destroy(),
+  };
+}
--- /dev/null
+++ b/measure/load/lowerbound.ts
@@ -0,0 +1,87 @@
+import { blockTokens } from '../../src/routing/blocks.js';
+
+/** One prompt of the request sequence. */
+export interface BoundRequest {
+  readonly hashes: readonly bigint[];
+  /** Tokens after the last full block, which are always computed. */
+  readonly tailTokens: number;
+}
+
+/** Next use of each access, or Infinity. */
+function nextUses(accesses: readonly bigint[]): readonly number[] {
+  const next = new Array<number>(accesses.length);
+  const seen = new Map<bigint, number>();
+  for (let index = accesses.length - 1; index >= 0; index -= 1) {
+    const hash = accesses[index] as bigint;
+    next[index] = seen.get(hash) ?? Infinity;
+    seen.set(hash, index);
+  }
+  return next;
+}
+
+function farthest(cached: ReadonlyMap<bigint, number>): readonly [bigint | undefined, number] {
+  let hash: bigint | undefined;
+  let use = -1;
+  for (const [candidate, nextUse] of cached) {
+    if (nextUse <= use) continue;
+    hash = candidate;
+    use = nextUse;
+  }
+  return [hash, use];
+}
+
+/** Least misses of a cache that knows the future and may leave a block out (Belady, MIN). */
+export function leastMisses(
+  accesses: readonly bigint[],
+  capacity: number,
+  initial: readonly bigint[] = [],
+): number {
+  const next = nextUses(accesses);
+  const firstUse = new Map<bigint, number>();
+  for (const [index, hash] of accesses.entries()) {
+    if (!firstUse.has(hash)) firstUse.set(hash, index);
+  }
+  const soonest = [...new Set(initial)]
+    .map((hash) => ({ hash, use: firstUse.get(hash) ?? Infinity }))
+    .filter(({ use }) => use < Infinity)
+    .sort((a, b) => a.use - b.use)
+    .slice(0, capacity);
+  const cached = new Map(soonest.map(({ hash, use }) => [hash, use]));
+  let misses = 0;
+  for (const [index, hash] of accesses.entries()) {
+    const use = next[index] as number;
+    if (cached.has(hash)) {
+      cached.set(hash, use);
+      continue;
+    }
+    misses += 1;
+    if (use === Infinity) continue;
+    if (cached.size >= capacity) {
+      const [victim, victimUse] = farthest(cached);
+      if (victim === undefined || victimUse <= use) continue;
+      cached.delete(victim);
+    }
+    cached.set(hash, use);
+  }
+  return misses;
+}
+
+/**
+ * Least prompt tokens that any placement must compute for a request sequence.
+ *
+ * All engines' caches are pooled to one cache of `capacity` blocks that evicts with knowledge of
+ * the future. It starts with those blocks of the warm-up that are used again soonest. Blocks are
+ * counted singly, although a real cache can use a block only together with all blocks before it,
+ * and a block is usable at once, although a real one is so only when computed. Each of these
+ * steps can only lower the count, so no router can do better with the same total cache.
+ */
+export function leastRecomputedTokens(
+  warmUp: readonly BoundRequest[],
+  measured: readonly BoundRequest[],
+  capacity: number,
+): number {
+  const accesses = measured.flatMap(({ hashes }) => hashes);
+  const initial = warmUp.flatMap(({ hashes }) => hashes);
+  const tails = measured.reduce((sum, request) => sum + request.tailTokens, 0);
+  return leastMisses(accesses, capacity, initial) * blockTokens + tails;
+}
--- /dev/null
+++ b/measure/load/stream.ts
@@ -0,0 +1,70 @@
+/** What a caller read from one streamed answer. */
+export interface StreamReading {
+  readonly text: string;
+  readonly tokens: number;
+  /** Milliseconds from the given start to the first token; undefined without one. */
+  readonly firstTokenMs: number | undefined;
+  /** Pauses between consecutive events that carry text. */
+  readonly gapsMs: readonly number[];
+  /** True when the stream ended with its terminal event. */
+  readonly done: boolean;
+  /** Work state of an error event, or undefined without one. */
+  readonly errorWork: string | undefined;
+  readonly cachedTokens: number;
+  /** False when the connection broke instead of ending. */
+  readonly endedCleanly: boolean;
+}
+
+interface AnswerChunk {
+  readonly choices?: readonly { readonly delta?: { readonly content?: string } }[];
+  readonly usage?: { readonly prompt_tokens_details?: { readonly cached_tokens?: number } } | null;
+  readonly error?: { readonly work?: string };
+}
+
+/** Reads the event stream of a chat completion. */
+export async function readStream(
+  body: AsyncIterable<Uint8Array>,
+  sinceStartMs: () => number,
+): Promise<StreamReading> {
+  const decoder = new TextDecoder();
+  const gapsMs: number[] = [];
+  let rest = '';
+  let text = '';
+  let tokens = 0;
+  let firstTokenMs: number | undefined;
+  let lastMs = 0;
+  let done = false;
+  let errorWork: string | undefined;
+  let cachedTokens = 0;
+  let endedCleanly = true;
+
+  const readEvent = (event: string, nowMs: number): void => {
+    const data = event.slice('data: '.length);
+    if (data === '[DONE]') {
+      done = true;
+      return;
+    }
+    const chunk = JSON.parse(data) as AnswerChunk;
+    if (chunk.error) errorWork = chunk.error.work ?? 'unknown';
+    cachedTokens = chunk.usage?.prompt_tokens_details?.cached_tokens ?? cachedTokens;
+    const content = chunk.choices?.[0]?.delta?.content ?? '';
+    if (content === '') return;
+    text += content;
+    tokens += content.split(' ').length - 1;
+    if (firstTokenMs === undefined) firstTokenMs = nowMs;
+    else gapsMs.push(nowMs - lastMs);
+    lastMs = nowMs;
+  };
+
+  try {
+    for await (const bytes of body) {
+      const nowMs = sinceStartMs();
+      const events = (rest + decoder.decode(bytes, { stream: true })).split('\n\n');
+      rest = events.pop() ?? '';
+      for (const event of events) if (event.startsWith('data: ')) readEvent(event, nowMs);
+    }
+  } catch {
+    endedCleanly = false;
+  }
+  return { text, tokens, firstTokenMs, gapsMs, done, errorWork, cachedTokens, endedCleanly };
+}
--- /dev/null
+++ b/measure/load/workload.ts
@@ -0,0 +1,215 @@
+import { createSeededRandom, type Random } from '../../src/base/random.js';
+import { blockTokens, estimateTokens, hashBlocks } from '../../src/routing/blocks.js';
+import { parameters, type Range } from '../parameters.js';
+
+/** Part of a run with its own arrival rate. */
+export interface LoadPart {
+  readonly label: string;
+  readonly durationMs: number;
+  /** Arrival rate relative to the capacity. */
+  readonly load: number;
+  /** Share of long jobs; the usual one when absent. */
+  readonly longShare?: number;
+}
+
+/** Load of one run. */
+export interface WorkloadPlan {
+  readonly parts: readonly LoadPart[];
+  /** Times after the start of the measured parts when the hot documents change. */
+  readonly hotShiftsMs?: readonly number[];
+}
+
+/** One scheduled request. */
+export interface ScheduledRequest {
+  readonly id: string;
+  readonly team: string;
+  /** Scheduled arrival after the start of the warm-up. */
+  readonly atMs: number;
+  /** Index of the part, or -1 in the warm-up. */
+  readonly part: number;
+  readonly system: string;
+  readonly user: string;
+  readonly promptTokens: number;
+  readonly hashes: readonly bigint[];
+  readonly outputTokens: number;
+  readonly long: boolean;
+  /** Longest time to the end of the answer that counts as on time. */
+  readonly deadlineMs: number;
+}
+
+/** One scheduled call of a plain service. */
+export interface ScheduledCall {
+  readonly key: string;
+  readonly team: string;
+  readonly atMs: number;
+}
+
+export interface Workload {
+  readonly requests: readonly ScheduledRequest[];
+  readonly calls: readonly ScheduledCall[];
+  readonly warmUpMs: number;
+  readonly durationMs: number;
+}
+
+export const teamNames: readonly string[] = parameters.workload.teamShares.map(
+  (_share, index) => `team${index + 1}`,
+);
+
+const words = 'lens reel cable stage frame print light order festival archive copy scene'.split(
+  ' ',
+);
+
+const charsPerToken = 4;
+
+interface Document {
+  readonly team: string;
+  readonly system: string;
+  readonly text: string;
+}
+
+function uniform(random: Random, [low, high]: Range): number {
+  return low + random.integer(high - low + 1);
+}
+
+function makeText(random: Random, tokens: number): string {
+  const length = tokens * charsPerToken + random.integer(charsPerToken);
+  let text = '';
+  while (text.length < length) text += `${words[random.integer(words.length)]} `;
+  return text.slice(0, length);
+}
+
+/** Draws an index by its weight. */
+function drawWeighted(random: Random, weights: readonly number[]): number {
+  let rest = random.next() * weights.reduce((sum, weight) => sum + weight, 0);
+  for (const [index, weight] of weights.entries()) {
+    rest -= weight;
+    if (rest < 0) return index;
+  }
+  return weights.length - 1;
+}
+
+/** All teams start with the same general text, so sharing between teams would show as hits. */
+function makeDocuments(random: Random): readonly Document[] {
+  const { workload } = parameters;
+  const general = makeText(random, uniform(random, workload.generalTokens));
+  const organisations = Array.from({ length: workload.organisations }, (_item, index) => {
+    const team = index < teamNames.length ? index : drawWeighted(random, workload.teamShares);
+    const text = makeText(random, uniform(random, workload.organisationTokens));
+    return { team: teamNames[team] as string, system: `${general}\n${text}` };
+  });
+  return Array.from({ length: workload.documents }, (_item, index) => {
+    const organisation = organisations[index % organisations.length];
+    const text = makeText(random, uniform(random, workload.documentTokens));
+    return { ...(organisation as { team: string; system: string }), text };
+  });
+}
+
+/** Weight of each document: Zipf within its team's share, with the ranks rotated by a shift. */
+function documentWeights(documents: readonly Document[], shift: number): readonly number[] {
+  const { teamShares, zipfExponent } = parameters.workload;
+  const ranks = new Map<string, number>();
+  const counts = new Map<string, number>();
+  for (const { team } of documents) counts.set(team, (counts.get(team) ?? 0) + 1);
+  const raw = documents.map(({ team }) => {
+    const rank = ranks.get(team) ?? 0;
+    ranks.set(team, rank + 1);
+    const count = counts.get(team) ?? 1;
+    const rotated = (rank + shift * Math.ceil(count / 2)) % count;
+    return 1 / (rotated + 1) ** zipfExponent;
+  });
+  const totals = new Map<string, number>();
+  for (const [index, { team }] of documents.entries()) {
+    totals.set(team, (totals.get(team) ?? 0) + (raw[index] ?? 0));
+  }
+  return documents.map(({ team }, index) => {
+    const share = teamShares[teamNames.indexOf(team)] ?? 0;
+    return (share * (raw[index] ?? 0)) / (totals.get(team) ?? 1);
+  });
+}
+
+/** Poisson arrivals whose rate swings around the mean of each part. */
+function makeArrivals(random: Random, durationMs: number, perSecond: number): readonly number[] {
+  const { swingMs, swingRange } = parameters.workload;
+  const slots = Math.ceil(durationMs / swingMs);
+  const [low, high] = swingRange;
+  const factors = Array.from({ length: slots }, () => low + random.next() * (high - low));
+  const mean = factors.reduce((sum, factor) => sum + factor, 0) / slots;
+  const times: number[] = [];
+  let at = 0;
+  while (true) {
+    const factor = (factors[Math.floor(at / swingMs)] ?? mean) / mean;
+    at += (-Math.log(1 - random.next()) / (perSecond * factor)) * 1_000;
+    if (at >= durationMs) return times;
+    times.push(at);
+  }
+}
+
+function makeCalls(random: Random, durationMs: number): readonly ScheduledCall[] {
+  return makeArrivals(random, durationMs, parameters.services.callsPerSecond).map(
+    (atMs, index) => ({
+      key: `order-${index}`,
+      team: teamNames[index % teamNames.length] as string,
+      atMs,
+    }),
+  );
+}
+
+/** Makes the schedule of one run; equal seeds give equal schedules. */
+export function createWorkload(plan: WorkloadPlan, seed: number): Workload {
+  const random = createSeededRandom(seed);
+  const { workload, warmUp, deadlines, model } = parameters;
+  const documents = makeDocuments(random);
+  const warmUpPart: LoadPart = { label: 'warm-up', ...warmUp };
+  const measuredMs = plan.parts.reduce((sum, part) => sum + part.durationMs, 0);
+  const durationMs = warmUp.durationMs + measuredMs;
+  const requests: ScheduledRequest[] = [];
+  let partStart = 0;
+  for (const [index, part] of [warmUpPart, ...plan.parts].entries()) {
+    const { longShare = workload.longShare } = part;
+    for (const offset of makeArrivals(
+      random,
+      part.durationMs,
+      part.load * workload.capacityPerSecond,
+    )) {
+      const atMs = partStart + offset;
+      const shift = (plan.hotShiftsMs ?? []).filter((at) => at + warmUp.durationMs <= atMs).length;
+      const document = documents[
+        drawWeighted(random, documentWeights(documents, shift))
+      ] as Document;
+      const question = makeText(random, uniform(random, workload.questionTokens));
+      const drawnLong = random.next() < longShare;
+      const long = drawnLong && atMs < durationMs - workload.noLongAtEndMs;
+      const shortTokens = uniform(random, workload.shortTokens);
+      const outputTokens = long ? workload.longTokens : shortTokens;
+      const user = `${document.text}\n${question}`;
+      const prompt = `system\n${document.system}\nuser\n${user}\n`;
+      const chain = { salt: `team:${document.team}`, model, weightsVersion: 'v1', adapter: '' };
+      requests.push({
+        id: `${document.team}.${seed}-${requests.length.toString().padStart(6, '0')}`,
+        team: document.team,
+        atMs,
+        part: index - 1,
+        system: document.system,
+        user,
+        promptTokens: estimateTokens(prompt),
+        hashes: hashBlocks(chain, prompt),
+        outputTokens,
+        long,
+        deadlineMs: deadlines.firstTokenMs + outputTokens * deadlines.perTokenMs,
+      });
+    }
+    partStart += part.durationMs;
+  }
+  const calls = makeCalls(random, durationMs);
+  return { requests, calls, warmUpMs: warmUp.durationMs, durationMs };
+}
+
+/** Prompt text as router and engine see it. */
+export function promptTextOf(request: ScheduledRequest): string {
+  return `system\n${request.system}\nuser\n${request.user}\n`;
+}
+
+/** Tokens of a prompt that no cache can hold, because they don't fill a block. */
+export function tailTokens(request: ScheduledRequest): number {
+  return request.promptTokens - request.hashes.length * blockTokens;
+}
--- /dev/null
+++ b/measure/output/checks.ts
@@ -0,0 +1,57 @@
+import { createAnswer } from '../../test/standins/engine/answer.js';
+import { type LoadOutcome, type RequestOutcome } from '../load/generator.js';
+import { promptTextOf } from '../load/workload.js';
+import { type SiteRecords } from '../site/site.js';
+import { type Violations } from './results.js';
+
+/** Time after which a leaving target must get no new work. */
+const leavingGraceMs = 3_000;
+
+/** Request id without the attempt that the agent appends. */
+export function requestIdOf(runId: string): string {
+  return runId.split('/')[0] ?? runId;
+}
+
+function countDuplicates(ids: readonly string[]): number {
+  return ids.length - new Set(ids).size;
+}
+
+function isTruncated({ reading, request }: RequestOutcome): boolean {
+  if (!reading || !reading.endedCleanly || reading.errorWork !== undefined) return false;
+  return !reading.done || reading.tokens < request.outputTokens;
+}
+
+function isMisordered({ reading, request }: RequestOutcome): boolean {
+  if (!reading) return false;
+  const expected = createAnswer(promptTextOf(request)).text(0, request.outputTokens);
+  return !expected.startsWith(reading.text);
+}
+
+/** Counts broken promises from the stand-ins' records and the texts that callers received. */
+export function countViolations(
+  load: LoadOutcome,
+  records: SiteRecords,
+  leavingSince: ReadonlyMap<string, number> = new Map(),
+): Violations {
+  const started = new Set(records.engineRuns.map(({ id }) => requestIdOf(id)));
+  const attempts = records.engineRuns.map(({ id }) => id);
+  const repeatedCalls = [...records.serviceRuns.values()].filter((runs) => runs > 1).length;
+  const falseRequests = load.requests.filter(
+    ({ request, work }) => work === 'not-run' && started.has(request.id),
+  );
+  const falseCalls = load.calls.filter(
+    ({ call, work }) => work === 'not-run' && records.serviceRuns.has(call.key),
+  );
+  const late = records.engineRuns.filter(({ engine, startedAt }) => {
+    const since = leavingSince.get(engine);
+    return since !== undefined && startedAt > since + leavingGraceMs;
+  });
+  return {
+    doubleRuns: repeatedCalls + countDuplicates(attempts),
+    falseNotRun: falseRequests.length + falseCalls.length,
+    truncatedStreams: load.requests.filter(isTruncated).length,
+    misordered: load.requests.filter(isMisordered).length,
+    crossTeam: records.engineRuns.filter(({ foreignBlocks }) => foreignBlocks > 0).length,
+    workAfterLeaving: late.length,
+  };
+}
--- /dev/null
+++ b/measure/output/results.ts
@@ -0,0 +1,70 @@
+/** Percentiles in milliseconds. */
+export interface Percentiles {
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+}
+
+/** Counts of broken promises; each must be 0. */
+export interface Violations {
+  /** Service calls that ran more than once, and attempts that an engine started twice. */
+  readonly doubleRuns: number;
+  /** Requests refused as `not-run` of which a target has a record. */
+  readonly falseNotRun: number;
+  /** Streams that ended without error before their last token. */
+  readonly truncatedStreams: number;
+  /** Streams whose text is not the start of the right answer. */
+  readonly misordered: number;
+  /** Attempts that used cached blocks of another team. */
+  readonly crossTeam: number;
+  /** Attempts that an engine started more than 3 s after it began to leave. */
+  readonly workAfterLeaving: number;
+}
+
+/** Figures of one part of a run. */
+export interface PartResult {
+  readonly label: string;
+  readonly load: number;
+  readonly requests: number;
+  readonly servedWholeOnTime: number;
+  readonly ttftMs: Percentiles;
+  readonly shortWaitMs: Pick<Percentiles, 'p50' | 'p99'>;
+}
+
+/** Added latency at one number of streams. */
+export interface OverheadResult {
+  readonly streams: number;
+  readonly samples: number;
+  readonly directFirstTokenMs: Pick<Percentiles, 'p50' | 'p99'>;
+  readonly addedFirstTokenMs: Pick<Percentiles, 'p50' | 'p99'>;
+  readonly addedInterTokenMs: Pick<Percentiles, 'p50' | 'p99'>;
+}
+
+/** Figures of one scenario with one policy. */
+export interface RunResult {
+  readonly scenario: string;
+  readonly policy: string;
+  readonly requests: number;
+  readonly servedWholeOnTime: number;
+  readonly prefixHitRate: number;
+  readonly ttftMs: Percentiles;
+  readonly interTokenMs: Pick<Percentiles, 'p50' | 'p95'>;
+  readonly recomputedTokens: number;
+  readonly leastRecomputedTokens: number;
+  readonly shortWaitMs: Pick<Percentiles, 'p50' | 'p99'>;
+  readonly violations: Violations;
+  /** Share of the requests by outcome, for reading the other figures. */
+  readonly outcomes: Readonly<Record<string, number>>;
+  readonly serviceCalls: Readonly<Record<string, number>>;
+  /** Parts of the run, when it has more than one. */
+  readonly steps?: readonly PartResult[];
+  readonly overhead?: readonly OverheadResult[];
+  /** Parts of the scenario that could not be run, with the reason. */
+  readonly skipped?: readonly string[];
+}
+
+/** Contents of the file that `--json` writes. */
+export interface Report {
+  readonly seed: number;
+  readonly runs: readonly RunResult[];
+}
--- /dev/null
+++ b/measure/output/table.ts
@@ -0,0 +1,74 @@
+import { type RunResult, type Violations } from './results.js';
+
+const ms = (value: number): string => value.toFixed(value < 100 ? 1 : 0);
+
+const percent = (value: number): string => `${(value * 100).toFixed(1)}%`;
+
+/** Violations that are not 0, or `none`. */
+export function describeViolations(violations: Violations): string {
+  const found = Object.entries(violations).filter(([, count]) => count > 0);
+  return found.map(([name, count]) => `${name} ${count}`).join(', ') || 'none';
+}
+
+interface Column {
+  readonly title: string;
+  readonly width: number;
+  readonly text: (run: RunResult) => string;
+}
+
+const columns: readonly Column[] = [
+  { title: 'scenario', width: 17, text: ({ scenario }) => scenario },
+  { title: 'policy', width: 11, text: ({ policy }) => policy },
+  { title: 'requests', width: 8, text: ({ requests }) => String(requests) },
+  { title: 'on time', width: 7, text: (run) => percent(run.servedWholeOnTime) },
+  { title: 'hit rate', width: 8, text: (run) => percent(run.prefixHitRate) },
+  { title: 'ttft p50', width: 8, text: (run) => ms(run.ttftMs.p50) },
+  { title: 'p95', width: 6, text: (run) => ms(run.ttftMs.p95) },
+  { title: 'p99', width: 6, text: (run) => ms(run.ttftMs.p99) },
+  { title: 'token p50', width: 9, text: (run) => ms(run.interTokenMs.p50) },
+  { title: 'p95', width: 6, text: (run) => ms(run.interTokenMs.p95) },
+  { title: 'wait p50', width: 8, text: (run) => ms(run.shortWaitMs.p50) },
+  { title: 'p99', width: 6, text: (run) => ms(run.shortWaitMs.p99) },
+  {
+    title: 'recomputed/least',
+    width: 16,
+    text: (run) =>
+      run.leastRecomputedTokens === 0
+        ? '-'
+        : (run.recomputedTokens / run.leastRecomputedTokens).toFixed(2),
+  },
+  { title: 'violations', width: 0, text: (run) => describeViolations(run.violations) },
+];
+
+const formatRow = (cells: readonly string[]): string =>
+  cells
+    .map((cell, index) => cell.padEnd(columns[index]?.width ?? 0))
+    .join('  ')
+    .trimEnd();
+
+/** Header of the table of runs. */
+export function tableHeader(): string {
+  return formatRow(columns.map(({ title }) => title));
+}
+
+/** Row of one run, with its steps and notes below. */
+export function tableRow(run: RunResult): string {
+  const lines = [formatRow(columns.map(({ text }) => text(run)))];
+  for (const step of run.steps ?? []) {
+    lines.push(
+      `    ${step.label}: ${step.requests} requests, on time ${percent(step.servedWholeOnTime)}, ` +
+        `ttft p50 ${ms(step.ttftMs.p50)} p99 ${ms(step.ttftMs.p99)}, ` +
+        `short wait p50 ${ms(step.shortWaitMs.p50)} p99 ${ms(step.shortWaitMs.p99)}`,
+    );
+  }
+  for (const level of run.overhead ?? []) {
+    lines.push(
+      `    ${level.streams} streams (${level.samples} samples): first token direct ` +
+        `p50 ${level.directFirstTokenMs.p50} p99 ${level.directFirstTokenMs.p99}, added ` +
+        `p50 ${level.addedFirstTokenMs.p50} p99 ${level.addedFirstTokenMs.p99}; between tokens ` +
+        `added p50 ${level.addedInterTokenMs.p50} p99 ${level.addedInterTokenMs.p99} ms`,
+    );
+  }
+  for (const note of run.skipped ?? []) lines.push(`    skipped: ${note}`);
+  return lines.join('\n');
+}
--- /dev/null
+++ b/measure/runner.ts
@@ -0,0 +1,146 @@
+import { type EngineRun } from '../test/standins/engine.js';
+import { createLoadGenerator, type LoadOutcome } from './load/generator.js';
+import { leastRecomputedTokens } from './load/lowerbound.js';
+import {
+  createWorkload,
+  type ScheduledRequest,
+  tailTokens,
+  type Workload,
+} from './load/workload.js';
+import { countViolations, requestIdOf } from './output/checks.js';
+import { type RunResult } from './output/results.js';
+import {
+  isWhole,
+  isWholeOnTime,
+  share,
+  shareOnTime,
+  summariseLatency,
+  summariseParts,
+} from './output/summary.js';
+import { parameters } from './parameters.js';
+import { type LoadScenarioName, type Scenario, scenarios } from './scenarios.js';
+import { type HostPool } from './site/pool.js';
+import { type Site, type SiteRecords, startSite } from './site/site.js';
+
+/** What is run. */
+export interface RunSpec {
+  readonly scenario: string;
+  readonly policy: string;
+  readonly seed: number;
+}
+
+const toBound = (request: ScheduledRequest) => ({
+  hashes: request.hashes,
+  tailTokens: tailTokens(request),
+});
+
+/** Requests of the workload that an engine started, in order of arrival. */
+function startedRequests(workload: Workload, runs: readonly EngineRun[]) {
+  const started = new Set(runs.map(({ id }) => requestIdOf(id)));
+  return workload.requests.filter(({ id }) => started.has(id));
+}
+
+function summariseCache(workload: Workload, runs: readonly EngineRun[]) {
+  const measuredIds = new Set<string>();
+  for (const { id, part } of workload.requests) if (part >= 0) measuredIds.add(id);
+  let prompt = 0;
+  let cached = 0;
+  let recomputed = 0;
+  for (const run of runs) {
+    if (!measuredIds.has(requestIdOf(run.id))) continue;
+    prompt += run.promptTokens;
+    cached += run.cachedTokens;
+    recomputed += run.prefilledTokens;
+  }
+  const started = startedRequests(workload, runs);
+  const warmUp = started.filter(({ part }) => part < 0).map(toBound);
+  const measured = started.filter(({ part }) => part >= 0).map(toBound);
+  const { count, cacheBlocks } = parameters.engines;
+  return {
+    prefixHitRate: share(cached, prompt),
+    recomputedTokens: recomputed,
+    leastRecomputedTokens: leastRecomputedTokens(warmUp, measured, count * cacheBlocks),
+  };
+}
+
+function countOutcomes({ requests }: LoadOutcome): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const outcome of requests) {
+    let name = `status ${outcome.status}`;
+    if (outcome.status === 0) name = 'no response';
+    else if (isWholeOnTime(outcome)) name = 'on time';
+    else if (isWhole(outcome)) name = 'late';
+    else if (outcome.reading) name = 'broken stream';
+    counts[name] = (counts[name] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function countCalls({ calls }: LoadOutcome): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const { status, work } of calls) {
+    const name = status === 200 ? 'served' : work || 'no response';
+    counts[name] = (counts[name] ?? 0) + 1;
+  }
+  return counts;
+}
+
+/** Computes the figures of a run from what callers saw and what the stand-ins recorded. */
+export function summariseRun(
+  spec: RunSpec,
+  scenario: Scenario,
+  workload: Workload,
+  load: LoadOutcome,
+  records: SiteRecords,
+): RunResult {
+  const requests = load.requests.filter(({ request }) => request.part >= 0);
+  const measured = { ...load, requests };
+  const unusedTable = scenario.table === true && records.tableCalls === 0;
+  return {
+    scenario: spec.scenario,
+    policy: spec.policy,
+    requests: requests.length,
+    servedWholeOnTime: shareOnTime(requests),
+    ...summariseCache(workload, records.engineRuns),
+    ...summariseLatency(requests),
+    violations: countViolations(load, records),
+    outcomes: countOutcomes(measured),
+    serviceCalls: countCalls(load),
+    ...(scenario.parts.length > 1 && { steps: summariseParts(scenario.parts, requests) }),
+    ...(unusedTable && { skipped: ['the entries made no call to the table'] }),
+  };
+}
+
+/** Runs the scenario's actions; returns a function that waits for those that have begun. */
+function scheduleActions(scenario: Scenario, site: Site, warmUpMs: number) {
+  const begun: Promise<void>[] = [];
+  const timers = (scenario.actions ?? []).map(({ atMs, run }) =>
+    setTimeout(() => begun.push(run(site)), warmUpMs + atMs),
+  );
+  return async (): Promise<void> => {
+    for (const timer of timers) clearTimeout(timer);
+    await Promise.all(begun);
+  };
+}
+
+/** Runs one scenario with scheduled load. */
+export async function runLoadScenario(pool: HostPool, spec: RunSpec): Promise<RunResult> {
+  const scenario: Scenario = scenarios[spec.scenario as LoadScenarioName];
+  const workload = createWorkload(scenario, spec.seed);
+  if (scenario.restarts) await pool.prepareReplacements();
+  const { policy, seed } = spec;
+  const { proxies = false, table = false } = scenario;
+  const site = await startSite(pool, { policy, seed, proxies, table });
+  const generator = createLoadGenerator(site.entries);
+  let finishActions = async (): Promise<void> => undefined;
+  try {
+    const load = await generator.run(workload, () => {
+      finishActions = scheduleActions(scenario, site, workload.warmUpMs);
+    });
+    await finishActions();
+    const records = await site.close();
+    return summariseRun(spec, scenario, workload, load, records);
+  } finally {
+    await generator.close();
+  }
+}
--- /dev/null
+++ b/measure/scenarios.ts
@@ -0,0 +1,124 @@
+import { type LoadPart } from './load/workload.js';
+import { type Site } from './site/site.js';
+
+/** Something that happens to the site during a run. */
+export interface ScenarioAction {
+  /** Time after the start of the measured parts. */
+  readonly atMs: number;
+  run(site: Site): Promise<void>;
+}
+
+/** Load and faults of one scenario. */
+export interface Scenario {
+  readonly parts: readonly LoadPart[];
+  readonly hotShiftsMs?: readonly number[];
+  readonly actions?: readonly ScenarioAction[];
+  /** The site puts TCP proxies between entries and agents. */
+  readonly proxies?: boolean;
+  /** The site has a table. */
+  readonly table?: boolean;
+  /** The site needs spare processes for a restart of all entries and agents. */
+  readonly restarts?: boolean;
+}
+
+const steadyLoad = 0.7;
+
+/** Targets that `slowTargets` slows, and by how much. */
+const slowed = { indexes: [1, 4], factor: 5 } as const;
+
+/** All scenarios that send load on a schedule, by name. */
+export const scenarios = {
+  steady: { parts: [{ label: 'steady', durationMs: 6_000, load: steadyLoad }] },
+
+  crest: {
+    parts: [0.8, 1, 1.5, 3].map((load) => ({ label: `load ${load}`, durationMs: 2_000, load })),
+  },
+
+  hotShift: {
+    parts: [
+      { label: 'before', durationMs: 2_000, load: steadyLoad },
+      { label: 'shifted', durationMs: 4_000, load: steadyLoad },
+    ],
+    hotShiftsMs: [2_000, 4_000],
+  },
+
+  longAmongShort: {
+    parts: [
+      { label: 'without long', durationMs: 3_000, load: 0.5, longShare: 0 },
+      { label: 'with long', durationMs: 5_000, load: 0.5, longShare: 0.03 },
+    ],
+  },
+
+  slowTargets: {
+    parts: [
+      { label: 'unslowed', durationMs: 3_000, load: 0.45 },
+      { label: 'slowed', durationMs: 4_000, load: 0.45 },
+    ],
+    actions: [
+      {
+        atMs: 3_000,
+        async run(site) {
+          for (const index of slowed.indexes) await site.slowEngine(index, slowed.factor);
+        },
+      },
+      {
+        atMs: 7_000,
+        async run(site) {
+          for (const index of slowed.indexes) await site.slowEngine(index, 1);
+        },
+      },
+    ],
+  },
+
+  engineCrash: {
+    parts: [{ label: 'crashes', durationMs: 6_500, load: 0.5 }],
+    actions: [1_500, 4_000].map((atMs) => ({
+      atMs,
+      run: (site: Site) => site.crashEngine(0, 800),
+    })),
+  },
+
+  herdRestart: {
+    parts: [
+      { label: 'before', durationMs: 2_000, load: 0.5 },
+      { label: 'restart', durationMs: 1_500, load: 0.5 },
+      { label: 'after', durationMs: 3_000, load: 0.5 },
+    ],
+    actions: [{ atMs: 2_000, run: (site) => site.restartAll() }],
+    restarts: true,
+  },
+
+  storeOutage: {
+    parts: [
+      { label: 'store up', durationMs: 1_500, load: 0.5 },
+      { label: 'store down', durationMs: 3_000, load: 0.5 },
+      { label: 'store back', durationMs: 1_500, load: 0.5 },
+    ],
+    actions: [
+      { atMs: 1_500, run: (site) => site.setTableFault('down') },
+      { atMs: 4_500, run: (site) => site.setTableFault('none') },
+    ],
+    table: true,
+  },
+
+  silentConnections: {
+    parts: [{ label: 'silence', durationMs: 6_500, load: 0.5 }],
+    actions: [
+      { atMs: 1_500, run: (site) => site.silenceAgent(0) },
+      { atMs: 4_000, run: (site) => site.silenceAgent(3) },
+    ],
+    proxies: true,
+  },
+} as const satisfies Readonly<Record<string, Scenario>>;
+
+/** Name of a scenario with scheduled load. */
+export type LoadScenarioName = keyof typeof scenarios;
+
+/** Names of all scenarios. */
+export const scenarioNames = [
+  'overhead',
+  ...(Object.keys(scenarios) as LoadScenarioName[]),
+] as const;
+
+/** One of the {@link scenarioNames}. */
+export type ScenarioName = (typeof scenarioNames)[number];
--- /dev/null
+++ b/measure/site/process.ts
@@ -0,0 +1,62 @@
+import { type ChildProcess, fork } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+import {
+  type CommandArgs,
+  type CommandName,
+  type CommandResult,
+  type HostReply,
+} from './commands.js';
+
+/** A child process that runs daemons and stand-ins on command. */
+export interface HostProcess {
+  call<N extends CommandName>(name: N, args?: CommandArgs<N>): Promise<CommandResult<N>>;
+  /** Ends the process at once, as a crash of the machine would. */
+  kill(): Promise<void>;
+}
+
+interface PendingCall {
+  readonly resolve: (result: never) => void;
+  readonly reject: (err: Error) => void;
+}
+
+const program = fileURLToPath(new URL('host.ts', import.meta.url));
+
+/** Starts a host process. */
+export function startHostProcess(): HostProcess {
+  const child: ChildProcess = fork(program, {
+    stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
+    env: { ...process.env, NODE_NO_WARNINGS: '1' },
+  });
+  const pending = new Map<number, PendingCall>();
+  let nextId = 1;
+  const exited = new Promise<void>((resolve) => {
+    child.once('exit', () => {
+      for (const call of pending.values()) call.reject(new Error('the host process ended'));
+      pending.clear();
+      resolve();
+    });
+  });
+  child.on('message', (reply: HostReply) => {
+    const call = pending.get(reply.id);
+    pending.delete(reply.id);
+    if (reply.err === undefined) call?.resolve(reply.result as never);
+    else call?.reject(new Error(reply.err));
+  });
+
+  return {
+    call(name, args) {
+      const id = nextId;
+      nextId += 1;
+      return new Promise((resolve, reject) => {
+        pending.set(id, { resolve, reject });
+        child.send({ id, name, args: args ?? {} }, (err) => {
+          if (err) reject(err);
+        });
+      });
+    },
+    async kill() {
+      child.kill('SIGKILL');
+      await exited;
+    },
+  };
+}
--- /dev/null
+++ b/measure/site/site.ts
@@ -0,0 +1,168 @@
+import { type EngineRun } from '../../test/standins/engine.js';
+import { type TableFault } from '../../test/standins/faultytable.js';
+import { siteRecords, waitForRoute } from '../../test/standins/site.js';
+import { teamNames } from '../load/workload.js';
+import { parameters } from '../parameters.js';
+import { type HostPool } from './pool.js';
+
+/** Settings of the site for one run. */
+export interface SiteOptions {
+  readonly policy: string;
+  /** Puts a TCP proxy between the entries and each engine's agent. */
+  readonly proxies?: boolean;
+  readonly table?: boolean;
+  readonly engine?: Partial<Record<'places' | 'prefillTokensPerSecond' | 'tickMs', number>> & {
+    readonly decodeTokensPerSecond?: number;
+  };
+  readonly seed: number;
+}
+
+/** What one engine did for one attempt. */
+export interface SiteRun extends EngineRun {
+  readonly engine: string;
+}
+
+/** What the stand-ins recorded over a run. */
+export interface SiteRecords {
+  readonly engineRuns: readonly SiteRun[];
+  /** Runs of each service call by its key. */
+  readonly serviceRuns: ReadonlyMap<string, number>;
+  readonly tableCalls: number;
+}
+
+/** Entries, agents and stand-in targets of one run. */
+export interface Site {
+  /** Caller addresses of the entries. */
+  readonly entries: readonly string[];
+  readonly engines: readonly string[];
+  slowEngine(index: number, factor: number): Promise<void>;
+  crashEngine(index: number, downMs: number): Promise<void>;
+  /** Kills every entry and agent at once and starts all of them again. */
+  restartAll(): Promise<void>;
+  silenceAgent(index: number): Promise<void>;
+  setTableFault(fault: TableFault): Promise<void>;
+  /** Stops everything and returns what the stand-ins recorded. */
+  close(): Promise<SiteRecords>;
+}
+
+const serviceRoute = 'desk';
+
+const { engines: engineParameters, services, model } = parameters;
+
+const names = (prefix: string, count: number): readonly string[] =>
+  Array.from({ length: count }, (_item, index) => `${prefix}-${index + 1}`);
+
+/** Starts all processes of a site and waits until each entry reaches a target. */
+export async function startSite(pool: HostPool, options: SiteOptions): Promise<Site> {
+  const { policy, seed } = options;
+  const { count, ...engineOptions } = engineParameters;
+  const engineNames = names('engine', count);
+  const serviceNames = names('desk', services.count);
+  const entryNames = names('entry', parameters.entries);
+  const configuration = siteRecords(teamNames, [model], [serviceRoute]);
+
+  const engines = await Promise.all(
+    engineNames.map((name, index) =>
+      pool.engine(index).call('startEngine', {
+        name,
+        model,
+        answers: 'hashed',
+        seed: seed + index,
+        ...engineOptions,
+        ...options.engine,
+      }),
+    ),
+  );
+  const serviceUrls = await Promise.all(
+    serviceNames.map((name) =>
+      pool.support().call('startService', { name, latencyMs: services.latencyMs }),
+    ),
+  );
+  const tableUrl = options.table ? await pool.support().call('startTable') : undefined;
+
+  const agentSpecs = [
+    ...engineNames.map((name, index) => ({ name, url: engines[index] as string })),
+    ...serviceNames.map((name, index) => ({
+      name,
+      url: serviceUrls[index] as string,
+      kind: 'service' as const,
+      service: serviceRoute,
+    })),
+  ];
+  const agentAddresses: string[] = [];
+  const startAgents = () =>
+    Promise.all(
+      agentSpecs.map(async (spec, index) => {
+        const internal = agentAddresses[index]?.replace('http://', '');
+        agentAddresses[index] = await pool
+          .agent(index)
+          .call('startAgent', { ...spec, ...(internal && { internal }) });
+      }),
+    );
+  await startAgents();
+  const reached = options.proxies
+    ? await Promise.all(
+        agentAddresses.map((target, index) =>
+          pool.support().call('startProxy', { name: `proxy-${index + 1}`, target }),
+        ),
+      )
+    : agentAddresses;
+
+  const entries: string[] = [];
+  const startEntries = () =>
+    Promise.all(
+      entryNames.map(async (name, index) => {
+        const callers = entries[index]?.replace('http://', '');
+        entries[index] = await pool.entry(index).call('startEntry', {
+          name,
+          agents: reached,
+          configuration,
+          policy,
+          ...(callers && { callers }),
+          ...(tableUrl !== undefined && { tableUrl }),
+        });
+      }),
+    );
+  await startEntries();
+  const probe = { model, prompt: 'ready?', max_tokens: 1 };
+  await Promise.all(
+    entries.map((url) => waitForRoute(url, teamNames[0] as string, '/v1/completions', probe)),
+  );
+
+  return {
+    entries,
+    engines,
+    slowEngine: (index, factor) =>
+      pool.engine(index).call('slowEngine', { name: engineNames[index] as string, factor }),
+    crashEngine: (index, downMs) =>
+      pool.engine(index).call('crashEngine', { name: engineNames[index] as string, downMs }),
+    async restartAll() {
+      await pool.replaceDaemonHosts();
+      await Promise.all([startAgents(), startEntries()]);
+    },
+    silenceAgent: (index) => pool.support().call('silenceProxy', { name: `proxy-${index + 1}` }),
+    setTableFault: (fault) => pool.support().call('setTableFault', { fault }),
+    async close() {
+      await Promise.all([
+        ...entryNames.map((name, index) => pool.entry(index).call('stopDaemon', { name })),
+        ...agentSpecs.map(({ name }, index) => pool.agent(index).call('stopDaemon', { name })),
+      ]);
+      if (options.proxies) await pool.support().call('closeProxies');
+      const runs = await Promise.all(
+        engineNames.map(async (name, index) => {
+          const own = await pool.engine(index).call('closeEngine', { name });
+          return own.map((run) => ({ ...run, engine: name }));
+        }),
+      );
+      const serviceRuns = await Promise.all(
+        serviceNames.map((name) => pool.support().call('closeService', { name })),
+      );
+      const counts = new Map<string, number>();
+      for (const [key, run] of serviceRuns.flatMap((record) => Object.entries(record))) {
+        counts.set(key, (counts.get(key) ?? 0) + run);
+      }
+      const { reads, writes } = await pool.support().call('closeTable');
+      return { engineRuns: runs.flat(), serviceRuns: counts, tableCalls: reads + writes };
+    },
+  };
+}
--- /dev/null
+++ b/test/measure/workload.test.ts
@@ -0,0 +1,44 @@
+import { expect, test } from 'vitest';
+import { createWorkload, type WorkloadPlan } from '../../measure/load/workload.js';
+import { parameters } from '../../measure/parameters.js';
+
+const plan: WorkloadPlan = {
+  parts: [
+    { label: 'without', durationMs: 5_000, load: 0.7, longShare: 0 },
+    { label: 'with', durationMs: 20_000, load: 0.7 },
+  ],
+  hotShiftsMs: [10_000],
+};
+
+// Guards against runs of one seed that can't be compared.
+test('equal seeds give equal schedules and other seeds give others', () => {
+  const first = createWorkload(plan, 7);
+  expect(createWorkload(plan, 7)).toEqual(first);
+  expect(createWorkload(plan, 8).requests[0]).not.toEqual(first.requests[0]);
+});
+
+// Guards against a load that lost its long jobs, its large teams, its nesting or its hot shift.
+test('the schedule has the stated proportions', () => {
+  const { requests, warmUpMs, durationMs } = createWorkload(plan, 1);
+  const { workload, warmUp } = parameters;
+  expect(durationMs).toBe(warmUp.durationMs + 25_000);
+  expect(requests.every(({ atMs }, index) => atMs >= (requests[index - 1]?.atMs ?? 0))).toBe(true);
+  const rate = requests.length / (durationMs / 1_000) / (0.7 * workload.capacityPerSecond);
+  expect(rate).toBeGreaterThan(0.85);
+  expect(rate).toBeLessThan(1.15);
+  expect(requests.some(({ part, long }) => part === 0 && long)).toBe(false);
+  expect(requests.some(({ part, long }) => part === 1 && long)).toBe(true);
+  expect(new Set(requests.map(({ id }) => id)).size).toBe(requests.length);
+  const largest = requests.filter(({ team }) => team === 'team1').length / requests.length;
+  expect(largest).toBeGreaterThan(0.2);
+  const hot = (from: number, to: number): string => {
+    const counts = new Map<string, number>();
+    for (const { atMs, user } of requests) {
+      const key = user.slice(0, 200);
+      if (atMs >= from && atMs < to) counts.set(key, (counts.get(key) ?? 0) + 1);
+    }
+    return [...counts].sort((a, b) => b[1] - a[1])[0]?.[0] ?? '';
+  };
+  const shiftAt = warmUpMs + 10_000;
+  expect(hot(shiftAt, durationMs)).not.toBe(hot(0, shiftAt));
+});
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -55,6 +55,8 @@
   readonly kind?: 'engine' | 'service';
   readonly service?: string;
   readonly dataCentre?: string;
+  /** Internal address to listen on; a free port when absent. */
+  readonly internal?: string;
 }
 
 /** Starts an agent in this process. */
@@ -68,7 +70,7 @@
       instance: `agent-${spec.name}`,
       data_centre: spec.dataCentre ?? 'dc1',
     },
-    listen: { operators: '127.0.0.1:0', internal: '127.0.0.1:0' },
+    listen: { operators: '127.0.0.1:0', internal: spec.internal ?? '127.0.0.1:0' },
     internal: { credential: siteCredential },
     target: {
       name: spec.name,
@@ -87,6 +89,8 @@
   readonly configuration: ConfigurationSnapshot;
   readonly policy?: string;
   readonly adapters?: EntryAdapters;
+  /** Address to listen on for callers; a free port when absent. */
+  readonly callers?: string;
 }
 
 /** Starts an entry in this process. */
@@ -96,7 +100,11 @@
 ): Promise<DaemonProcess> {
   const text = iniText({
     process: { role: 'entry', instance: spec.name, data_centre: 'dc1' },
-    listen: { callers: '127.0.0.1:0', operators: '127.0.0.1:0', internal: '127.0.0.1:0' },
+    listen: {
+      callers: spec.callers ?? '127.0.0.1:0',
+      operators: '127.0.0.1:0',
+      internal: '127.0.0.1:0',
+    },
     internal: { credential: siteCredential },
     peers: { agents: spec.agents.map((url) => url.replace('http://', '')).join(', ') },
     requests: { policy: spec.policy ?? 'cicadatide' },
