Follow pending prefixes and learn costs in the agent

Cause: an offer ignored prefixes that were being computed, so requests with the same new prefix computed it at the same time; late cache events could enter the index; dispatches were queued without cache depth; the cost estimate took max_tokens as the output length and drifted with the number of running requests.

The worker is split into planner, execution and attempts.

--- /dev/null
+++ b/src/scheduling/attempts.ts
@@ -0,0 +1,100 @@
+/** Attempts of this agent: starting, resuming and cancelling them. */
+import { create } from '@bufbuild/protobuf';
+import { type CancellationToken, createCancellationSource } from '../base/cancellation.js';
+import { type Clock, sleep } from '../base/clock.js';
+import { type Disposable } from '../base/lifecycle.js';
+import { type Accepted, ChunkSchema, type DispatchRequest } from '../gen/cicadatide/v1/agent_pb.js';
+import { createReplayBuffer, type ReplayBuffer } from '../streams/replay.js';
+
+/** One attempt with its replay buffer. */
+export interface Attempt {
+  readonly team: string;
+  readonly buffer: ReplayBuffer;
+  cancel(reason: string): void;
+}
+
+/** Attempts that are queued, running or recently finished. Each runs at most once. */
+export interface Attempts extends Disposable {
+  /** Number of attempts that are queued or running. */
+  readonly active: number;
+  /** Returns the attempt of this request, which is started unless it is known already. */
+  start(req: DispatchRequest): Attempt;
+  /** Returns undefined for an unknown attempt and for one of another team; 0 is the newest. */
+  find(requestId: string, attempt: number, team: string): Attempt | undefined;
+}
+
+export interface AttemptsOptions {
+  readonly clock: Clock;
+  /** Fields of the first chunk of each attempt. */
+  readonly accepted: () => Omit<Accepted, '$typeName' | '$unknown'>;
+  readonly execute: (
+    req: DispatchRequest,
+    buffer: ReplayBuffer,
+    token: CancellationToken,
+  ) => Promise<void>;
+  readonly onError: (requestId: string, err: unknown) => void;
+}
+
+/** Time that an attempt without a reader goes on, so that its caller can resume it. */
+const resumeWindowMs = 5_000;
+
+/** Time that a finished attempt is kept for a resuming reader. */
+const finishedRetentionMs = 10_000;
+
+export function createAttempts(options: AttemptsOptions): Attempts {
+  const { clock, accepted, execute, onError } = options;
+  const lifetime = createCancellationSource();
+  const attempts = new Map<string, Attempt>();
+
+  const keyOf = (requestId: string, attempt: number): string => `${requestId}/${attempt}`;
+
+  /** Cancels an attempt once it has had no reader for the resume window. */
+  const cancelWhenAbandoned = async (run: Attempt, token: CancellationToken): Promise<void> => {
+    let idleSince = clock.now();
+    while (!run.buffer.ended && !token.isCancellationRequested) {
+      if (run.buffer.readers > 0) idleSince = clock.now();
+      if (clock.now() - idleSince > resumeWindowMs) run.cancel('caller did not resume in time');
+      await sleep(clock, resumeWindowMs / 10, token);
+    }
+  };
+
+  const begin = (req: DispatchRequest): Attempt => {
+    const { requestId, attempt, team } = req;
+    const source = createCancellationSource(lifetime.token);
+    const buffer = createReplayBuffer(requestId, attempt, (fields) =>
+      create(ChunkSchema, { requestId, attempt, ...fields }),
+    );
+    const run: Attempt = { team, buffer, cancel: (reason) => source.cancel(reason) };
+    attempts.set(keyOf(requestId, attempt), run);
+    const value = { $typeName: 'cicadatide.v1.Accepted', ...accepted() } as const;
+    buffer.append({ case: 'accepted', value });
+    const deadline = clock.setTimer(req.remainingMs, () => source.cancel('deadline passed'));
+    cancelWhenAbandoned(run, source.token).catch(() => undefined);
+    execute(req, buffer, source.token)
+      .catch((err: unknown) => onError(requestId, err))
+      .finally(() => {
+        deadline.dispose();
+        source.dispose();
+        clock.setTimer(finishedRetentionMs, () => attempts.delete(keyOf(requestId, attempt)));
+      });
+    return run;
+  };
+
+  return {
+    get active() {
+      let count = 0;
+      for (const { buffer } of attempts.values()) if (!buffer.ended) count += 1;
+      return count;
+    },
+    start: (req) => attempts.get(keyOf(req.requestId, req.attempt)) ?? begin(req),
+    find(requestId, attempt, team) {
+      let found: Attempt | undefined;
+      if (attempt > 0) found = attempts.get(keyOf(requestId, attempt));
+      else {
+        for (const [key, run] of attempts) if (key.startsWith(`${requestId}/`)) found = run;
+      }
+      return found?.team === team ? found : undefined;
+    },
+    dispose: () => lifetime.cancel('agent stopped'),
+  };
+}
--- a/src/scheduling/cacheindex.ts
+++ b/src/scheduling/cacheindex.ts
@@ -1,44 +1,90 @@
+/** Index of the blocks that one incarnation of an engine caches. */
 import { type CacheEvent } from '../ports/engine.js';
+import { createBlockSet } from './blockset.js';
 
 /** Blocks that the engine's current incarnation holds, as far as its events vouch for them. */
 export interface CacheIndex {
   readonly size: number;
-  /** Applies an event; a gap, another incarnation or other weights clear the index first. */
+  /**
+   * Applies an event. A gap, a new incarnation or new weights clear the index first; events of an
+   * earlier incarnation or of replaced weights change nothing.
+   */
   apply(event: CacheEvent): void;
-  /** Forgets everything, for example when the event stream was interrupted. */
+  /** Records what the engine's state says; a change clears the index. */
+  expect(incarnation: string, weightsVersion: string): void;
+  /** Forgets all blocks, for example when the event stream was interrupted. */
   clear(): void;
-  /** Returns the greatest of the depths whose block is cached, or 0. */
+  /** Returns the greatest of the depths up to which all given blocks are cached, or 0. */
   cachedDepth(hashes: readonly bigint[], depths: readonly number[]): number;
   has(hash: bigint): boolean;
 }
 
-export function createCacheIndex(): CacheIndex {
-  const blocks = new Set<bigint>();
+export interface CacheIndexOptions {
+  /** Called with each block that an event reports as evicted. */
+  readonly onEvicted?: (hash: bigint) => void;
+  /** Called after a change of incarnation or weights. */
+  readonly onReplaced?: () => void;
+}
+
+/** Earlier incarnations to recognise; late events come from the last few only. */
+const maxRetired = 16;
+
+/** Sequence number while the position in the event stream is not known. */
+const unknownSeq = -1;
+
+export function createCacheIndex(options: CacheIndexOptions = {}): CacheIndex {
+  const { onEvicted, onReplaced } = options;
+  const blocks = createBlockSet();
+  const retired = new Set<string>();
   let incarnation = '';
   let weightsVersion = '';
-  let lastSeq = 0;
+  let replacedVersion: string | undefined;
+  let lastSeq = unknownSeq;
+
+  const adopt = (nextIncarnation: string, nextVersion: string): void => {
+    const restarted = nextIncarnation !== incarnation;
+    if (restarted) {
+      if (incarnation) retired.add(incarnation);
+      for (const oldest of retired) {
+        if (retired.size <= maxRetired) break;
+        retired.delete(oldest);
+      }
+      lastSeq = unknownSeq;
+    }
+    replacedVersion = restarted ? undefined : weightsVersion;
+    incarnation = nextIncarnation;
+    weightsVersion = nextVersion;
+    blocks.clear();
+    onReplaced?.();
+  };
 
   return {
     get size() {
       return blocks.size;
     },
     apply(event) {
-      const sameEngine =
-        event.incarnation === incarnation && event.weightsVersion === weightsVersion;
-      if (!sameEngine || event.seq !== lastSeq + 1) blocks.clear();
-      if (sameEngine && event.seq <= lastSeq) return;
-      incarnation = event.incarnation;
-      weightsVersion = event.weightsVersion;
+      if (retired.has(event.incarnation)) return;
+      if (event.incarnation !== incarnation) adopt(event.incarnation, event.weightsVersion);
+      else if (event.seq <= lastSeq) return;
+      else if (lastSeq !== unknownSeq && event.seq !== lastSeq + 1) blocks.clear();
       lastSeq = event.seq;
+      // The state can name new weights before the events of the old ones have all arrived.
+      if (event.weightsVersion === replacedVersion) return;
+      if (event.weightsVersion !== weightsVersion) adopt(incarnation, event.weightsVersion);
       if (event.cleared) blocks.clear();
-      for (const hash of event.evicted) blocks.delete(hash);
+      for (const hash of event.evicted) {
+        blocks.delete(hash);
+        onEvicted?.(hash);
+      }
       for (const hash of event.stored) blocks.add(hash);
     },
-    clear() {
-      blocks.clear();
-      incarnation = '';
-      lastSeq = 0;
+    expect(nextIncarnation, nextVersion) {
+      if (retired.has(nextIncarnation)) return;
+      const same = nextIncarnation === incarnation && nextVersion === weightsVersion;
+      if (!same) adopt(nextIncarnation, nextVersion);
     },
+    // The position stays, so that an event from before the interruption is known as late.
+    clear: () => blocks.clear(),
     cachedDepth(hashes, depths) {
       let deepest = 0;
       for (const [index, hash] of hashes.entries()) {
--- /dev/null
+++ b/src/scheduling/execution.ts
@@ -0,0 +1,176 @@
+/** Runs one dispatched request: queue, engine, chunks and what is learned from it. */
+import { type CancellationToken } from '../base/cancellation.js';
+import { type Clock } from '../base/clock.js';
+import { errMessage, TargetRefusedError } from '../base/errors.js';
+import { type DispatchRequest, RefusalReason } from '../gen/cicadatide/v1/agent_pb.js';
+import {
+  type CompletionKind,
+  type EngineEvent,
+  type EnginePort,
+  type EngineRequest,
+} from '../ports/engine.js';
+import { type ReplayBuffer } from '../streams/replay.js';
+import { type CostModel } from './cost.js';
+import { QueueRefusedError } from './job.js';
+import { type EngineMonitor } from './monitor.js';
+import { type PendingPrefix, type PendingPrefixes } from './pendingprefixes.js';
+import { type Planner } from './planner.js';
+import { type Place, type WorkQueue } from './queue.js';
+
+/** Executes dispatched requests on the engine. */
+export interface Execution {
+  /** Runs the request and appends its chunks up to the terminal one. */
+  execute(req: DispatchRequest, buffer: ReplayBuffer, token: CancellationToken): Promise<void>;
+}
+
+export interface ExecutionOptions {
+  readonly clock: Clock;
+  readonly engine: EnginePort;
+  readonly queue: WorkQueue;
+  readonly planner: Planner;
+  readonly pending: PendingPrefixes;
+  readonly cost: CostModel;
+  readonly monitor: Pick<EngineMonitor, 'state' | 'refresh'>;
+  /** Reason to refuse the request before hand-over, or UNSPECIFIED. */
+  readonly refusalFor: (req: DispatchRequest) => RefusalReason;
+}
+
+/** Chunks that an attempt may run ahead of its reader. */
+const maxUnreadChunks = 256;
+
+interface Started {
+  readonly place: Place;
+  readonly prefix: PendingPrefix | undefined;
+  readonly acceptedAt: number;
+  readonly startedAt: number;
+}
+
+function toEngineRequest(req: DispatchRequest): EngineRequest {
+  return {
+    requestId: `${req.requestId}/${req.attempt}`,
+    kind: req.kind as CompletionKind,
+    body: req.body,
+    salt: req.salt,
+    weightsVersion: req.weightsVersion,
+    priority: req.priority,
+    deliveredText: req.deliveredText,
+    deliveredTokens: req.deliveredTokens,
+  };
+}
+
+function appendFailure(
+  buffer: ReplayBuffer,
+  message: string,
+  notRun: boolean,
+  refusal = RefusalReason.UNSPECIFIED,
+  retryAfterMs = 0,
+): void {
+  const $typeName = 'cicadatide.v1.StreamFailure';
+  const value = { $typeName, message, notRun, refusal, retryAfterMs } as const;
+  buffer.append({ case: 'failure', value });
+}
+
+export function createExecution(options: ExecutionOptions): Execution {
+  const { clock, engine, queue, planner, pending, cost, monitor, refusalFor } = options;
+
+  const waitForPlace = async (req: DispatchRequest, token: CancellationToken): Promise<Started> => {
+    const acceptedAt = clock.now();
+    let prefix: PendingPrefix | undefined;
+    const outputTokens = Math.max(1, req.outputTokens - req.deliveredTokens);
+    const { team, model, promptTokens, priority, remainingMs, blockHashes } = req;
+    const size = { team, model, promptTokens, outputTokens, priority, remainingMs, blockHashes };
+    const job = planner.dispatchedJob(size, (firstTokenAt) => {
+      prefix = pending.add(blockHashes, firstTokenAt);
+    });
+    const place = await queue.acquire(job, token);
+    return { place, prefix, acceptedAt, startedAt: clock.now() };
+  };
+
+  /** Learns from the real counts; the prefill is reduced by what other requests added to it. */
+  const observe = (
+    req: DispatchRequest,
+    started: Started,
+    firstTokenAt: number,
+    end: Extract<EngineEvent, { readonly kind: 'end' }>,
+  ): void => {
+    const { state } = monitor;
+    if (!state || firstTokenAt === 0) return;
+    const { expectedPrefillMs, ownPrefillMs } = started.place;
+    const ownShare = expectedPrefillMs > 0 ? ownPrefillMs / expectedPrefillMs : 1;
+    const { promptTokens, cachedTokens, outputTokens } = end;
+    const { team, model } = req;
+    cost.observe(state, {
+      ...{ team, model, promptTokens, cachedTokens, outputTokens },
+      prefillMs: (firstTokenAt - started.startedAt) * ownShare,
+      decodeMs: clock.now() - firstTokenAt,
+    });
+  };
+
+  const runOnEngine = async (
+    req: DispatchRequest,
+    started: Started,
+    buffer: ReplayBuffer,
+    token: CancellationToken,
+  ): Promise<void> => {
+    const { place, prefix, acceptedAt, startedAt } = started;
+    let firstTokenAt = 0;
+    for await (const event of engine.complete(toEngineRequest(req), token)) {
+      if (firstTokenAt === 0) {
+        firstTokenAt = clock.now();
+        place.prefillDone();
+        prefix?.done();
+        queue.poll();
+      }
+      if (event.kind === 'text') {
+        const { text, tokens } = event;
+        const value = { $typeName: 'cicadatide.v1.TextDelta', text, tokens } as const;
+        buffer.append({ case: 'text', value });
+        await buffer.waitForRoom(maxUnreadChunks, token);
+        continue;
+      }
+      observe(req, started, firstTokenAt, event);
+      const { finishReason, promptTokens, cachedTokens, outputTokens } = event;
+      buffer.append({
+        case: 'end',
+        value: {
+          $typeName: 'cicadatide.v1.StreamEnd',
+          ...{ finishReason, promptTokens, cachedTokens, outputTokens },
+          queueMs: Math.round(startedAt - acceptedAt),
+          firstTokenMs: Math.round(firstTokenAt - startedAt),
+        },
+      });
+      return;
+    }
+    appendFailure(buffer, 'engine stream ended without its terminal event', false);
+  };
+
+  return {
+    async execute(req, buffer, token) {
+      const refusal = refusalFor(req);
+      if (refusal !== RefusalReason.UNSPECIFIED) {
+        const message = 'agent rejected the request before hand-over';
+        appendFailure(buffer, message, true, refusal);
+        return;
+      }
+      let started: Started;
+      try {
+        started = await waitForPlace(req, token);
+      } catch (err) {
+        if (err instanceof QueueRefusedError) {
+          const { reason, retryAfterMs } = err as QueueRefusedError;
+          appendFailure(buffer, errMessage(err), true, reason, retryAfterMs);
+        } else appendFailure(buffer, 'request was cancelled in the queue', true);
+        return;
+      }
+      try {
+        await runOnEngine(req, started, buffer, token);
+      } catch (err) {
+        appendFailure(buffer, errMessage(err), err instanceof TargetRefusedError);
+        if (!token.isCancellationRequested) await monitor.refresh();
+      } finally {
+        started.prefix?.dispose();
+        started.place.dispose();
+      }
+    },
+  };
+}
--- a/src/scheduling/monitor.ts
+++ b/src/scheduling/monitor.ts
@@ -38,8 +38,8 @@
 
   const updateState = (next: EngineState | undefined): void => {
     const restarted = next?.incarnation !== state?.incarnation;
-    const reloaded = next?.weightsVersion !== state?.weightsVersion;
-    if (restarted || reloaded) index.clear();
+    if (next) index.expect(next.incarnation, next.weightsVersion);
+    else index.clear();
     if (restarted)
       log.info({ incarnation: next?.incarnation ?? null }, 'engine incarnation changed');
     state = next;
--- a/src/scheduling/queue.ts
+++ b/src/scheduling/queue.ts
@@ -1,7 +1,7 @@
 /** Bounded, fair queue in front of the places of one engine. */
 import { type CancellationToken } from '../base/cancellation.js';
 import { type Clock } from '../base/clock.js';
-import { CancelledError, CicadatideError } from '../base/errors.js';
+import { CancelledError } from '../base/errors.js';
 import { type Disposable, toDisposable } from '../base/lifecycle.js';
 import { RefusalReason } from '../gen/cicadatide/v1/agent_pb.js';
 import {
@@ -13,24 +13,10 @@
   type ScheduledJob,
   timesFrom,
 } from './forecast.js';
+import { type JobCost, type QueuedJob, queueRefusal } from './job.js';
 import { createLane, priorityClass } from './lane.js';
 import { createLongJobDetector } from './longjobs.js';
 
-/** What the queue knows of one request. */
-export interface QueuedJob {
-  readonly team: string;
-  /** Higher values go first. */
-  readonly priority: number;
-  /** Estimated time that the job holds its place on an otherwise idle engine. */
-  readonly costMs: number;
-  /** Part of the cost that is prefill, which concurrent requests share. */
-  readonly prefillMs?: number;
-  /** Milliseconds until the answer is due, at the time of the call. */
-  readonly remainingMs: number;
-  /** True while the job should not start yet; see {@link WorkQueue.poll}. */
-  readonly isHeld?: () => boolean;
-}
-
 /** Expected durations from now for one job. */
 export interface JobForecast {
   readonly waitMs: number;
@@ -44,6 +30,8 @@
 export interface Place extends Disposable {
   /** Expected time from the start to the first token, with the prefill of others. */
   readonly expectedPrefillMs: number;
+  /** Prefill of this job alone, as estimated when it started. */
+  readonly ownPrefillMs: number;
   /** Records that the prefill of this job ended. */
   prefillDone(): void;
 }
@@ -53,9 +41,13 @@
   readonly running: number;
   readonly waiting: number;
   readonly places: number;
+  /** True when no further request may wait. */
+  readonly isFull: boolean;
+  /** Time in which the places finish the known work, or 0 while a place is free. */
+  readonly backlogMs: number;
   setPlaces(places: number): void;
   /**
-   * Waits for a place. Rejects with {@link QueueRefusedError} when the queue is full or the
+   * Waits for a place. Rejects with `QueueRefusedError` when the queue is full or the
    * deadline can't be met, and with CancelledError when cancelled.
    */
   acquire(job: QueuedJob, token: CancellationToken): Promise<Place>;
@@ -76,24 +68,16 @@
   readonly teamWeight?: (team: string) => number;
 }
 
-/** The queue refused a job before it started. */
-export const QueueRefusedError = CicadatideError.subclass('QueueRefusedError');
-
-/** Instance of {@link QueueRefusedError}. */
-export type QueueRefusedError = Error & {
-  readonly reason: RefusalReason;
-  readonly retryAfterMs: number;
-};
-
 /** Bounds the memory of waiting bodies and the time of one forecast. */
 const defaultMaxWaiting = 512;
 
 /** Share of its cost that a job is expected to need still after its expected end passed. */
 const overdueShare = 0.1;
 
-const minRetryAfterMs = 50;
-
 interface Waiter extends ScheduledJob {
+  costMs: number;
+  prefillMs: number;
+  readonly estimate: (() => JobCost) | undefined;
   readonly start: (times: JobTimes) => void;
   readonly refuse: (reason: RefusalReason, retryAfterMs: number) => void;
 }
@@ -105,12 +89,6 @@
   prefilling: boolean;
 }
 
-function refusedError(reason: RefusalReason, retryAfterMs: number): Error {
-  const detail = `queue refused the request: ${RefusalReason[reason]}`;
-  const props = { reason, retryAfterMs: Math.ceil(Math.max(minRetryAfterMs, retryAfterMs)) };
-  return new QueueRefusedError(`${detail}; try another target`, { props });
-}
-
 export function createWorkQueue(options: WorkQueueOptions): WorkQueue {
   const { clock, maxWaiting = defaultMaxWaiting, teamWeight = () => 1 } = options;
   const lanes = { short: createLane<Waiter>(teamWeight), long: createLane<Waiter>(teamWeight) };
@@ -163,12 +141,20 @@
     return forecastJob(snapshot, job);
   };
 
+  const updateCost = (job: Waiter): void => {
+    const cost = job.estimate?.();
+    if (!cost) return;
+    job.costMs = cost.costMs;
+    job.prefillMs = Math.min(cost.costMs, cost.prefillMs ?? 0);
+  };
+
   const startNext = (): void => {
     while (running.size < places) {
       let longRunning = 0;
       for (const { job } of running) if (job.long) longRunning += 1;
       const next = nextJob(lanes, places, longRunning, clock.now(), true);
       if (!next) return;
+      updateCost(next);
       const times = timesFrom(next, clock.now(), prefillFreeAt());
       if (meetsDeadline(next, times)) {
         laneOf(next).take(next);
@@ -189,6 +175,7 @@
     });
     return {
       expectedPrefillMs: times.firstTokenAt - times.startAt,
+      ownPrefillMs: job.prefillMs,
       prefillDone() {
         if (!item.prefilling) return;
         item.prefilling = false;
@@ -211,18 +198,24 @@
     }
   };
 
-  const enqueue = (scheduled: ScheduledJob, token: CancellationToken): Promise<Place> =>
+  const enqueue = (
+    job: QueuedJob,
+    scheduled: ScheduledJob,
+    token: CancellationToken,
+  ): Promise<Place> =>
     new Promise((resolve, reject) => {
       const state: { link?: Disposable } = {};
       const waiter: Waiter = {
         ...scheduled,
+        estimate: job.estimate,
         start(times) {
           state.link?.dispose();
+          job.onStart?.(times.firstTokenAt);
           resolve(occupy(waiter, times));
         },
         refuse(reason, retryAfterMs) {
           state.link?.dispose();
-          reject(refusedError(reason, retryAfterMs));
+          reject(queueRefusal(reason, retryAfterMs));
         },
       };
       laneOf(waiter).add(waiter);
@@ -256,6 +249,16 @@
     get places() {
       return places;
     },
+    get isFull() {
+      return waitingCount() >= maxWaiting;
+    },
+    get backlogMs() {
+      if (running.size < places) return 0;
+      let totalMs = 0;
+      for (const item of running) totalMs += expectedEnd(item) - clock.now();
+      for (const { costMs } of [...lanes.short, ...lanes.long]) totalMs += costMs;
+      return totalMs / places;
+    },
     setPlaces(count) {
       places = Math.max(1, count);
       startNext();
@@ -266,13 +269,13 @@
       detector.record(job.costMs);
       const times = timesOf(scheduled, []);
       if (!meetsDeadline(scheduled, times)) {
-        throw refusedError(RefusalReason.DEADLINE, times.endAt - scheduled.deadline);
+        throw queueRefusal(RefusalReason.DEADLINE, times.endAt - scheduled.deadline);
       }
       if (waitingCount() >= maxWaiting) dropHopeless();
       if (waitingCount() >= maxWaiting) {
-        throw refusedError(RefusalReason.QUEUE_FULL, times.startAt - clock.now());
+        throw queueRefusal(RefusalReason.QUEUE_FULL, times.startAt - clock.now());
       }
-      return enqueue(scheduled, token);
+      return enqueue(job, scheduled, token);
     },
     poll: startNext,
     forecast,
--- a/src/scheduling/worker.ts
+++ b/src/scheduling/worker.ts
@@ -1,27 +1,29 @@
+/** Work of an engine's agent: offers, queueing, execution and its cache index. */
 import { randomUUID } from 'node:crypto';
-import { create, type MessageInitShape } from '@bufbuild/protobuf';
-import { type CancellationToken, createCancellationSource } from '../base/cancellation.js';
-import { type Clock, sleep } from '../base/clock.js';
-import { errMessage, TargetRefusedError } from '../base/errors.js';
+import { type MessageInitShape } from '@bufbuild/protobuf';
+import { type CancellationToken } from '../base/cancellation.js';
+import { type Clock } from '../base/clock.js';
+import { errMessage } from '../base/errors.js';
 import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
 import {
   type Chunk,
-  ChunkSchema,
   type DispatchRequest,
   type OfferRequest,
   type OfferReplySchema,
   RefusalReason,
   type ResumeRequest,
 } from '../gen/cicadatide/v1/agent_pb.js';
-import { type CompletionKind, type EnginePort } from '../ports/engine.js';
-import { blockTokens } from '../routing/blocks.js';
-import { createReplayBuffer, type ReplayBuffer } from '../streams/replay.js';
+import { type EnginePort } from '../ports/engine.js';
+import { createAttempts } from './attempts.js';
 import { createCacheIndex } from './cacheindex.js';
-import { type CostEstimate, createCostModel } from './cost.js';
+import { createCostModel } from './cost.js';
+import { createExecution } from './execution.js';
 import { createEngineMonitor } from './monitor.js';
 import { createReservations } from './offers.js';
-import { createWorkQueue, type QueuedJob } from './queue.js';
+import { createPendingPrefixes } from './pendingprefixes.js';
+import { createPlanner } from './planner.js';
+import { createWorkQueue } from './queue.js';
 
 type OfferInit = MessageInitShape<typeof OfferReplySchema>;
 
@@ -58,17 +60,10 @@
   readonly log: Logger;
   readonly engine: EnginePort;
   readonly target: string;
+  /** Share of a team relative to the others; 1 by default. */
+  readonly teamWeight?: (team: string) => number;
 }
 
-/** Time that an attempt without a reader goes on, so that its caller can resume it. */
-const resumeWindowMs = 5_000;
-
-/** Time that a finished attempt is kept for a resuming reader. */
-const finishedRetentionMs = 10_000;
-
-/** Chunks that an attempt may run ahead of its reader. */
-const maxUnreadChunks = 256;
-
 /** What must match before work is admitted; absent fields are not checked. */
 interface AdmissionCheck {
   readonly model: string;
@@ -76,21 +71,14 @@
   readonly weightsVersion?: string;
 }
 
-interface Run {
-  readonly team: string;
-  readonly buffer: ReplayBuffer;
-  readonly cancel: (reason: string) => void;
-}
-
 export function createEngineWorker(options: WorkerOptions): EngineWorker {
-  const { clock, log, engine, target } = options;
+  const { clock, log, engine, target, teamWeight = () => 1 } = options;
   const agentIncarnation = randomUUID().slice(0, 8);
-  const lifetime = createCancellationSource();
-  const index = createCacheIndex();
+  const pending = createPendingPrefixes(clock);
+  const index = createCacheIndex({ onEvicted: pending.evict, onReplaced: pending.clear });
   const cost = createCostModel();
   const reservations = createReservations(clock);
-  const queue = createWorkQueue({ clock, places: 1 });
-  const runs = new Map<string, Run>();
+  const queue = createWorkQueue({ clock, places: 1, teamWeight });
   let leaving = false;
 
   const monitor = createEngineMonitor({
@@ -100,33 +88,14 @@
     index,
     onChange: (state) => {
       if (state) queue.setPlaces(state.places);
+      else pending.clear();
     },
   });
 
+  const currentState = () => monitor.state;
+  const planner = createPlanner({ clock, index, pending, cost, currentState });
   const incarnation = (): string => `${agentIncarnation}.${monitor.state?.incarnation ?? 'down'}`;
-
-  const runKey = (requestId: string, attempt: number): string => `${requestId}/${attempt}`;
-
-  const findRun = (requestId: string, attempt: number, team: string): Run | undefined => {
-    let found: Run | undefined;
-    if (attempt > 0) found = runs.get(runKey(requestId, attempt));
-    else {
-      for (const [key, run] of runs) if (key.startsWith(`${requestId}/`)) found = run;
-    }
-    return found?.team === team ? found : undefined;
-  };
-
-  const estimateJob = (
-    req: Pick<OfferRequest, 'promptTokens' | 'outputTokens' | 'team' | 'priority' | 'remainingMs'>,
-    cachedTokens: number,
-  ): { readonly job: QueuedJob; readonly estimate: CostEstimate } => {
-    const { state } = monitor;
-    const size = { promptTokens: req.promptTokens, outputTokens: req.outputTokens, cachedTokens };
-    const estimate = state ? cost.estimate(state, size) : { prefillMs: 0, decodeMs: 0 };
-    const { team, priority, remainingMs } = req;
-    const costMs = estimate.prefillMs + estimate.decodeMs;
-    return { estimate, job: { team, priority, remainingMs, costMs } };
-  };
+  const weightsVersion = (): string => monitor.state?.weightsVersion ?? '';
 
   const refusalFor = (req: AdmissionCheck): RefusalReason => {
     const { state } = monitor;
@@ -140,128 +109,19 @@
     return RefusalReason.UNSPECIFIED;
   };
 
-  const execute = async (
-    req: DispatchRequest,
-    buffer: ReplayBuffer,
-    token: CancellationToken,
-  ): Promise<void> => {
-    const fail = (message: string, notRun: boolean, refusal = RefusalReason.UNSPECIFIED): void =>
-      buffer.append({
-        case: 'failure',
-        value: {
-          $typeName: 'cicadatide.v1.StreamFailure',
-          message,
-          notRun,
-          refusal,
-          retryAfterMs: 0,
-        },
-      });
-    const refusal = refusalFor(req);
-    if (refusal !== RefusalReason.UNSPECIFIED) {
-      fail('agent rejected the request before hand-over', true, refusal);
-      return;
-    }
-    const { job } = estimateJob(req, 0);
-    const acceptedAt = clock.now();
-    let place: Disposable;
-    try {
-      place = await queue.acquire(job, token);
-    } catch {
-      fail('request was cancelled in the queue', true);
-      return;
-    }
-    const startedAt = clock.now();
-    let firstTokenAt = 0;
-    try {
-      const events = engine.complete(
-        {
-          requestId: runKey(req.requestId, req.attempt),
-          kind: req.kind as CompletionKind,
-          body: req.body,
-          salt: req.salt,
-          weightsVersion: req.weightsVersion,
-          priority: req.priority,
-          deliveredText: req.deliveredText,
-          deliveredTokens: req.deliveredTokens,
-        },
-        token,
-      );
-      for await (const event of events) {
-        if (event.kind === 'text') {
-          if (firstTokenAt === 0) firstTokenAt = clock.now();
-          buffer.append({
-            case: 'text',
-            value: {
-              $typeName: 'cicadatide.v1.TextDelta',
-              text: event.text,
-              tokens: event.tokens,
-            },
-          });
-          await buffer.waitForRoom(maxUnreadChunks, token);
-          continue;
-        }
-        buffer.append({
-          case: 'end',
-          value: {
-            $typeName: 'cicadatide.v1.StreamEnd',
-            finishReason: event.finishReason,
-            promptTokens: event.promptTokens,
-            cachedTokens: event.cachedTokens,
-            outputTokens: event.outputTokens,
-            queueMs: Math.round(startedAt - acceptedAt),
-            firstTokenMs: Math.round(firstTokenAt - startedAt),
-          },
-        });
-        return;
-      }
-      fail('engine stream ended without its terminal event', false);
-    } catch (err) {
-      fail(errMessage(err), err instanceof TargetRefusedError);
-      if (!token.isCancellationRequested) await monitor.refresh();
-    } finally {
-      place.dispose();
-    }
-  };
-
-  /** Cancels an attempt once it has had no reader for the resume window. */
-  const cancelWhenAbandoned = async (run: Run, token: CancellationToken): Promise<void> => {
-    let idleSince = clock.now();
-    while (!run.buffer.ended && !token.isCancellationRequested) {
-      if (run.buffer.readers > 0) idleSince = clock.now();
-      if (clock.now() - idleSince > resumeWindowMs) run.cancel('caller did not resume in time');
-      await sleep(clock, resumeWindowMs / 10, token);
-    }
-  };
-
-  const startRun = (req: DispatchRequest): Run => {
-    const key = runKey(req.requestId, req.attempt);
-    const runSource = createCancellationSource(lifetime.token);
-    const { requestId, attempt } = req;
-    const buffer = createReplayBuffer(requestId, attempt, (fields) =>
-      create(ChunkSchema, { requestId, attempt, ...fields }),
-    );
-    const run: Run = { team: req.team, buffer, cancel: (reason) => runSource.cancel(reason) };
-    runs.set(key, run);
-    buffer.append({
-      case: 'accepted',
-      value: {
-        $typeName: 'cicadatide.v1.Accepted',
-        target,
-        weightsVersion: monitor.state?.weightsVersion ?? '',
-        incarnation: incarnation(),
-      },
-    });
-    const deadline = clock.setTimer(req.remainingMs, () => runSource.cancel('deadline passed'));
-    cancelWhenAbandoned(run, runSource.token).catch(() => undefined);
-    execute(req, buffer, runSource.token)
-      .catch((err: unknown) => log.error({ requestId, err: errMessage(err) }, 'attempt failed'))
-      .finally(() => {
-        deadline.dispose();
-        runSource.dispose();
-        clock.setTimer(finishedRetentionMs, () => runs.delete(key));
-      });
-    return run;
-  };
+  const { execute } = createExecution({
+    ...{ clock, engine, queue, planner, pending, cost, monitor, refusalFor },
+  });
+  const attempts = createAttempts({
+    clock,
+    execute,
+    accepted: () => ({
+      target,
+      weightsVersion: weightsVersion(),
+      incarnation: incarnation(),
+    }),
+    onError: (requestId, err) => log.error({ requestId, err: errMessage(err) }, 'attempt failed'),
+  });
 
   return {
     get status() {
@@ -270,11 +130,9 @@
         models: state?.models ?? [],
         adapters: state?.adapters ?? [],
         role: state?.role ?? '',
-        weightsVersion: state?.weightsVersion ?? '',
+        weightsVersion: weightsVersion(),
         incarnation: incarnation(),
-        queueMs: Math.round(
-          queue.expectedWaitMs({ team: '', priority: 0, costMs: 0, remainingMs: Infinity }),
-        ),
+        queueMs: Math.round(queue.backlogMs),
         running: queue.running,
         places: queue.places,
         targetDown: state === undefined,
@@ -282,35 +140,34 @@
       };
     },
     get active() {
-      let count = 0;
-      for (const { buffer } of runs.values()) if (!buffer.ended) count += 1;
-      return count;
+      return attempts.active;
     },
     offer(req) {
       const refusal = refusalFor(req);
       if (refusal !== RefusalReason.UNSPECIFIED) return { refusal, retryAfterMs: 0 };
-      const cachedTokens = index.cachedDepth(req.blockHashes, req.blockDepths) * blockTokens;
-      const { job, estimate } = estimateJob(req, cachedTokens);
-      const waitMs = queue.expectedWaitMs(job) + reservations.pendingMs / queue.places;
+      const retryAfterMs = Math.ceil(queue.backlogMs);
+      if (queue.isFull) return { refusal: RefusalReason.QUEUE_FULL, retryAfterMs };
+      const plan = planner.plan(req);
+      const job = planner.offeredJob(req, plan);
+      const forecast = queue.forecast(job, reservations.promised);
+      if (!forecast.onTime) return { refusal: RefusalReason.DEADLINE, retryAfterMs };
+      const followedMs = plan.readyInMs + plan.cost.prefillMs;
       return {
-        expectedFirstTokenMs: Math.round(waitMs + estimate.prefillMs),
-        cachedTokens,
-        weightsVersion: monitor.state?.weightsVersion ?? '',
+        expectedFirstTokenMs: Math.round(Math.max(forecast.firstTokenMs, followedMs)),
+        cachedTokens: plan.cachedTokens,
+        weightsVersion: weightsVersion(),
         incarnation: incarnation(),
-        reservationId: reservations.reserve(job.costMs),
+        reservationId: reservations.reserve(job),
       };
     },
     dispatch(req, token) {
-      reservations.release(req.reservationId);
-      const known = runs.get(runKey(req.requestId, req.attempt));
-      return (known ?? startRun(req)).buffer.read(0, token);
-    },
-    resume(req, token) {
-      const run = findRun(req.requestId, req.attempt, req.team);
-      return run?.buffer.read(req.afterSeq, token);
+      reservations.use(req.reservationId);
+      return attempts.start(req).buffer.read(0, token);
     },
+    resume: (req, token) =>
+      attempts.find(req.requestId, req.attempt, req.team)?.buffer.read(req.afterSeq, token),
     cancel(requestId, attempt, team) {
-      const run = findRun(requestId, attempt, team);
+      const run = attempts.find(requestId, attempt, team);
       run?.cancel('cancelled by the entry');
       return run !== undefined;
     },
@@ -318,7 +175,7 @@
       leaving = true;
     },
     dispose() {
-      lifetime.cancel('agent stopped');
+      attempts.dispose();
       monitor.dispose();
     },
   };
