Enforce team limits over all entries and time the placement choice

Cause: team limits of the configuration were not enforced, and the peer service was not registered. The time of a placement choice was not measured.

Change: each entry admits its part of a team's limits by the demand that the entries exchange every second through ReportUsage; a raised demand counts only once all peers know it. The peer service takes optional parts, so that GetConfiguration can be added beside. measure/microbench.ts times hashing and candidate choice.

--- /dev/null
+++ b/measure/microbench.ts
@@ -0,0 +1,92 @@
+/** Times hashing plus candidate choice for one prompt: `npx tsx measure/microbench.ts`. */
+import { systemClock } from '../src/base/clock.js';
+import { createSeededRandom } from '../src/base/random.js';
+import { type AgentView } from '../src/membership/directory.js';
+import { blockChars, hashBlocks, sampleChain } from '../src/routing/blocks.js';
+import { createCandidateSelector } from '../src/routing/candidates.js';
+import { createHotPrefixes } from '../src/routing/hotprefix.js';
+import { createCompletionRequest } from '../src/routing/request.js';
+
+const promptChars = 32_000;
+
+const rounds = 5_000;
+
+const warmUpRounds = 2_000;
+
+const words = ['the ', 'reel ', 'of ', 'film ', 'was ', 'copied ', 'in ', 'nineteen '];
+
+/** Distinct prompts, so that neither strings nor hashes are shared between rounds. */
+function createPrompts(suffix: string): readonly string[] {
+  const random = createSeededRandom(1);
+  return Array.from({ length: 64 }, () => {
+    let text = '';
+    while (text.length < promptChars) text += words[random.integer(words.length)] as string;
+    return text.slice(0, promptChars - suffix.length) + suffix;
+  });
+}
+
+function createAgents(count: number): readonly AgentView[] {
+  const random = createSeededRandom(2);
+  return Array.from({ length: count }, (_, index) => {
+    const name = `engine-${index}`;
+    const status = {
+      target: name,
+      weightsVersion: 'v1',
+      queueMs: random.integer(200),
+      running: random.integer(8),
+      places: 8,
+    };
+    return { address: name, status, usable: true, ageMs: 0, inflight: 0 } as unknown as AgentView;
+  });
+}
+
+/** Returns the p50 and p99 in microseconds. */
+function time(run: (round: number) => void): string {
+  for (let round = 0; round < warmUpRounds; round += 1) run(round);
+  const timings = new Float64Array(rounds);
+  for (let round = 0; round < rounds; round += 1) {
+    const start = performance.now();
+    run(round);
+    timings[round] = (performance.now() - start) * 1_000;
+  }
+  timings.sort();
+  const at = (part: number): string => (timings[Math.floor(rounds * part)] as number).toFixed(1);
+  return `p50 ${at(0.5)} µs, p99 ${at(0.99)} µs`;
+}
+
+const seed = { salt: 'salt', model: 'model', weightsVersion: 'v1', adapter: '' };
+const blocks = Math.floor(promptChars / blockChars);
+console.log(`prompt of ${promptChars} characters, ${blocks} blocks, ${rounds} rounds`);
+
+for (const [label, suffix] of [
+  ['ASCII', ''],
+  ['one other character', 'é'],
+] as const) {
+  const prompts = createPrompts(suffix);
+  const promptOf = (round: number): string => prompts[round % prompts.length] as string;
+  const hashing = time((round) => sampleChain(hashBlocks(seed, promptOf(round))));
+  console.log(`hashing, ${label}: ${hashing}`);
+  for (const count of [9, 600]) {
+    const agents = createAgents(count);
+    const selector = createCandidateSelector(createSeededRandom(3), createHotPrefixes(systemClock));
+    const result = time((round) => {
+      const request = createCompletionRequest({
+        requestId: 'request-1',
+        team: 'red',
+        salt: 'salt',
+        kind: 'text',
+        model: 'model',
+        adapter: '',
+        body: new Uint8Array(),
+        promptText: promptOf(round),
+        promptTokens: 8_000,
+        outputTokens: 100,
+        priority: 0,
+        deadline: { remainingMs: () => 1_000 },
+      });
+      selector.select(request, agents);
+      sampleChain(request.blockHashes('v1'));
+    });
+    console.log(`hashing and candidates, ${label}, ${count} agents: ${result}`);
+  }
+}
--- a/src/daemon/callers/completions.ts
+++ b/src/daemon/callers/completions.ts
@@ -1,9 +1,10 @@
 import { type ServerResponse } from 'node:http';
 import { type Clock } from '../../base/clock.js';
 import { type Logger } from '../../base/logging.js';
-import { refusal } from '../../base/refusals.js';
+import { isRefusal, refusal } from '../../base/refusals.js';
 import { type RecordOf } from '../../configuration/records.js';
 import { type ConfigurationReplica } from '../../configuration/replica.js';
+import { type Admission, type TeamLimiter } from '../../limits/teamlimits.js';
 import { type AgentView } from '../../membership/directory.js';
 import { type CompletionKind } from '../../ports/engine.js';
 import { estimateTokens } from '../../routing/blocks.js';
@@ -22,6 +23,7 @@
   readonly replica: ConfigurationReplica;
   readonly dispatcher: Dispatcher;
   readonly limits: BodyLimits;
+  readonly teamLimits: TeamLimiter;
 }
 
 type Json = Readonly<Record<string, unknown>>;
@@ -90,8 +92,19 @@
   res.setHeader(headerNames.attempt, event.attempt);
 }
 
+/** Passes events on and counts the tokens that the answer really had. */
+async function* settleAtEnd(
+  events: AsyncIterable<CompletionEvent>,
+  admission: Admission,
+): AsyncGenerator<CompletionEvent> {
+  for await (const event of events) {
+    if (event.kind === 'end') admission.settle(event.promptTokens + event.outputTokens);
+    yield event;
+  }
+}
+
 export function createCompletionHandler(options: CompletionOptions, kind: CompletionKind) {
-  const { clock, log, replica, dispatcher, limits } = options;
+  const { clock, log, replica, dispatcher, limits, teamLimits } = options;
   const format = answerFormats[kind];
 
   const readRequest = async (
@@ -196,12 +209,22 @@
     const created = Math.floor(clock.wallTime() / 1_000);
     const head = { requestId: ctx.requestId, model: route.name, created };
     const mayServe = (agent: AgentView): boolean => servesRoute(route, agent);
-    const events = dispatcher.run(request, mayServe, ctx.source.token);
-    if (body['stream'] !== true) {
-      await sendWhole(ctx, head, events);
-      return;
+    const tokens = request.promptTokens + request.outputTokens;
+    const admission = teamLimits.admit(ctx.team, { tokens, stream: true });
+    try {
+      const run = dispatcher.run(request, mayServe, ctx.source.token);
+      const events = settleAtEnd(run, admission);
+      if (body['stream'] !== true) {
+        await sendWhole(ctx, head, events);
+        return;
+      }
+      const streamOptions = body['stream_options'] as Json | undefined;
+      await sendStream(ctx, head, events, streamOptions?.['include_usage'] === true);
+    } catch (err) {
+      if (isRefusal(err) && err.work === 'not-run') admission.settle(0);
+      throw err;
+    } finally {
+      admission.dispose();
     }
-    const streamOptions = body['stream_options'] as Json | undefined;
-    await sendStream(ctx, head, events, streamOptions?.['include_usage'] === true);
   };
 }
--- a/src/daemon/callers/services.ts
+++ b/src/daemon/callers/services.ts
@@ -9,6 +9,7 @@
 import { type RecordOf } from '../../configuration/records.js';
 import { type ConfigurationReplica } from '../../configuration/replica.js';
 import { type CallPart, CallPartSchema } from '../../gen/cicadatide/v1/agent_pb.js';
+import { type TeamLimiter } from '../../limits/teamlimits.js';
 import { type AgentDirectory, type AgentView } from '../../membership/directory.js';
 import { type CallerContext, readDeadline, readPriority } from './context.js';
 import { headerNames } from './errors.js';
@@ -19,6 +20,7 @@
   readonly random: Random;
   readonly replica: ConfigurationReplica;
   readonly directory: AgentDirectory;
+  readonly teamLimits: TeamLimiter;
 }
 
 /** Path below which plain services are reached: `/services/{route}/{path of the service}`. */
@@ -61,7 +63,7 @@
 }
 
 export function createServiceHandler(options: ServiceOptions) {
-  const { clock, random, replica, directory } = options;
+  const { clock, random, replica, directory, teamLimits } = options;
 
   const chooseAgent = (route: RecordOf<'route'>): AgentView => {
     const serving = directory.usable().filter(({ status }) => {
@@ -86,6 +88,7 @@
     const [, , name = '', ...rest] = url.pathname.split('/');
     const route = findServiceRoute(replica, team, name);
     const deadline = readDeadline(req, route.deadlineMs, clock);
+    teamLimits.admit(team, { tokens: 0, stream: false });
     const agent = chooseAgent(route);
     const method = req.method ?? 'GET';
     const head = {
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,5 +1,7 @@
+import { randomUUID } from 'node:crypto';
 import { Registry } from 'prom-client';
 import { createPeerConnector } from '../adapters/connect/connector.js';
+import { peerRoutes } from '../adapters/connect/peerservice.js';
 import { listenInternal } from '../adapters/connect/listener.js';
 import { noCancellation } from '../base/cancellation.js';
 import { type Clock, sleep, systemClock } from '../base/clock.js';
@@ -8,6 +10,9 @@
 import { type Logger } from '../base/logging.js';
 import { type Random, systemRandom } from '../base/random.js';
 import { type ConfigurationReplica, createConfigurationReplica } from '../configuration/replica.js';
+import { createUsageShares } from '../limits/shares.js';
+import { createTeamLimiter } from '../limits/teamlimits.js';
+import { createUsageExchange } from '../limits/usageexchange.js';
 import { createRetryBudget } from '../limits/retrybudget.js';
 import { createAgentDirectory } from '../membership/directory.js';
 import { type InstancesPort } from '../ports/instances.js';
@@ -80,7 +85,21 @@
     maxBytes: settings.requests.max_body,
     timeoutMs: settings.requests.body_timeout,
   };
-  const completion = { clock, log, replica, dispatcher, limits };
+  const shares = createUsageShares(clock);
+  const teamLimits = createTeamLimiter(clock, shares);
+  const peers = settings.peers.entries.map((address) => resources.add(connector.entry(address)));
+  const usage = resources.add(
+    createUsageExchange({
+      clock,
+      log,
+      self: { instance: settings.process.instance, incarnation: randomUUID() },
+      peers: () => peers,
+      shares,
+      limiter: teamLimits,
+      configurationRevision: () => replica.revision,
+    }),
+  );
+  const completion = { clock, log, replica, dispatcher, limits, teamLimits };
   const callers = createCallerServer({
     clock,
     log,
@@ -98,7 +117,10 @@
         handler: createCompletionHandler(completion, 'text'),
       },
       { path: '/v1/models', methods: ['GET'], handler: createModelsHandler(clock, replica) },
-      { path: servicePrefix, handler: createServiceHandler({ clock, random, replica, directory }) },
+      {
+        path: servicePrefix,
+        handler: createServiceHandler({ clock, random, replica, directory, teamLimits }),
+      },
     ],
   });
   let draining = false;
@@ -111,7 +133,7 @@
   const internal = await listenInternal(
     settings.listen.internal,
     settings.internal.credential,
-    () => undefined,
+    peerRoutes({ ...usage.service }),
   );
   const addresses = {
     internal: internal.address,
--- /dev/null
+++ b/src/limits/teamlimits.ts
@@ -0,0 +1,162 @@
+import { type Clock } from '../base/clock.js';
+import { type Disposable, toDisposable } from '../base/lifecycle.js';
+import { refusal } from '../base/refusals.js';
+import { type Demand, type DemandByTeam, type UsageShares } from './shares.js';
+
+/** A team with its limits over all entries; an absent limit is not checked. */
+export interface LimitedTeam {
+  readonly name: string;
+  readonly limits: {
+    readonly requestsPerSecond?: number | undefined;
+    readonly tokensPerSecond?: number | undefined;
+    readonly streams?: number | undefined;
+  };
+}
+
+/** Size of a request. */
+export interface AdmittedWork {
+  /** Prompt tokens plus the upper bound of the answer's tokens. */
+  readonly tokens: number;
+  /** True when the answer counts as a stream while it runs. */
+  readonly stream: boolean;
+}
+
+/** An admitted request; disposing it ends its stream. */
+export interface Admission extends Disposable {
+  /** Replaces the upper bound by the tokens that were used. */
+  settle(tokens: number): void;
+}
+
+/**
+ * Enforces the limits of teams at this entry by its share of the team's demand.
+ *
+ * Over all n entries and any time of T seconds, the admitted requests and tokens are at most
+ * limit × (T + 1 s of burst + interval × (n − 1)/n), plus one request per entry; the interval is
+ * the time between exchanges (1 s). Streams are at most limit × (1 + (n − 1)/n) + n, where the
+ * second part are streams that still run at an entry whose share has shrunk.
+ */
+export interface TeamLimiter {
+  /** Admits a request or throws the refusal `teamLimit`. */
+  admit(team: LimitedTeam, work: AdmittedWork): Admission;
+  /** Returns the demand since the last call, refused requests included. */
+  takeDemand(): DemandByTeam;
+}
+
+/** Unused allowance that a bucket keeps. */
+const burstSeconds = 1;
+
+/** Wait advised when the entry has no share; the next exchange brings one. */
+const noShareRetryMs = 1_000;
+
+interface Bucket {
+  balance: number;
+  updatedAt: number;
+}
+
+interface TeamState {
+  readonly requests: Bucket;
+  readonly tokens: Bucket;
+  streams: number;
+  requestedCount: number;
+  requestedTokens: number;
+  refusedStreams: number;
+}
+
+export function createTeamLimiter(clock: Clock, shares: UsageShares): TeamLimiter {
+  const states = new Map<string, TeamState>();
+  let demandSince = clock.now();
+
+  const newBucket = (): Bucket => ({ balance: Infinity, updatedAt: clock.now() });
+
+  const stateOf = (team: string): TeamState => {
+    const known = states.get(team);
+    if (known) return known;
+    const state: TeamState = {
+      requests: newBucket(),
+      tokens: newBucket(),
+      streams: 0,
+      requestedCount: 0,
+      requestedTokens: 0,
+      refusedStreams: 0,
+    };
+    states.set(team, state);
+    return state;
+  };
+
+  /** Fills a bucket and returns the wait for the cost, or 0 when it can be paid now. */
+  const waitFor = (bucket: Bucket, rate: number, cost: number): number => {
+    const now = clock.now();
+    const capacity = Math.max(1, rate * burstSeconds);
+    const added = ((now - bucket.updatedAt) / 1_000) * rate;
+    bucket.balance = Math.min(capacity, bucket.balance + added);
+    bucket.updatedAt = now;
+    // A request above the capacity passes with a full bucket, and its debt delays later ones.
+    const missing = Math.min(cost, capacity) - bucket.balance;
+    if (missing <= 1e-9) return 0;
+    return rate > 0 ? (missing / rate) * 1_000 : noShareRetryMs;
+  };
+
+  const refuse = (what: string, retryAfterMs: number) =>
+    refusal('teamLimit', `the team's limit of ${what} is reached`, {
+      retryAfterMs: Math.max(1, Math.ceil(retryAfterMs)),
+    });
+
+  return {
+    admit(team, work) {
+      const { requestsPerSecond, tokensPerSecond, streams } = team.limits;
+      const state = stateOf(team.name);
+      state.requestedCount += 1;
+      state.requestedTokens += work.tokens;
+      if (work.stream && streams !== undefined) {
+        const allowed = shares.allocation(team.name, 'streams', streams);
+        if (state.streams >= Math.max(1, Math.floor(allowed + 1e-9))) {
+          state.refusedStreams += 1;
+          throw refuse('concurrent streams', noShareRetryMs);
+        }
+      }
+      if (requestsPerSecond !== undefined) {
+        const rate = shares.allocation(team.name, 'requests', requestsPerSecond);
+        const waitMs = waitFor(state.requests, rate, 1);
+        if (waitMs > 0) throw refuse('requests per second', waitMs);
+      }
+      if (tokensPerSecond !== undefined && work.tokens > 0) {
+        const rate = shares.allocation(team.name, 'tokens', tokensPerSecond);
+        const waitMs = waitFor(state.tokens, rate, work.tokens);
+        if (waitMs > 0) throw refuse('tokens per second', waitMs);
+        state.tokens.balance -= work.tokens;
+      }
+      if (requestsPerSecond !== undefined) state.requests.balance -= 1;
+      if (work.stream) state.streams += 1;
+      let settled = false;
+      const ended = toDisposable(() => {
+        if (work.stream) state.streams -= 1;
+      });
+      return {
+        settle(tokens) {
+          if (settled) return;
+          settled = true;
+          state.tokens.balance += Math.max(0, work.tokens - tokens);
+        },
+        dispose: () => ended.dispose(),
+      };
+    },
+    takeDemand() {
+      const seconds = Math.max(0.001, (clock.now() - demandSince) / 1_000);
+      demandSince = clock.now();
+      const demand = new Map<string, Demand>();
+      for (const [team, state] of states) {
+        const { requestedCount, requestedTokens, refusedStreams, streams } = state;
+        if (requestedCount === 0 && streams === 0) continue;
+        demand.set(team, {
+          requests: requestedCount / seconds,
+          tokens: requestedTokens / seconds,
+          streams: streams + refusedStreams,
+        });
+        state.requestedCount = 0;
+        state.requestedTokens = 0;
+        state.refusedStreams = 0;
+      }
+      return demand;
+    },
+  };
+}
