--- a/src/daemon/callers/services.ts
+++ b/src/daemon/callers/services.ts
@@ -11,6 +11,7 @@
 import { type CallPart, CallPartSchema } from '../../gen/cicadatide/v1/agent_pb.js';
 import { type OnceCall, type OnceCaller, type ResponseSink } from '../../idempotency/calls.js';
 import { bufferBody, fingerprintOf } from '../../idempotency/fingerprint.js';
+import { type TeamLimiter } from '../../limits/teamlimits.js';
 import { type AgentDirectory, type AgentView } from '../../membership/directory.js';
 import { type HeaderList } from '../../ports/service.js';
 import { type CallerContext, readDeadline, readPriority } from './context.js';
@@ -27,6 +28,7 @@
   readonly onceCaller: OnceCaller | undefined;
   /** Time for the part of a body that is buffered before the call is claimed. */
   readonly bodyTimeoutMs: number;
+  readonly teamLimits: TeamLimiter;
 }
 
 /** Path below which plain services are reached: `/services/{route}/{path of the service}`. */
@@ -89,7 +91,7 @@
 }
 
 export function createServiceHandler(options: ServiceOptions) {
-  const { clock, random, replica, directory, onceCaller, bodyTimeoutMs } = options;
+  const { clock, random, replica, directory, onceCaller, bodyTimeoutMs, teamLimits } = options;
 
   const chooseAgent = (route: RecordOf<'route'>): AgentView => {
     const serving = directory.usable().filter(({ status }) => {
@@ -154,6 +156,7 @@
     const [, , name = '', ...rest] = url.pathname.split('/');
     const route = findServiceRoute(replica, team, name);
     const deadline = readDeadline(req, route.deadlineMs, clock);
+    teamLimits.admit(team, { tokens: 0, stream: false });
     const method = req.method ?? 'GET';
     const path = `/${rest.join('/')}${url.search}`;
     const priority = readPriority(req, team, replica);
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,4 +1,5 @@
 import { collectDefaultMetrics, Registry } from 'prom-client';
+import { randomUUID } from 'node:crypto';
 import { createPeerConnector } from '../adapters/connect/connector.js';
 import { listenInternal } from '../adapters/connect/listener.js';
 import { peerRoutes } from '../adapters/connect/peerservice.js';
@@ -9,6 +10,9 @@
 import { type Logger } from '../base/logging.js';
 import { type Random, systemRandom } from '../base/random.js';
 import { type ConfigurationReplica, createConfigurationReplica } from '../configuration/replica.js';
+import { createUsageShares } from '../limits/shares.js';
+import { createTeamLimiter } from '../limits/teamlimits.js';
+import { createUsageExchange } from '../limits/usageexchange.js';
 import { createRetryBudget } from '../limits/retrybudget.js';
 import { createOnceCaller, type OnceCaller } from '../idempotency/calls.js';
 import { type ClaimStore, createClaimStore } from '../idempotency/claims.js';
@@ -114,8 +118,22 @@
     maxBytes: settings.requests.max_body,
     timeoutMs: settings.requests.body_timeout,
   };
+  const shares = createUsageShares(clock);
+  const teamLimits = createTeamLimiter(clock, shares);
+  const peers = settings.peers.entries.map((address) => resources.add(connector.entry(address)));
+  const usage = resources.add(
+    createUsageExchange({
+      clock,
+      log,
+      self: { instance: settings.process.instance, incarnation: randomUUID() },
+      peers: () => peers,
+      shares,
+      limiter: teamLimits,
+      configurationRevision: () => replica.revision,
+    }),
+  );
   const metrics = createEntryMetrics(registry, directory, replica);
-  const completion = { clock, log, replica, dispatcher, limits, metrics };
+  const completion = { clock, log, replica, dispatcher, limits, metrics, teamLimits };
   const claims = adapters.table && createClaimStore({ clock, log, table: adapters.table });
   const onceCaller = claims && createOnceStack(clock, log, claims, adapters.objects, directory);
   const callers = createCallerServer({
@@ -145,6 +163,7 @@
           directory,
           onceCaller,
           bodyTimeoutMs: limits.timeoutMs,
+          teamLimits,
         }),
       },
     ],
@@ -159,7 +178,7 @@
   const internal = await listenInternal(
     settings.listen.internal,
     settings.internal.credential,
-    peerRoutes(configuration.part),
+    peerRoutes(configuration.part, usage.service),
   );
   const addresses = {
     internal: internal.address,
