Model shared prefill and test the agent's worker on the manual clock

Cause: prefill was forecast as one request at a time, while the engine shares its speed; offers asked at the same moment were all promised the same wait, since the promised jobs sorted behind the asking one; a request that started together with the one that computes its prefix did not follow it.

Change: the queue and its forecast model processor sharing; promised jobs get the lower arrival numbers; following is compared with computing side by side.

--- a/src/scheduling/execution.ts
+++ b/src/scheduling/execution.ts
@@ -15,7 +15,8 @@
 import { type EngineMonitor } from './monitor.js';
 import { type PendingPrefix, type PendingPrefixes } from './pendingprefixes.js';
 import { type Planner } from './planner.js';
-import { type Place, type WorkQueue } from './queue.js';
+import { type WorkQueue } from './queue.js';
+import { type Place } from './runningjobs.js';
 
 /** Executes dispatched requests on the engine. */
 export interface Execution {
@@ -86,22 +87,20 @@
     return { place, prefix, acceptedAt, startedAt: clock.now() };
   };
 
-  /** Learns from the real counts; the prefill is reduced by what other requests added to it. */
+  /** Learns from the real counts and the prefill time without the share of other requests. */
   const observe = (
     req: DispatchRequest,
-    started: Started,
     firstTokenAt: number,
+    prefillMs: number,
     end: Extract<EngineEvent, { readonly kind: 'end' }>,
   ): void => {
     const { state } = monitor;
     if (!state || firstTokenAt === 0) return;
-    const { expectedPrefillMs, ownPrefillMs } = started.place;
-    const ownShare = expectedPrefillMs > 0 ? ownPrefillMs / expectedPrefillMs : 1;
     const { promptTokens, cachedTokens, outputTokens } = end;
     const { team, model } = req;
     cost.observe(state, {
       ...{ team, model, promptTokens, cachedTokens, outputTokens },
-      prefillMs: (firstTokenAt - started.startedAt) * ownShare,
+      prefillMs,
       decodeMs: clock.now() - firstTokenAt,
     });
   };
@@ -114,10 +113,11 @@
   ): Promise<void> => {
     const { place, prefix, acceptedAt, startedAt } = started;
     let firstTokenAt = 0;
+    let prefillMs = 0;
     for await (const event of engine.complete(toEngineRequest(req), token)) {
       if (firstTokenAt === 0) {
         firstTokenAt = clock.now();
-        place.prefillDone();
+        prefillMs = place.prefillDone() ?? 0;
         prefix?.done();
         queue.poll();
       }
@@ -128,7 +128,7 @@
         await buffer.waitForRoom(maxUnreadChunks, token);
         continue;
       }
-      observe(req, started, firstTokenAt, event);
+      observe(req, firstTokenAt, prefillMs, event);
       const { finishReason, promptTokens, cachedTokens, outputTokens } = event;
       buffer.append({
         case: 'end',
--- a/src/scheduling/forecast.ts
+++ b/src/scheduling/forecast.ts
@@ -1,10 +1,11 @@
 /** Choice of the next job, and the forecast that replays it into the future. */
 import { type Lane, type LaneJob } from './lane.js';
+import { advancePrefill, nextPrefillEnd, type PrefillWork, sharedPrefillMs } from './prefill.js';
 
 /** A job in the queue with its class and timing. */
 export interface ScheduledJob extends LaneJob {
   readonly long: boolean;
-  /** Part of the cost that the engine computes for one request at a time. */
+  /** Part of the cost that concurrent requests share. */
   readonly prefillMs: number;
 }
 
@@ -14,9 +15,11 @@
   readonly long: Lane<J>;
 }
 
-/** A job that holds a place, with its expected end. */
-export interface RunningJob {
-  readonly endAt: number;
+/** A job that holds a place. */
+export interface RunningJob extends PrefillWork {
+  readonly decodeMs: number;
+  /** Expected end; Infinity while the prefill is running. */
+  endAt: number;
   readonly long: boolean;
 }
 
@@ -27,14 +30,12 @@
   readonly endAt: number;
 }
 
-/** Everything that a forecast starts from. Lanes are consumed, so pass copies. */
+/** Everything that a forecast starts from. It is consumed, so pass copies. */
 export interface QueueSnapshot {
   readonly now: number;
   readonly places: number;
   readonly lanes: Lanes<ScheduledJob>;
-  readonly running: readonly RunningJob[];
-  /** Time at which the prefill work of the running jobs ends. */
-  readonly prefillFreeAt: number;
+  readonly running: RunningJob[];
 }
 
 /** A long job that waited this long gets a place before short ones when no long job runs. */
@@ -67,10 +68,13 @@
   );
 }
 
-/** Times of a job that starts now. Prefill is serialised, as the engine shares its speed. */
-export function timesFrom(job: ScheduledJob, startAt: number, prefillFreeAt: number): JobTimes {
-  const waitsForPrefill = job.prefillMs > 0 ? Math.max(startAt, prefillFreeAt) : startAt;
-  const firstTokenAt = waitsForPrefill + job.prefillMs;
+/** Times of a job that starts now beside the given running ones. */
+export function timesFrom(
+  job: ScheduledJob,
+  startAt: number,
+  running: Iterable<PrefillWork>,
+): JobTimes {
+  const firstTokenAt = startAt + sharedPrefillMs(running, job.prefillMs);
   return { startAt, firstTokenAt, endAt: firstTokenAt + job.costMs - job.prefillMs };
 }
 
@@ -81,19 +85,24 @@
 
 /** Returns the expected times of a job, which must be in the snapshot's lanes. */
 export function forecastJob(snapshot: QueueSnapshot, job: ScheduledJob): JobTimes {
-  const { lanes, places } = snapshot;
-  const running = [...snapshot.running];
-  let { now, prefillFreeAt } = snapshot;
+  const { lanes, places, running } = snapshot;
+  let { now } = snapshot;
   let longRunning = running.filter(({ long }) => long).length;
 
-  /** Moves time to the next expected end and frees that place. */
-  const finishNext = (): void => {
+  /** Moves time to the next expected end of a prefill or of a job. */
+  const advance = (): void => {
     let first = 0;
     for (const [index, { endAt }] of running.entries()) {
       if (endAt < (running[first] as RunningJob).endAt) first = index;
     }
+    const nextEnd = running[first]?.endAt ?? Infinity;
+    const elapsedMs = Math.max(0, Math.min(nextEnd - now, nextPrefillEnd(running)));
+    now += elapsedMs;
+    advancePrefill(running, elapsedMs, (item) => {
+      item.endAt = now + item.decodeMs;
+    });
+    if (nextEnd > now) return;
     const [ended] = running.splice(first, 1);
-    now = Math.max(now, ended?.endAt ?? now);
     if (ended?.long) longRunning -= 1;
   };
 
@@ -101,11 +110,11 @@
     const hasPlace = running.length < places;
     const next = hasPlace ? nextJob(lanes, places, longRunning, now, false) : undefined;
     if (!next) {
-      if (running.length === 0) return timesFrom(job, now, prefillFreeAt);
-      finishNext();
+      if (running.length === 0) return timesFrom(job, now, running);
+      advance();
       continue;
     }
-    const times = timesFrom(next, now, prefillFreeAt);
+    const times = timesFrom(next, now, running);
     if (next === job) return times;
     const lane = next.long ? lanes.long : lanes.short;
     if (!meetsDeadline(next, times)) {
@@ -113,8 +122,9 @@
       continue;
     }
     lane.take(next);
-    prefillFreeAt = Math.max(prefillFreeAt, times.firstTokenAt);
-    running.push({ endAt: times.endAt, long: next.long });
+    const decodeMs = next.costMs - next.prefillMs;
+    const endAt = next.prefillMs > 0 ? Infinity : times.endAt;
+    running.push({ leftMs: next.prefillMs, decodeMs, endAt, long: next.long });
     if (next.long) longRunning += 1;
   }
 }
--- a/src/scheduling/hotprefix.ts
+++ b/src/scheduling/hotprefix.ts
@@ -11,8 +11,8 @@
 export interface HotPrefixes {
   record(hash: bigint): void;
   /**
-   * Estimated number of requests within the last second. It is never below the guaranteed part of
-   * the sketch's count, and 0 for a prefix that is not among the counted ones.
+   * Estimated number of requests within the last second. The part inherited from a replaced prefix
+   * is left out, so a rare prefix never looks hot.
    */
   count(hash: bigint): number;
   /** Prefixes with at least the given count, the most frequent first. */
--- a/src/scheduling/planner.ts
+++ b/src/scheduling/planner.ts
@@ -61,7 +61,10 @@
   const coverOf = (req: PlannedRequest): PrefixCover =>
     pending.cover(req.blockHashes, req.blockDepths, index.has);
 
-  /** Following another computation pays when its rest is shorter than the prefill it saves. */
+  /**
+   * Following another computation pays when it gives an earlier first token than computing beside
+   * it, which slows both down as they share the engine's prefill speed.
+   */
   const planFor = (req: PlannedRequest, cover: PrefixCover): Plan => {
     const cachedTokens = cover.cached * blockTokens;
     const alone = estimate(req, cachedTokens);
@@ -69,7 +72,8 @@
     const followTokens = cover.pending * blockTokens;
     const follow = estimate(req, followTokens);
     const readyInMs = Math.max(0, cover.readyAt - clock.now());
-    if (readyInMs >= alone.prefillMs - follow.prefillMs) {
+    const besideMs = alone.prefillMs + Math.min(readyInMs, alone.prefillMs);
+    if (readyInMs + follow.prefillMs >= besideMs) {
       return { cachedTokens, cost: alone, readyInMs: 0 };
     }
     return { cachedTokens: followTokens, cost: follow, readyInMs };
--- a/src/scheduling/queue.ts
+++ b/src/scheduling/queue.ts
@@ -9,13 +9,13 @@
   type JobTimes,
   meetsDeadline,
   nextJob,
-  type RunningJob,
   type ScheduledJob,
   timesFrom,
 } from './forecast.js';
 import { type JobCost, type QueuedJob, queueRefusal } from './job.js';
 import { createLane, priorityClass } from './lane.js';
 import { createLongJobDetector } from './longjobs.js';
+import { createRunningJobs, type Place } from './runningjobs.js';
 
 /** Expected durations from now for one job. */
 export interface JobForecast {
@@ -26,16 +26,6 @@
   readonly onTime: boolean;
 }
 
-/** A place that a job holds until it is disposed. */
-export interface Place extends Disposable {
-  /** Expected time from the start to the first token, with the prefill of others. */
-  readonly expectedPrefillMs: number;
-  /** Prefill of this job alone, as estimated when it started. */
-  readonly ownPrefillMs: number;
-  /** Records that the prefill of this job ended. */
-  prefillDone(): void;
-}
-
 /** Bounded queue in front of the places of one target. */
 export interface WorkQueue {
   readonly running: number;
@@ -71,9 +61,6 @@
 /** Bounds the memory of waiting bodies and the time of one forecast. */
 const defaultMaxWaiting = 512;
 
-/** Share of its cost that a job is expected to need still after its expected end passed. */
-const overdueShare = 0.1;
-
 interface Waiter extends ScheduledJob {
   costMs: number;
   prefillMs: number;
@@ -82,18 +69,11 @@
   readonly refuse: (reason: RefusalReason, retryAfterMs: number) => void;
 }
 
-interface Running {
-  readonly job: ScheduledJob;
-  firstTokenAt: number;
-  endAt: number;
-  prefilling: boolean;
-}
-
 export function createWorkQueue(options: WorkQueueOptions): WorkQueue {
   const { clock, maxWaiting = defaultMaxWaiting, teamWeight = () => 1 } = options;
   const lanes = { short: createLane<Waiter>(teamWeight), long: createLane<Waiter>(teamWeight) };
   const detector = createLongJobDetector();
-  const running = new Set<Running>();
+  const running = createRunningJobs(clock);
   let { places } = options;
   let arrivals = 0;
 
@@ -117,27 +97,12 @@
     };
   };
 
-  /** Expected end of a running job; one that is overdue still needs some time. */
-  const expectedEnd = ({ job, endAt }: Running): number =>
-    Math.max(endAt, clock.now() + job.costMs * overdueShare);
-
-  const prefillFreeAt = (): number => {
-    let freeAt = clock.now();
-    for (const { prefilling, firstTokenAt } of running) {
-      if (prefilling) freeAt = Math.max(freeAt, firstTokenAt);
-    }
-    return freeAt;
-  };
-
-  const timesOf = (job: ScheduledJob, promised: readonly QueuedJob[]): JobTimes => {
+  const timesOf = (job: ScheduledJob, promised: readonly ScheduledJob[]): JobTimes => {
     const copies = { short: lanes.short.copy(), long: lanes.long.copy() };
-    const busy: RunningJob[] = [];
-    for (const item of running) busy.push({ endAt: expectedEnd(item), long: item.job.long });
-    for (const other of [...promised.map(schedule), job]) {
+    for (const other of [...promised, job]) {
       (other.long ? copies.long : copies.short).add(other as Waiter);
     }
-    const now = clock.now();
-    const snapshot = { now, places, lanes: copies, running: busy, prefillFreeAt: prefillFreeAt() };
+    const snapshot = { now: clock.now(), places, lanes: copies, running: running.snapshot() };
     return forecastJob(snapshot, job);
   };
 
@@ -150,12 +115,10 @@
 
   const startNext = (): void => {
     while (running.size < places) {
-      let longRunning = 0;
-      for (const { job } of running) if (job.long) longRunning += 1;
-      const next = nextJob(lanes, places, longRunning, clock.now(), true);
+      const next = nextJob(lanes, places, running.longCount, clock.now(), true);
       if (!next) return;
       updateCost(next);
-      const times = timesFrom(next, clock.now(), prefillFreeAt());
+      const times = timesFrom(next, clock.now(), running.snapshot());
       if (meetsDeadline(next, times)) {
         laneOf(next).take(next);
         next.start(times);
@@ -166,23 +129,13 @@
     }
   };
 
-  const occupy = (job: ScheduledJob, times: JobTimes): Place => {
-    const item: Running = { job, ...times, prefilling: job.prefillMs > 0 };
-    running.add(item);
+  const occupy = (job: ScheduledJob): Place => {
+    const started = running.add(job);
     const release = toDisposable(() => {
-      running.delete(item);
+      started.dispose();
       startNext();
     });
-    return {
-      expectedPrefillMs: times.firstTokenAt - times.startAt,
-      ownPrefillMs: job.prefillMs,
-      prefillDone() {
-        if (!item.prefilling) return;
-        item.prefilling = false;
-        item.endAt = clock.now() + job.costMs - job.prefillMs;
-      },
-      dispose: release.dispose,
-    };
+    return { prefillDone: started.prefillDone, dispose: release.dispose };
   };
 
   /** Refuses waiting jobs that can't meet their deadline even when they start now. */
@@ -190,7 +143,7 @@
     const now = clock.now();
     for (const lane of Object.values(lanes)) {
       for (const job of [...lane]) {
-        const times = timesFrom(job, now, now);
+        const times = timesFrom(job, now, []);
         if (meetsDeadline(job, times)) continue;
         lane.remove(job);
         job.refuse(RefusalReason.DEADLINE, times.endAt - job.deadline);
@@ -211,7 +164,7 @@
         start(times) {
           state.link?.dispose();
           job.onStart?.(times.firstTokenAt);
-          resolve(occupy(waiter, times));
+          resolve(occupy(waiter));
         },
         refuse(reason, retryAfterMs) {
           state.link?.dispose();
@@ -229,8 +182,10 @@
 
   const forecast = (job: QueuedJob, promised: readonly QueuedJob[] = []): JobForecast => {
     const now = clock.now();
+    // Promised jobs were there first, so they get the lower arrival numbers.
+    const earlier = promised.map(schedule);
     const scheduled = schedule(job);
-    const times = timesOf(scheduled, promised);
+    const times = timesOf(scheduled, earlier);
     return {
       waitMs: times.startAt - now,
       firstTokenMs: times.firstTokenAt - now,
@@ -255,7 +210,9 @@
     get backlogMs() {
       if (running.size < places) return 0;
       let totalMs = 0;
-      for (const item of running) totalMs += expectedEnd(item) - clock.now();
+      for (const { leftMs, decodeMs, endAt } of running.snapshot()) {
+        totalMs += endAt === Infinity ? leftMs + decodeMs : endAt - clock.now();
+      }
       for (const { costMs } of [...lanes.short, ...lanes.long]) totalMs += costMs;
       return totalMs / places;
     },
--- /dev/null
+++ b/test/scheduling/worker.test.ts
@@ -0,0 +1,147 @@
+import { create } from '@bufbuild/protobuf';
+import { expect, test } from 'vitest';
+import { createCancellationSource } from '../../src/base/cancellation.js';
+import { createNullLogger } from '../../src/base/logging.js';
+import {
+  DispatchRequestSchema,
+  OfferRequestSchema,
+  RefusalReason,
+  type StreamFailure,
+} from '../../src/gen/cicadatide/v1/agent_pb.js';
+import { createEngineWorker } from '../../src/scheduling/worker.js';
+import { createManualClock } from '../standins/clock.js';
+import { createEngineModel, type ModelBody } from '../standins/enginemodel.js';
+
+interface Ask {
+  readonly blocks: readonly bigint[];
+  /** Output that the caller allows, and the one that the engine produces. */
+  readonly allowed?: number;
+  readonly output?: number;
+  readonly remainingMs?: number;
+  readonly fails?: boolean;
+}
+
+interface Answer {
+  firstTokenAt: number;
+  endAt: number;
+  failure: StreamFailure | undefined;
+}
+
+/** Blocks of a shared prefix followed by blocks of one prompt. */
+function chain(shared: number, own: number, prompt: number): readonly bigint[] {
+  const prefix = Array.from({ length: shared }, (_, index) => BigInt(index + 1));
+  const rest = Array.from({ length: own }, (_, index) => BigInt(1_000 * (prompt + 1) + index));
+  return [...prefix, ...rest];
+}
+
+async function createHarness() {
+  const clock = createManualClock();
+  const engine = createEngineModel(clock);
+  const worker = createEngineWorker({ clock, log: createNullLogger(), engine, target: 't' });
+  await clock.advance(1);
+  let requests = 0;
+  const fieldsOf = ({ blocks, allowed = 10, remainingMs = 60_000 }: Ask) => ({
+    ...{ team: 'red', model: 'm', outputTokens: allowed, remainingMs },
+    ...{ blockHashes: [...blocks], promptTokens: blocks.length * 128 },
+  });
+  return {
+    clock,
+    engine,
+    worker,
+    offer(ask: Ask) {
+      const blockDepths = ask.blocks.map((_, index) => index + 1);
+      return worker.offer(create(OfferRequestSchema, { ...fieldsOf(ask), blockDepths }));
+    },
+    dispatch(ask: Ask, reservationId = ''): Answer {
+      requests += 1;
+      const answer: Answer = { firstTokenAt: 0, endAt: 0, failure: undefined };
+      const blocks = ask.blocks.map(String);
+      const body: ModelBody = { blocks, output: ask.output ?? 10, fails: ask.fails ?? false };
+      const req = create(DispatchRequestSchema, {
+        ...fieldsOf(ask),
+        ...{ requestId: `r${requests}`, attempt: 1, reservationId, weightsVersion: 'v1' },
+        body: Buffer.from(JSON.stringify(body)),
+      });
+      const read = async (): Promise<void> => {
+        for await (const { part } of worker.dispatch(req, createCancellationSource().token)) {
+          if (part.case === 'text') answer.firstTokenAt ||= clock.now();
+          if (part.case === 'failure') answer.failure = part.value;
+          if (part.case === 'end') answer.endAt = clock.now();
+        }
+      };
+      read().catch(() => undefined);
+      return answer;
+    },
+  };
+}
+
+const mean = (values: readonly number[]): number =>
+  values.reduce((sum, value) => sum + value, 0) / values.length;
+
+// Guards against entries that ask at the same moment and are all promised the same short wait.
+test('offers to many entries at once stay truthful', async () => {
+  const { clock, offer, dispatch } = await createHarness();
+  const at = clock.now();
+  const asks = Array.from({ length: 16 }, (_, prompt) => ({ blocks: chain(0, 20, prompt) }));
+  const offers = asks.map((ask) => offer(ask));
+  const answers = asks.map((ask, index) => dispatch(ask, offers[index]?.reservationId));
+  await clock.advance(20_000);
+  const promised = offers.map(({ expectedFirstTokenMs = 0 }) => expectedFirstTokenMs);
+  const actual = answers.map(({ firstTokenAt }) => firstTokenAt - at);
+  expect(new Set(promised).size).toBe(16);
+  expect(mean(promised) / mean(actual)).toBeGreaterThan(0.8);
+  expect(mean(promised) / mean(actual)).toBeLessThan(1.2);
+});
+
+// Guards against the same prefix being computed several times, and against offers that ignore a
+// computation which is about to end.
+test('requests with the same missing prefix follow the one that computes it', async () => {
+  const { clock, engine, offer, dispatch } = await createHarness();
+  const answers = [dispatch({ blocks: chain(40, 1, 0) })];
+  await clock.advance(100);
+  for (let prompt = 1; prompt < 6; prompt += 1) {
+    answers.push(dispatch({ blocks: chain(40, 1, prompt) }));
+  }
+  await clock.advance(0);
+  const { cachedTokens, expectedFirstTokenMs } = offer({ blocks: chain(40, 1, 9) });
+  expect(cachedTokens).toBe(40 * 128);
+  expect(expectedFirstTokenMs).toBeGreaterThan(300);
+  expect(expectedFirstTokenMs).toBeLessThan(500);
+  await clock.advance(5_000);
+  expect(answers.every(({ endAt }) => endAt > 0)).toBe(true);
+  expect(Math.round(engine.prefilledTokens)).toBe((40 + 6) * 128);
+});
+
+// Guards against followers that wait for a prefix whose computation failed.
+test('followers compute the prefix themselves when the first request fails', async () => {
+  const { clock, engine, dispatch } = await createHarness();
+  const failed = dispatch({ blocks: chain(40, 1, 0), fails: true });
+  const others = [1, 2, 3].map((prompt) => dispatch({ blocks: chain(40, 1, prompt) }));
+  await clock.advance(5_000);
+  expect(failed.failure?.notRun).toBe(false);
+  expect(others.every(({ endAt }) => endAt > 0)).toBe(true);
+  expect(Math.round(engine.prefilledTokens)).toBeLessThan((40 + 4) * 128);
+});
+
+// Guards against offers and refusals that take the allowed output length for the real one.
+test('the output length of a team is learned', async () => {
+  const { clock, offer, dispatch } = await createHarness();
+  const ask = { allowed: 1_000, output: 20, blocks: chain(0, 1, 0) };
+  const refused = offer({ ...ask, remainingMs: 5_000 }).refusal;
+  for (let round = 0; round < 10; round += 1) {
+    dispatch(ask);
+    await clock.advance(1_000);
+  }
+  const accepted = offer({ ...ask, remainingMs: 5_000 }).refusal ?? RefusalReason.UNSPECIFIED;
+  expect([refused, accepted]).toEqual([RefusalReason.DEADLINE, RefusalReason.UNSPECIFIED]);
+});
+
+// Guards against a refusal in the queue that the entry can't tell from a failed run.
+test('a request that cannot end in time is refused as not run', async () => {
+  const { clock, engine, dispatch } = await createHarness();
+  const answer = dispatch({ blocks: chain(0, 40, 0), remainingMs: 300 });
+  await clock.advance(0);
+  const { failure } = answer;
+  expect(failure).toMatchObject({ notRun: true, refusal: RefusalReason.DEADLINE });
+  expect([engine.mostRunning, failure?.retryAfterMs]).toEqual([0, 200]);
+});
