Hash prompts as UTF-16 units and choose candidates in one pass

Cause: the choice among 600 agents took longer than the aim of 100 µs, and prompts with any character outside ASCII were encoded block by block.

Change: blocks are hashed as UTF-16 units for every text, which needs one copy and no second path; loads are computed once per request; the sketch stops its search at the known least count; a hot prefix uses at most 64 targets. The microbenchmark moves its sketch by 1,000 requests/s instead of the speed of the machine, so that widths are those of real traffic.

--- a/measure/microbench.ts
+++ b/measure/microbench.ts
@@ -40,6 +40,9 @@
   });
 }
 
+/** Requests per second that the sketch of hot prefixes sees, so that a few prompts are hot. */
+const requestsPerSecond = 1_000;
+
 /** Returns the p50 and p99 in microseconds. */
 function time(run: (round: number) => void): string {
   for (let round = 0; round < warmUpRounds; round += 1) run(round);
@@ -68,7 +71,9 @@
   console.log(`hashing, ${label}: ${hashing}`);
   for (const count of [9, 600]) {
     const agents = createAgents(count);
-    const selector = createCandidateSelector(createSeededRandom(3), createHotPrefixes(systemClock));
+    let requests = 0;
+    const clock = { ...systemClock, now: () => (requests * 1_000) / requestsPerSecond };
+    const selector = createCandidateSelector(createSeededRandom(3), createHotPrefixes(clock));
     const result = time((round) => {
       const request = createCompletionRequest({
         requestId: 'request-1',
@@ -84,6 +89,7 @@
         priority: 0,
         deadline: { remainingMs: () => 1_000 },
       });
+      requests += 1;
       selector.select(request, agents);
       sampleChain(request.blockHashes('v1'));
     });
--- a/src/routing/blocks.ts
+++ b/src/routing/blocks.ts
@@ -30,45 +30,51 @@
 const { h64Raw } = await xxhash();
 const encoder = new TextEncoder();
 
-/** Buffers are reused, because hashing is synchronous and allocation dominates its cost. */
-let textBytes = new Uint8Array(blockChars * 128);
-const wideBytes = Buffer.alloc(blockChars * 2);
-
-/** Writes the text as one byte per character; returns false when it is not all ASCII. */
-function encodeAscii(text: string): boolean {
-  if (textBytes.length < text.length) textBytes = new Uint8Array(text.length * 2);
-  // A character outside ASCII takes more bytes than UTF-16 units, so the buffer ends too early or
-  // more bytes than characters are written.
-  const { read, written } = encoder.encodeInto(text, textBytes);
-  return read === text.length && written === text.length;
+/** Bytes of one block; a UTF-16 unit has two. */
+const blockBytes = blockChars * 2;
+
+/** Buffer for one prompt and its blocks as views; reused, because allocation would dominate. */
+interface Scratch {
+  readonly text: Buffer;
+  readonly blocks: readonly Uint8Array[];
+}
+
+function createScratch(blocks: number): Scratch {
+  const text = Buffer.alloc(blocks * blockBytes);
+  const bytes = new Uint8Array(text.buffer, text.byteOffset, text.length);
+  const views = Array.from({ length: blocks }, (_, index) =>
+    bytes.subarray(index * blockBytes, (index + 1) * blockBytes),
+  );
+  return { text, blocks: views };
+}
+
+/** Blocks of the largest buffer that is kept (4 MiB); longer prompts use one of their own. */
+const maxKeptBlocks = 4_096;
+
+let kept = createScratch(128);
+
+function scratchFor(blocks: number): Scratch {
+  if (blocks <= kept.blocks.length) return kept;
+  if (blocks > maxKeptBlocks) return createScratch(blocks);
+  kept = createScratch(Math.min(maxKeptBlocks, blocks * 2));
+  return kept;
 }
 
 /**
  * Hashes the full blocks of a prompt. Each hash covers the seed and all text up to the end of
  * its block, so equal hashes mean equal prefixes of one team, model, version and adapter.
- * A block is hashed as ASCII bytes, or as UTF-16 units when it has other characters: UTF-8 would
- * replace the halves of a character that crosses a block boundary and make different texts equal.
+ * Blocks are hashed as UTF-16 units: UTF-8 would replace the halves of a character that crosses
+ * a block boundary and make different texts equal.
  */
 export function hashBlocks(seed: ChainSeed, text: string): readonly bigint[] {
   const seedText = JSON.stringify([seed.salt, seed.model, seed.weightsVersion, seed.adapter]);
   let previous = h64Raw(encoder.encode(seedText));
   const blocks = Math.floor(text.length / blockChars);
+  const scratch = scratchFor(blocks);
+  scratch.text.write(text, 'utf16le');
   const hashes = new Array<bigint>(blocks);
-  const isAscii = encodeAscii(text);
   for (let index = 0; index < blocks; index += 1) {
-    const start = index * blockChars;
-    const end = start + blockChars;
-    if (isAscii) {
-      previous = h64Raw(textBytes.subarray(start, end), previous);
-    } else {
-      const block = text.slice(start, end);
-      if (encodeAscii(block)) {
-        previous = h64Raw(textBytes.subarray(0, blockChars), previous);
-      } else {
-        wideBytes.write(block, 'utf16le');
-        previous = h64Raw(wideBytes, previous);
-      }
-    }
+    previous = h64Raw(scratch.blocks[index] as Uint8Array, previous);
     hashes[index] = previous;
   }
   return hashes;
--- a/src/routing/candidates.ts
+++ b/src/routing/candidates.ts
@@ -10,6 +10,9 @@
 /** Weight of a fully busy target beside its queue, so that empty queues are told apart. */
 const busyWeightMs = 50;
 
+/** Targets of the hottest prefix; bounds the time of a choice among hundreds of targets. */
+const maxWidth = 64;
+
 /** A target is overloaded when its load is above this multiple of the mean load. */
 const overloadFactor = 1.25;
 
@@ -31,6 +34,8 @@
 
 /** Weights version that most agents serve, so that all entries derive the same keys. */
 export function commonVersion(agents: readonly AgentView[]): string {
+  const first = agents[0]?.status?.weightsVersion ?? '';
+  if (agents.every(({ status }) => status?.weightsVersion === first)) return first;
   const counts = new Map<string, number>();
   for (const { status } of agents) {
     if (status) counts.set(status.weightsVersion, (counts.get(status.weightsVersion) ?? 0) + 1);
@@ -69,18 +74,29 @@
   select(req: CompletionRequest, agents: readonly AgentView[]): readonly AgentView[];
 }
 
-function leastLoaded(agents: readonly AgentView[], random: Random): AgentView | undefined {
-  let best: AgentView | undefined;
-  let bestLoad = Infinity;
+/** Loads of all agents, computed once per request. */
+interface Loads {
+  readonly values: Float64Array;
+  readonly mean: number;
+  /** Index of the least loaded agent, a random one of several. */
+  readonly least: number;
+}
+
+function measureLoads(agents: readonly AgentView[], random: Random): Loads {
+  const values = new Float64Array(agents.length);
+  let total = 0;
+  let least = 0;
   let ties = 0;
-  for (const agent of agents) {
-    const load = loadOf(agent);
-    if (load > bestLoad) continue;
-    ties = load === bestLoad ? ties + 1 : 1;
-    if (load < bestLoad || random.integer(ties) === 0) best = agent;
-    bestLoad = load;
+  for (let index = 0; index < agents.length; index += 1) {
+    const load = loadOf(agents[index] as AgentView);
+    values[index] = load;
+    total += load;
+    const leastLoad = values[least] as number;
+    if (load > leastLoad) continue;
+    ties = load === leastLoad ? ties + 1 : 1;
+    if (load < leastLoad || random.integer(ties) === 0) least = index;
   }
-  return best;
+  return { values, mean: total / agents.length, least };
 }
 
 /**
@@ -93,16 +109,15 @@
       if (agents.length <= 1) return agents;
       const hashes = req.blockHashes(commonVersion(agents));
       const keys = keyDepths(hashes.length).map((depth) => hashes[depth - 1] as bigint);
-      let total = 0;
-      for (const agent of agents) total += loadOf(agent);
-      const loadLimit = (total / agents.length) * overloadFactor + overloadSlackMs;
-      const accept = (agent: AgentView): boolean => loadOf(agent) <= loadLimit;
+      const loads = measureLoads(agents, random);
+      const loadLimit = loads.mean * overloadFactor + overloadSlackMs;
+      const accept = (index: number): boolean => (loads.values[index] as number) <= loadLimit;
       const table = createRendezvousTable(agents, targetOf);
       const chosen = new Set<AgentView>();
 
       for (const key of keys) hot.record(key);
       for (const key of keys) {
-        const width = hot.width(key, agents.length);
+        const width = hot.width(key, Math.min(agents.length, maxWidth));
         if (width <= 1) continue;
         const [home, ...others] = table.top(key, width, accept);
         if (home) chosen.add(home);
@@ -118,8 +133,7 @@
       if (keys.length > 0 && chosen.size < 2) {
         for (const agent of table.top(keys[0] as bigint, 2, accept)) chosen.add(agent);
       }
-      const idle = leastLoaded(agents, random);
-      if (idle) chosen.add(idle);
+      chosen.add(agents[loads.least] as AgentView);
       // A prompt without a full block has no prefix to share, so two random agents are compared.
       for (let tries = 0; keys.length === 0 && chosen.size < 3 && tries < 4; tries += 1) {
         chosen.add(agents[random.integer(agents.length)] as AgentView);
--- a/src/routing/hotprefix.ts
+++ b/src/routing/hotprefix.ts
@@ -19,45 +19,55 @@
 }
 
 /** One window of the Space-Saving algorithm. */
-type Window = Map<bigint, Counter>;
+interface Window {
+  readonly counters: Map<bigint, Counter>;
+  /** No count is below this one, so a search for the least can stop there. */
+  least: number;
+}
+
+function createWindow(): Window {
+  return { counters: new Map(), least: 1 };
+}
 
 function addTo(window: Window, key: bigint): void {
-  const known = window.get(key);
+  const { counters } = window;
+  const known = counters.get(key);
   if (known) {
     known.count += 1;
     return;
   }
   let error = 0;
-  if (window.size >= sketchSize) {
-    let least = 0n;
+  if (counters.size >= sketchSize) {
+    let evicted = 0n;
     error = Infinity;
-    for (const [other, { count }] of window) {
+    for (const [other, { count }] of counters) {
       if (count >= error) continue;
-      least = other;
+      evicted = other;
       error = count;
-      if (count === 1) break;
+      if (count <= window.least) break;
     }
-    window.delete(least);
+    window.least = error;
+    counters.delete(evicted);
   }
-  window.set(key, { count: error + 1, error });
+  counters.set(key, { count: error + 1, error });
 }
 
 function certainCount(window: Window, key: bigint): number {
-  const counter = window.get(key);
+  const counter = window.counters.get(key);
   return counter ? counter.count - counter.error : 0;
 }
 
 /** Keeps the current and the previous window and weighs the latter by its overlap. */
 export function createHeavyHitters(clock: Clock): HeavyHitters {
-  let current: Window = new Map();
-  let previous: Window = new Map();
+  let current = createWindow();
+  let previous = createWindow();
   let startedAt = clock.now();
 
   const turn = (): void => {
     const age = clock.now() - startedAt;
     if (age < windowMs) return;
-    previous = age < 2 * windowMs ? current : new Map();
-    current = new Map();
+    previous = age < 2 * windowMs ? current : createWindow();
+    current = createWindow();
     startedAt += Math.floor(age / windowMs) * windowMs;
   };
 
--- a/src/routing/rendezvous.ts
+++ b/src/routing/rendezvous.ts
@@ -29,9 +29,10 @@
 export interface RendezvousTable<T> {
   /**
    * Returns the first candidates in the order of a key. Every process gives the same order, and
-   * adding or removing a candidate moves only the keys of that candidate.
+   * adding or removing a candidate moves only the keys of that candidate. Candidates whose index
+   * is not accepted are passed over.
    */
-  top(key: bigint, count: number, accept?: (candidate: T) => boolean): readonly T[];
+  top(key: bigint, count: number, accept?: (index: number) => boolean): readonly T[];
 }
 
 export function createRendezvousTable<T>(
@@ -39,8 +40,8 @@
   nameOf: (candidate: T) => string,
 ): RendezvousTable<T> {
   const hashes = new Uint32Array(candidates.length);
-  for (const [index, candidate] of candidates.entries()) {
-    hashes[index] = hashName(nameOf(candidate));
+  for (let index = 0; index < candidates.length; index += 1) {
+    hashes[index] = hashName(nameOf(candidates[index] as T));
   }
 
   const isBefore = (a: number, scoreA: number, b: number, scoreB: number): boolean => {
@@ -57,8 +58,8 @@
       for (let index = 0; index < hashes.length; index += 1) {
         const score = mix(mix((hashes[index] as number) ^ low) ^ high);
         const full = indexes.length >= count;
-        if (full && score < (scores[count - 1] ?? Infinity)) continue;
-        if (accept && !accept(candidates[index] as T)) continue;
+        if (full && score < (scores[count - 1] as number)) continue;
+        if (accept && !accept(index)) continue;
         let place = indexes.length;
         while (
           place > 0 &&
