Limit concurrent prefills and keep a learned reserve before deadlines

Cause: with prefill speed shared by all running requests, the agent started as many prefills as the engine has places, so under overload each slowed the others and most ended late. An unknown output was taken as long as allowed, so with a short deadline everything was refused and nothing was learned.

Change: two prefills of short jobs and one of long jobs run at once; overdue ones and those under 10 ms are not counted. The reserve before a deadline follows recent overruns. Unknown outputs are assumed short, and learned values fade while nothing is observed.

--- a/src/scheduling/cost.ts
+++ b/src/scheduling/cost.ts
@@ -1,4 +1,5 @@
 /** Estimate of the time that a request needs, corrected by finished requests. */
+import { type Clock } from '../base/clock.js';
 import { type EngineState } from '../ports/engine.js';
 
 /** Size of one request for the estimate. */
@@ -45,15 +46,34 @@
 /** Pairs of team and model whose output length is kept; the least recently used is dropped. */
 const maxLengths = 2_048;
 
+/**
+ * Output length that is assumed before one was observed. It is short on purpose: an estimate that
+ * is too long gets requests refused, and then nothing would be observed that corrects it.
+ */
+const assumedTokens = 64;
+
+/** An output length that was not observed for this long is no longer held against a request. */
+const lengthValidMs = 10_000;
+
+/** Time constant with which a correction fades while nothing is observed, for the same reason. */
+const correctionFadeMs = 5_000;
+
 interface MeanLength {
   count: number;
   mean: number;
+  observedAt: number;
 }
 
-export function createCostModel(): CostModel {
+/** Ratio of real to nominal duration. */
+interface Correction {
+  factor: number;
+  observedAt: number;
+}
+
+export function createCostModel(clock: Clock): CostModel {
   const lengths = new Map<string, MeanLength>();
-  let prefillFactor = 1;
-  let decodeFactor = 1;
+  const prefill: Correction = { factor: 1, observedAt: clock.now() };
+  const decode: Correction = { factor: 1, observedAt: clock.now() };
 
   const keyOf = (team: string, model: string): string => JSON.stringify([team, model]);
 
@@ -68,18 +88,24 @@
     };
   };
 
+  const currentFactor = ({ factor, observedAt }: Correction): number =>
+    1 + (factor - 1) * Math.exp((observedAt - clock.now()) / correctionFadeMs);
+
   /** Moves a factor towards the measured ratio; independent of how many requests are running. */
-  const corrected = (factor: number, idleMs: number, actualMs: number): number => {
-    if (idleMs < minMeasuredMs || actualMs <= 0) return factor;
+  const correct = (correction: Correction, idleMs: number, actualMs: number): void => {
+    if (idleMs < minMeasuredMs || actualMs <= 0) return;
     const ratio = Math.min(maxCorrection, Math.max(1 / maxCorrection, actualMs / idleMs));
-    return factor + smoothing * (ratio - factor);
+    const factor = currentFactor(correction);
+    correction.factor = factor + smoothing * (ratio - factor);
+    correction.observedAt = clock.now();
   };
 
   const observeLength = (team: string, model: string, tokens: number): void => {
     const key = keyOf(team, model);
-    const length = lengths.get(key) ?? { count: 0, mean: 0 };
+    const length = lengths.get(key) ?? { count: 0, mean: 0, observedAt: 0 };
     length.count += 1;
     length.mean += (tokens - length.mean) * Math.max(smoothing, 1 / length.count);
+    length.observedAt = clock.now();
     lengths.delete(key);
     lengths.set(key, length);
     if (lengths.size <= maxLengths) return;
@@ -89,23 +115,27 @@
     }
   };
 
-  const expectedOutput = (team: string, model: string, allowedTokens: number): number =>
-    Math.min(allowedTokens, lengths.get(keyOf(team, model))?.mean ?? allowedTokens);
+  const expectedOutput = (team: string, model: string, allowedTokens: number): number => {
+    const length = lengths.get(keyOf(team, model));
+    if (!length) return Math.min(allowedTokens, assumedTokens);
+    const isValid = clock.now() - length.observedAt <= lengthValidMs;
+    return Math.min(allowedTokens, isValid ? length.mean : Math.min(length.mean, assumedTokens));
+  };
 
   return {
     estimate(state, size) {
       const outputTokens = expectedOutput(size.team, size.model, size.outputTokens);
       const idle = idleTimes(state, { ...size, outputTokens });
       return {
-        prefillMs: idle.prefillMs * prefillFactor,
-        decodeMs: idle.decodeMs * decodeFactor,
+        prefillMs: idle.prefillMs * currentFactor(prefill),
+        decodeMs: idle.decodeMs * currentFactor(decode),
       };
     },
     expectedOutput,
     observe(state, request) {
       const idle = idleTimes(state, request);
-      prefillFactor = corrected(prefillFactor, idle.prefillMs, request.prefillMs);
-      decodeFactor = corrected(decodeFactor, idle.decodeMs, request.decodeMs);
+      correct(prefill, idle.prefillMs, request.prefillMs);
+      correct(decode, idle.decodeMs, request.decodeMs);
       observeLength(request.team, request.model, request.outputTokens);
     },
   };
--- a/src/scheduling/forecast.ts
+++ b/src/scheduling/forecast.ts
@@ -36,19 +36,38 @@
   readonly places: number;
   readonly lanes: Lanes<ScheduledJob>;
   readonly running: RunningJob[];
+  /** Time kept before a deadline, from how late jobs ended recently. */
+  readonly reserveMs: number;
 }
 
 /** A long job that waited this long gets a place before short ones when no long job runs. */
 export const longPatienceMs = 1_000;
 
-/** Share of the cost kept in reserve before a deadline, as estimates are not exact. */
-const reserveShare = 0.1;
+/** Least and greatest share of the cost kept in reserve before a deadline. */
+const minReserveShare = 0.1;
+const maxReserveShare = 0.5;
 
 /** Places that long jobs may hold at once. */
 export function longLimit(places: number): number {
   return Math.max(1, Math.floor(places / 2));
 }
 
+/** What the running jobs leave free. */
+export interface Occupancy {
+  readonly longRunning: number;
+  readonly shortPrefills: number;
+  readonly longPrefills: number;
+}
+
+/**
+ * Prefills of each kind at once. They share the engine's speed, so more of them finish no earlier
+ * but make all of them late under overload; the second one covers the gap between two.
+ */
+const maxPrefills = { short: 2, long: 1 } as const;
+
+/** A prefill this short, of a prompt that is cached almost wholly, is not limited. */
+const freePrefillMs = 10;
+
 /**
  * Returns the job that gets the next free place. Short jobs go first. Long jobs get what is left
  * up to their limit, and one place at least once one of them has waited for its patience.
@@ -56,18 +75,40 @@
 export function nextJob<J extends ScheduledJob>(
   lanes: Lanes<J>,
   places: number,
-  longRunning: number,
+  busy: Occupancy,
   now: number,
   skipHeld: boolean,
 ): J | undefined {
-  const mayRunLong = lanes.long.size > 0 && longRunning < longLimit(places);
-  const overdue = mayRunLong && longRunning === 0 && now - lanes.long.oldest >= longPatienceMs;
-  const first = overdue ? lanes.long.next(skipHeld) : undefined;
+  const mayStart = (job: J): boolean => {
+    if (job.prefillMs > freePrefillMs) {
+      if (job.long && busy.longPrefills >= maxPrefills.long) return false;
+      if (!job.long && busy.shortPrefills >= maxPrefills.short) return false;
+    }
+    return !skipHeld || !job.isHeld?.();
+  };
+  const mayRunLong = lanes.long.size > 0 && busy.longRunning < longLimit(places);
+  const isOverdue =
+    mayRunLong && busy.longRunning === 0 && now - lanes.long.oldest >= longPatienceMs;
+  const first = isOverdue ? lanes.long.next(mayStart) : undefined;
   return (
-    first ?? lanes.short.next(skipHeld) ?? (mayRunLong ? lanes.long.next(skipHeld) : undefined)
+    first ?? lanes.short.next(mayStart) ?? (mayRunLong ? lanes.long.next(mayStart) : undefined)
   );
 }
 
+/** Counts what the given jobs occupy. */
+export function occupancyOf(running: Iterable<RunningJob>): Occupancy {
+  let longRunning = 0;
+  let shortPrefills = 0;
+  let longPrefills = 0;
+  for (const { long, leftMs } of running) {
+    if (long) longRunning += 1;
+    if (leftMs <= 0) continue;
+    if (long) longPrefills += 1;
+    else shortPrefills += 1;
+  }
+  return { longRunning, shortPrefills, longPrefills };
+}
+
 /** Times of a job that starts now beside the given running ones. */
 export function timesFrom(
   job: ScheduledJob,
@@ -78,16 +119,17 @@
   return { startAt, firstTokenAt, endAt: firstTokenAt + job.costMs - job.prefillMs };
 }
 
-/** Tells whether the expected end leaves the reserve before the deadline. */
-export function meetsDeadline(job: ScheduledJob, times: JobTimes): boolean {
-  return times.endAt + job.costMs * reserveShare <= job.deadline;
+/** Tells whether the expected end leaves the reserve, which has bounds, before the deadline. */
+export function meetsDeadline(job: ScheduledJob, times: JobTimes, reserveMs: number): boolean {
+  const least = job.costMs * minReserveShare;
+  const most = job.costMs * maxReserveShare;
+  return times.endAt + Math.min(most, Math.max(least, reserveMs)) <= job.deadline;
 }
 
 /** Returns the expected times of a job, which must be in the snapshot's lanes. */
 export function forecastJob(snapshot: QueueSnapshot, job: ScheduledJob): JobTimes {
   const { lanes, places, running } = snapshot;
   let { now } = snapshot;
-  let longRunning = running.filter(({ long }) => long).length;
 
   /** Moves time to the next expected end of a prefill or of a job. */
   const advance = (): void => {
@@ -102,13 +144,12 @@
       item.endAt = now + item.decodeMs;
     });
     if (nextEnd > now) return;
-    const [ended] = running.splice(first, 1);
-    if (ended?.long) longRunning -= 1;
+    running.splice(first, 1);
   };
 
   for (;;) {
     const hasPlace = running.length < places;
-    const next = hasPlace ? nextJob(lanes, places, longRunning, now, false) : undefined;
+    const next = hasPlace ? nextJob(lanes, places, occupancyOf(running), now, false) : undefined;
     if (!next) {
       if (running.length === 0) return timesFrom(job, now, running);
       advance();
@@ -117,7 +158,7 @@
     const times = timesFrom(next, now, running);
     if (next === job) return times;
     const lane = next.long ? lanes.long : lanes.short;
-    if (!meetsDeadline(next, times)) {
+    if (!meetsDeadline(next, times, snapshot.reserveMs)) {
       lane.remove(next);
       continue;
     }
@@ -125,6 +166,5 @@
     const decodeMs = next.costMs - next.prefillMs;
     const endAt = next.prefillMs > 0 ? Infinity : times.endAt;
     running.push({ leftMs: next.prefillMs, decodeMs, endAt, long: next.long });
-    if (next.long) longRunning += 1;
   }
 }
--- a/src/scheduling/lane.ts
+++ b/src/scheduling/lane.ts
@@ -26,8 +26,8 @@
   add(job: J): void;
   /** Removes a job without charging its team. */
   remove(job: J): boolean;
-  /** Returns the job that is next, without removing it; held jobs are passed over on request. */
-  next(skipHeld: boolean): J | undefined;
+  /** Returns the first job that may start, without removing it. */
+  next(mayStart: (job: J) => boolean): J | undefined;
   /** Removes a job that starts and charges its cost to its team. */
   take(job: J): void;
   /** Returns an independent lane with the same jobs and charges, for a forecast. */
@@ -120,12 +120,12 @@
       size += 1;
     },
     remove: (job) => removeFrom(flows.get(job.team), job),
-    next(skipHeld) {
+    next(mayStart) {
       let best: J | undefined;
       let bestStart = Infinity;
       for (const { start, jobs } of flows.values()) {
         if (start > bestStart) continue;
-        const job = skipHeld ? jobs.find(({ isHeld }) => !isHeld?.()) : jobs[0];
+        const job = jobs.find(mayStart);
         if (!job) continue;
         if (best && start === bestStart && !goesBefore(job, best)) continue;
         best = job;
--- a/src/scheduling/queue.ts
+++ b/src/scheduling/queue.ts
@@ -102,7 +102,13 @@
     for (const other of [...promised, job]) {
       (other.long ? copies.long : copies.short).add(other as Waiter);
     }
-    const snapshot = { now: clock.now(), places, lanes: copies, running: running.snapshot() };
+    const snapshot = {
+      now: clock.now(),
+      places,
+      lanes: copies,
+      running: running.snapshot(),
+      reserveMs: running.reserveMs,
+    };
     return forecastJob(snapshot, job);
   };
 
@@ -115,11 +121,11 @@
 
   const startNext = (): void => {
     while (running.size < places) {
-      const next = nextJob(lanes, places, running.longCount, clock.now(), true);
+      const next = nextJob(lanes, places, running.occupancy, clock.now(), true);
       if (!next) return;
       updateCost(next);
       const times = timesFrom(next, clock.now(), running.snapshot());
-      if (meetsDeadline(next, times)) {
+      if (meetsDeadline(next, times, running.reserveMs)) {
         laneOf(next).take(next);
         next.start(times);
       } else {
@@ -129,13 +135,20 @@
     }
   };
 
-  const occupy = (job: ScheduledJob): Place => {
-    const started = running.add(job);
+  const occupy = (job: ScheduledJob, times: JobTimes): Place => {
+    const started = running.add(job, times);
     const release = toDisposable(() => {
       started.dispose();
       startNext();
     });
-    return { prefillDone: started.prefillDone, dispose: release.dispose };
+    return {
+      prefillDone() {
+        const ownMs = started.prefillDone();
+        startNext();
+        return ownMs;
+      },
+      dispose: release.dispose,
+    };
   };
 
   /** Refuses waiting jobs that can't meet their deadline even when they start now. */
@@ -144,7 +157,7 @@
     for (const lane of Object.values(lanes)) {
       for (const job of [...lane]) {
         const times = timesFrom(job, now, []);
-        if (meetsDeadline(job, times)) continue;
+        if (meetsDeadline(job, times, running.reserveMs)) continue;
         lane.remove(job);
         job.refuse(RefusalReason.DEADLINE, times.endAt - job.deadline);
       }
@@ -164,7 +177,7 @@
         start(times) {
           state.link?.dispose();
           job.onStart?.(times.firstTokenAt);
-          resolve(occupy(waiter));
+          resolve(occupy(waiter, times));
         },
         refuse(reason, retryAfterMs) {
           state.link?.dispose();
@@ -190,7 +203,7 @@
       waitMs: times.startAt - now,
       firstTokenMs: times.firstTokenAt - now,
       endMs: times.endAt - now,
-      onTime: meetsDeadline(scheduled, times),
+      onTime: meetsDeadline(scheduled, times, running.reserveMs),
     };
   };
 
@@ -225,7 +238,7 @@
       const scheduled = schedule(job);
       detector.record(job.costMs);
       const times = timesOf(scheduled, []);
-      if (!meetsDeadline(scheduled, times)) {
+      if (!meetsDeadline(scheduled, times, running.reserveMs)) {
         throw queueRefusal(RefusalReason.DEADLINE, times.endAt - scheduled.deadline);
       }
       if (waitingCount() >= maxWaiting) dropHopeless();
--- a/src/scheduling/worker.ts
+++ b/src/scheduling/worker.ts
@@ -76,7 +76,7 @@
   const agentIncarnation = randomUUID().slice(0, 8);
   const pending = createPendingPrefixes(clock);
   const index = createCacheIndex({ onEvicted: pending.evict, onReplaced: pending.clear });
-  const cost = createCostModel();
+  const cost = createCostModel(clock);
   const reservations = createReservations(clock);
   const queue = createWorkQueue({ clock, places: 1, teamWeight });
   let leaving = false;
--- a/test/scheduling/queue.test.ts
+++ b/test/scheduling/queue.test.ts
@@ -120,6 +120,19 @@
   expect(low?.at).toBeLessThanOrEqual(2 * (3 + 1) * agingMs);
 });
 
+// Guards against prefills that make each other late, and against a stuck one that blocks all.
+test('few prefills run at once, and overdue ones are not counted', async () => {
+  const { clock, queue, started, submit } = createHarness({ places: 8 });
+  for (let count = 0; count < 3; count += 1) submit({ prefillMs: 100 }, 50);
+  submit({ prefillMs: 5 }, 50);
+  await clock.advance(500);
+  expect(started.map(({ prefillMs }) => prefillMs)).toEqual([100, 100, 5]);
+  await clock.advance(500);
+  queue.poll();
+  await clock.advance(0);
+  expect(started).toHaveLength(4);
+});
+
 // Guards against a team that takes more than its share by sending more or larger requests.
 test('backlogged teams share by weight', async () => {
   const setting = fc.record({
