Replace silent cache event streams and shorten forecasts

Cause: an event connection that goes silent left the index as it was for ever. A forecast searched all waiting jobs for one without a limited prefill at each step.

Change: an answer that shows stored blocks without any cache event since its start makes the monitor open a new stream after 3 s, which clears the index. The forecast skips the search when every waiting prefill is limited.

Sixteen offers at once (4 places, 200 ms prefill each): each is now at most 200 ms below the real first token and never above it; the test requires this.

--- a/src/scheduling/execution.ts
+++ b/src/scheduling/execution.ts
@@ -9,6 +9,7 @@
   type EnginePort,
   type EngineRequest,
 } from '../ports/engine.js';
+import { blockTokens } from '../routing/blocks.js';
 import { type ReplayBuffer } from '../streams/replay.js';
 import { type CostModel } from './cost.js';
 import { QueueRefusedError } from './job.js';
@@ -31,7 +32,7 @@
   readonly planner: Planner;
   readonly pending: PendingPrefixes;
   readonly cost: CostModel;
-  readonly monitor: Pick<EngineMonitor, 'state' | 'refresh'>;
+  readonly monitor: Pick<EngineMonitor, 'state' | 'refresh' | 'eventsSeen' | 'expectCacheEvent'>;
   /** Reason to refuse the request before hand-over, or UNSPECIFIED. */
   readonly refusalFor: (req: DispatchRequest) => RefusalReason;
 }
@@ -114,6 +115,7 @@
     const { place, prefix, acceptedAt, startedAt } = started;
     let firstTokenAt = 0;
     let prefillMs = 0;
+    const eventsBefore = monitor.eventsSeen;
     for await (const event of engine.complete(toEngineRequest(req), token)) {
       if (firstTokenAt === 0) {
         firstTokenAt = clock.now();
@@ -130,6 +132,8 @@
       }
       observe(req, firstTokenAt, prefillMs, event);
       const { finishReason, promptTokens, cachedTokens, outputTokens } = event;
+      // The estimate of the tokens in a block is rough, so one block may not have been full.
+      if (promptTokens - cachedTokens >= 2 * blockTokens) monitor.expectCacheEvent(eventsBefore);
       buffer.append({
         case: 'end',
         value: {
--- a/src/scheduling/forecast.ts
+++ b/src/scheduling/forecast.ts
@@ -13,6 +13,8 @@
 export interface Lanes<J extends ScheduledJob> {
   readonly short: Lane<J>;
   readonly long: Lane<J>;
+  /** True when the prefill of every waiting job is limited, which saves a search. */
+  readonly allLimited?: boolean;
 }
 
 /** A job that holds a place. */
@@ -79,20 +81,25 @@
   now: number,
   skipHeld: boolean,
 ): J | undefined {
+  const shortClosed = busy.shortPrefills >= maxPrefills.short;
+  const longClosed = busy.longPrefills >= maxPrefills.long;
   const mayStart = (job: J): boolean => {
-    if (job.prefillMs > freePrefillMs) {
-      if (job.long && busy.longPrefills >= maxPrefills.long) return false;
-      if (!job.long && busy.shortPrefills >= maxPrefills.short) return false;
-    }
+    if ((job.long ? longClosed : shortClosed) && isLimited(job)) return false;
     return !skipHeld || !job.isHeld?.();
   };
+  const nextOf = (lane: Lane<J>, closed: boolean): J | undefined =>
+    closed && lanes.allLimited ? undefined : lane.next(mayStart);
   const mayRunLong = lanes.long.size > 0 && busy.longRunning < longLimit(places);
   const isOverdue =
     mayRunLong && busy.longRunning === 0 && now - lanes.long.oldest >= longPatienceMs;
-  const first = isOverdue ? lanes.long.next(mayStart) : undefined;
-  return (
-    first ?? lanes.short.next(mayStart) ?? (mayRunLong ? lanes.long.next(mayStart) : undefined)
-  );
+  const first = isOverdue ? nextOf(lanes.long, longClosed) : undefined;
+  const next = first ?? nextOf(lanes.short, shortClosed);
+  return next ?? (mayRunLong ? nextOf(lanes.long, longClosed) : undefined);
+}
+
+/** Tells whether the prefill of a job counts towards the limit. */
+export function isLimited({ prefillMs }: ScheduledJob): boolean {
+  return prefillMs > freePrefillMs;
 }
 
 /** Counts what the given jobs occupy. */
@@ -128,7 +135,10 @@
 
 /** Returns the expected times of a job, which must be in the snapshot's lanes. */
 export function forecastJob(snapshot: QueueSnapshot, job: ScheduledJob): JobTimes {
-  const { lanes, places, running } = snapshot;
+  const { places, running } = snapshot;
+  const { short, long } = snapshot.lanes;
+  const allLimited = [...short, ...long].every(isLimited);
+  const lanes = { short, long, allLimited };
   let { now } = snapshot;
 
   /** Moves time to the next expected end of a prefill or of a job. */
--- a/src/scheduling/monitor.ts
+++ b/src/scheduling/monitor.ts
@@ -1,4 +1,8 @@
-import { type CancellationToken, createCancellationSource } from '../base/cancellation.js';
+import {
+  type CancellationSource,
+  type CancellationToken,
+  createCancellationSource,
+} from '../base/cancellation.js';
 import { type Clock, sleep } from '../base/clock.js';
 import { errMessage } from '../base/errors.js';
 import { type Disposable } from '../base/lifecycle.js';
@@ -13,6 +17,13 @@
   readonly load: LoadReport;
   /** Reads the state at once, for example after a failed request. */
   refresh(): Promise<void>;
+  /** Number of cache events received so far. */
+  readonly eventsSeen: number;
+  /**
+   * Tells that the engine stored blocks since the given number of events; the stream is replaced
+   * when no event follows.
+   */
+  expectCacheEvent(seenBefore: number): void;
 }
 
 export interface MonitorOptions {
@@ -30,11 +41,17 @@
 
 const eventReconnectMs = 100;
 
+/** An open event stream that reports no stored blocks for this long counts as dead. */
+const eventSilenceMs = 3_000;
+
 export function createEngineMonitor(options: MonitorOptions): EngineMonitor {
   const { clock, log, engine, index, onChange } = options;
   const source = createCancellationSource();
   let state: EngineState | undefined;
   let load: LoadReport = { running: 0, waiting: 0 };
+  let eventsSeen = 0;
+  let silenceCheck: Disposable | undefined;
+  let eventStream: CancellationSource | undefined;
 
   const updateState = (next: EngineState | undefined): void => {
     const restarted = next?.incarnation !== state?.incarnation;
@@ -70,11 +87,16 @@
 
   const followEvents = async (token: CancellationToken): Promise<void> => {
     while (!token.isCancellationRequested) {
+      eventStream = createCancellationSource(token);
       try {
-        for await (const event of engine.cacheEvents(token)) index.apply(event);
+        for await (const event of engine.cacheEvents(eventStream.token)) {
+          eventsSeen += 1;
+          index.apply(event);
+        }
       } catch (err) {
         log.debug({ err: errMessage(err) }, 'cache event stream ended');
       }
+      eventStream.dispose();
       index.clear();
       await sleep(clock, eventReconnectMs, token);
     }
@@ -91,6 +113,21 @@
       return load;
     },
     refresh,
-    dispose: () => source.cancel('monitor closed'),
+    get eventsSeen() {
+      return eventsSeen;
+    },
+    expectCacheEvent(seenBefore) {
+      if (silenceCheck || eventsSeen !== seenBefore) return;
+      silenceCheck = clock.setTimer(eventSilenceMs, () => {
+        silenceCheck = undefined;
+        if (eventsSeen !== seenBefore) return;
+        log.warn('cache event stream is silent; opening a new one');
+        eventStream?.cancel('cache event stream is silent');
+      });
+    },
+    dispose() {
+      silenceCheck?.dispose();
+      source.cancel('monitor closed');
+    },
   };
 }
--- a/test/scheduling/worker.test.ts
+++ b/test/scheduling/worker.test.ts
@@ -76,9 +76,6 @@
   };
 }
 
-const mean = (values: readonly number[]): number =>
-  values.reduce((sum, value) => sum + value, 0) / values.length;
-
 // Guards against entries that ask at the same moment and are all promised the same short wait.
 test('offers to many entries at once stay truthful', async () => {
   const { clock, offer, dispatch } = await createHarness();
@@ -90,8 +87,27 @@
   const promised = offers.map(({ expectedFirstTokenMs = 0 }) => expectedFirstTokenMs);
   const actual = answers.map(({ firstTokenAt }) => firstTokenAt - at);
   expect(new Set(promised).size).toBe(16);
-  expect(mean(promised) / mean(actual)).toBeGreaterThan(0.8);
-  expect(mean(promised) / mean(actual)).toBeLessThan(1.2);
+  // A request that starts later beside it delays a request by at most its own prefill of 200 ms.
+  for (const [index, promisedMs] of promised.entries()) {
+    const lateMs = (actual[index] as number) - promisedMs;
+    expect(lateMs).toBeGreaterThanOrEqual(0);
+    expect(lateMs).toBeLessThanOrEqual(200);
+  }
+});
+
+// Guards against an index that stays wrong because its event connection went silent, and against
+// replacing a connection whose event came long before the answer ended.
+test('a silent cache event stream is replaced', async () => {
+  const { clock, engine, offer, dispatch } = await createHarness();
+  const cachedAfter = async (prompt: number, output: number): Promise<number | undefined> => {
+    dispatch({ blocks: chain(0, 20, prompt), output, allowed: output });
+    await clock.advance(10_000);
+    return offer({ blocks: chain(0, 20, prompt) }).cachedTokens;
+  };
+  const seen = [await cachedAfter(0, 400)];
+  engine.silenceEvents();
+  seen.push(await cachedAfter(1, 10), await cachedAfter(2, 10));
+  expect(seen).toEqual([20 * 128, 0, 20 * 128]);
 });
 
 // Guards against the same prefix being computed several times, and against offers that ignore a
--- a/test/standins/enginemodel.ts
+++ b/test/standins/enginemodel.ts
@@ -15,6 +15,8 @@
   /** Prompt tokens that were computed rather than found in the cache. */
   readonly prefilledTokens: number;
   readonly mostRunning: number;
+  /** Lets the open event stream go silent without closing it. */
+  silenceEvents(): void;
 }
 
 const blockTokens = 128;
@@ -31,7 +33,7 @@
   };
   const cache = new Set<string>();
   const prefills = new Set<{ left: number }>();
-  const events = createAsyncQueue<CacheEvent>();
+  let events = createAsyncQueue<CacheEvent>();
   let seq = 0;
   let prefilledTokens = 0;
   let running = 0;
@@ -57,7 +59,15 @@
     },
     state: () => Promise.resolve(full),
     load: () => Promise.resolve({ running, waiting: 0 }),
-    cacheEvents: () => events,
+    silenceEvents() {
+      events = createAsyncQueue();
+    },
+    cacheEvents(token) {
+      const stream = createAsyncQueue<CacheEvent>();
+      events = stream;
+      token.onCancellationRequested((reason) => stream.fail(new TargetFailedError(reason)));
+      return stream;
+    },
     async *complete(req, token) {
       const body = JSON.parse(Buffer.from(req.body).toString()) as ModelBody;
       running += 1;
