Release followers before the queue looks for the next job

Cause: the end of a prefill started the next job before the prefix counted as cached, so an unrelated job could take the place of a follower. A slow reader and a continued request distorted the learned decode time.

Change: the prefix is marked first; time spent waiting for the reader is left out, and continued requests are not learned from.

--- a/src/scheduling/execution.ts
+++ b/src/scheduling/execution.ts
@@ -88,22 +88,19 @@
     return { place, prefix, acceptedAt, startedAt: clock.now() };
   };
 
-  /** Learns from the real counts and the prefill time without the share of other requests. */
+  /** Learns from the real counts and the times without the share of other requests. */
   const observe = (
     req: DispatchRequest,
-    firstTokenAt: number,
-    prefillMs: number,
     end: Extract<EngineEvent, { readonly kind: 'end' }>,
+    prefillMs: number,
+    decodeMs: number,
   ): void => {
     const { state } = monitor;
-    if (!state || firstTokenAt === 0) return;
-    const { promptTokens, cachedTokens, outputTokens } = end;
+    if (!state) return;
     const { team, model } = req;
-    cost.observe(state, {
-      ...{ team, model, promptTokens, cachedTokens, outputTokens },
-      prefillMs,
-      decodeMs: clock.now() - firstTokenAt,
-    });
+    const { promptTokens, cachedTokens, outputTokens } = end;
+    const size = { team, model, promptTokens, cachedTokens, outputTokens };
+    cost.observe(state, { ...size, prefillMs, decodeMs });
   };
 
   const runOnEngine = async (
@@ -115,22 +112,28 @@
     const { place, prefix, acceptedAt, startedAt } = started;
     let firstTokenAt = 0;
     let prefillMs = 0;
+    /** Time spent on a slow reader, which says nothing about the engine. */
+    let blockedMs = 0;
     const eventsBefore = monitor.eventsSeen;
     for await (const event of engine.complete(toEngineRequest(req), token)) {
       if (firstTokenAt === 0) {
         firstTokenAt = clock.now();
-        prefillMs = place.prefillDone() ?? 0;
+        // Followers must see the prefix as cached when the queue looks for the next job.
         prefix?.done();
-        queue.poll();
+        prefillMs = place.prefillDone() ?? 0;
       }
       if (event.kind === 'text') {
         const { text, tokens } = event;
         const value = { $typeName: 'cicadatide.v1.TextDelta', text, tokens } as const;
         buffer.append({ case: 'text', value });
+        const fullAt = clock.now();
         await buffer.waitForRoom(maxUnreadChunks, token);
+        blockedMs += clock.now() - fullAt;
         continue;
       }
-      observe(req, firstTokenAt, prefillMs, event);
+      if (firstTokenAt > 0 && req.deliveredTokens === 0) {
+        observe(req, event, prefillMs, clock.now() - firstTokenAt - blockedMs);
+      }
       const { finishReason, promptTokens, cachedTokens, outputTokens } = event;
       // The estimate of the tokens in a block is rough, so one block may not have been full.
       if (promptTokens - cachedTokens >= 2 * blockTokens) monitor.expectCacheEvent(eventsBefore);
