Close the stream of an attempt after its last chunk

Cause: a trial with several requests at a time stopped after the first ones: an attempt that had ended left its stream suspended at the last chunk, so the call to the agent stayed open and held a place there.

Change: a finished attempt closes its stream.

Conclusion: the leak is fixed and guarded.

--- a/src/routing/attempt.ts
+++ b/src/routing/attempt.ts
@@ -84,6 +84,8 @@
     last = step;
     tracked.dispose();
     source.dispose();
+    // The stream is suspended at its last chunk; without this it would hold its call open.
+    chunks.return(undefined).catch(() => undefined);
     return step;
   };
 
@@ -104,7 +106,6 @@
     if (last) return;
     fail(reason, false);
     source.cancel(reason);
-    chunks.return(undefined).catch(() => undefined);
     cancelAtAgent();
   };
   const link = token.onCancellationRequested(cancel);
--- a/test/routing/dispatcher.test.ts
+++ b/test/routing/dispatcher.test.ts
@@ -60,6 +60,9 @@
   if (options.cancelAfterMs) clock.setTimer(options.cancelAfterMs, () => source.cancel('left'));
   for (let step = 0; step < 4_000 && !done; step += 1) await clock.advance(step % 10 ? 0 : 50);
   await consumed;
+  await clock.advance(0);
+  // Guards against calls that are held open after their last chunk.
+  for (const { dispatched, closed } of agents) expect(closed).toHaveLength(dispatched.length);
   const answer = events.map((event) => (event.kind === 'text' ? event.text : '')).join('');
   return { agents, events, answer, error, budget, clock };
 }
--- a/test/routing/fakes.ts
+++ b/test/routing/fakes.ts
@@ -28,6 +28,8 @@
   readonly offers: OfferRequest[];
   readonly dispatched: DispatchRequest[];
   readonly cancelled: number[];
+  /** Attempts whose stream was ended or closed by the reader. */
+  readonly closed: number[];
 }
 
 export const text = (value: string): Chunk['part'] =>
@@ -45,7 +47,13 @@
   }) as Chunk['part'];
 
 export function fakeAgent(clock: Clock, spec: FakeAgentSpec): FakeAgent {
-  const fake: FakeAgent = { view: undefined as never, offers: [], dispatched: [], cancelled: [] };
+  const fake: FakeAgent = {
+    view: undefined as never,
+    offers: [],
+    dispatched: [],
+    cancelled: [],
+    closed: [],
+  };
   const client = {
     offer: async (req: OfferRequest) => {
       fake.offers.push(req);
@@ -67,14 +75,18 @@
       signal.addEventListener('abort', () => source.cancel());
       const { requestId, attempt } = req;
       let seq = 0;
-      for (const step of spec.dispatch?.(req) ?? [text('a'), end]) {
-        if (step instanceof Error) throw step;
-        if (typeof step === 'number') {
-          await sleep(clock, step, source.token);
-          continue;
+      try {
+        for (const step of spec.dispatch?.(req) ?? [text('a'), end]) {
+          if (step instanceof Error) throw step;
+          if (typeof step === 'number') {
+            await sleep(clock, step, source.token);
+            continue;
+          }
+          seq += 1;
+          yield { requestId, attempt, seq, part: step };
         }
-        seq += 1;
-        yield { requestId, attempt, seq, part: step };
+      } finally {
+        fake.closed.push(attempt);
       }
     },
     cancel: async ({ attempt }: { readonly attempt: number }) => {
