Probe slow targets with copies and prefer the targets of a prefix

Cause: in a trial with two of six targets slowed by 5, requests that served as probes made up the first-token p99. Requests also chose the least loaded target when it was no better than the targets of their prefix, although later requests with that prefix do not ask it.

Change: a probe is a copy of a repeatable request that is cancelled after eight pieces, paid from the retry budget, with an interval that doubles up to 8 s. The least loaded target that no key leads to counts as a quarter later. A hedge counts the first target when it takes at most a third out.

Conclusion: no caller waits for a probe.

--- a/src/routing/attempt.ts
+++ b/src/routing/attempt.ts
@@ -9,6 +9,7 @@
 import { targetOf } from './candidates.js';
 import { type TargetHealth } from './health.js';
 import { type Choice } from './policies.js';
+import { type CompletionRequest } from './request.js';
 
 /** Why an attempt did not answer. */
 export interface AttemptFailure {
@@ -47,6 +48,42 @@
   readonly onFirstToken: (expectedMs: number, actualMs: number) => void;
 }
 
+/** Fields of one attempt beside those of the request and of the choice. */
+export interface AttemptFields {
+  readonly attempt: number;
+  readonly weightsVersion: string;
+  readonly remainingMs: number;
+  readonly deliveredText: string;
+  readonly deliveredTokens: number;
+}
+
+/** Fills the dispatch of one attempt. */
+export function toDispatch(
+  req: CompletionRequest,
+  choice: Choice,
+  fields: AttemptFields,
+): DispatchInit {
+  const { requestId, team, model, adapter, kind, body, salt } = req;
+  const { promptTokens, outputTokens, priority } = req;
+  return {
+    requestId,
+    team,
+    model,
+    adapter,
+    kind,
+    body,
+    salt,
+    promptTokens,
+    outputTokens,
+    priority,
+    reservationId: choice.reservationId,
+    incarnation: choice.incarnation,
+    blockHashes: [...req.blockHashes(fields.weightsVersion)],
+    ...fields,
+    remainingMs: Math.floor(fields.remainingMs),
+  };
+}
+
 /** A reader that held a chunk longer than this hides the target's pace, so no gap is recorded. */
 const maxHoldMs = 5;
 
--- a/src/routing/candidates.ts
+++ b/src/routing/candidates.ts
@@ -69,9 +69,19 @@
   return [...new Set([deepest, next, upper])].filter((depth) => depth > 0);
 }
 
+/** Agents that are asked for an offer. */
+export interface Candidates {
+  readonly agents: readonly AgentView[];
+  /**
+   * The least loaded agent when no key leads to it. Other requests with the same prefix do not
+   * ask it, so what it computes is of no use to them.
+   */
+  readonly spare: AgentView | undefined;
+}
+
 /** Chooses the agents that are asked for an offer. */
 export interface CandidateSelector {
-  select(req: CompletionRequest, agents: readonly AgentView[]): readonly AgentView[];
+  select(req: CompletionRequest, agents: readonly AgentView[]): Candidates;
 }
 
 /** Loads of all agents, computed once per request. */
@@ -106,7 +116,7 @@
 export function createCandidateSelector(random: Random, hot: HotPrefixes): CandidateSelector {
   return {
     select(req, agents) {
-      if (agents.length <= 1) return agents;
+      if (agents.length <= 1) return { agents, spare: undefined };
       const hashes = req.blockHashes(commonVersion(agents));
       const keys = keyDepths(hashes.length).map((depth) => hashes[depth - 1] as bigint);
       const loads = measureLoads(agents, random);
@@ -133,12 +143,14 @@
       if (keys.length > 0 && chosen.size < 2) {
         for (const agent of table.top(keys[0] as bigint, 2, accept)) chosen.add(agent);
       }
-      chosen.add(agents[loads.least] as AgentView);
+      const least = agents[loads.least] as AgentView;
+      const spare = keys.length > 0 && chosen.size > 0 && !chosen.has(least) ? least : undefined;
+      chosen.add(least);
       // A prompt without a full block has no prefix to share, so two random agents are compared.
       for (let tries = 0; keys.length === 0 && chosen.size < 3 && tries < 4; tries += 1) {
         chosen.add(agents[random.integer(agents.length)] as AgentView);
       }
-      return [...chosen].slice(0, maxCandidates);
+      return { agents: [...chosen].slice(0, maxCandidates), spare };
     },
   };
 }
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -9,6 +9,7 @@
   type AttemptParts,
   type RunningAttempt,
   startAttempt,
+  toDispatch,
 } from './attempt.js';
 import { type TargetHealth } from './health.js';
 import { createHedgeTimer, firstStep, hedgeTargets, type HedgeResult } from './hedging.js';
@@ -23,6 +24,7 @@
   type Progress,
 } from './outcomes.js';
 import { type AttemptPurpose, type Choice, type PlacementPolicy } from './policies.js';
+import { createProber } from './probe.js';
 import { type CompletionRequest } from './request.js';
 
 /** What the caller's side sees of a running completion. */
@@ -87,6 +89,8 @@
     onFirstToken: (expectedMs, actualMs) => hedgeTimer.observe(expectedMs, actualMs),
   };
 
+  const prober = createProber({ parts, policy, budget });
+
   const agentsFor = (mayServe: AgentFilter, progress: Progress): readonly AgentView[] => {
     const serving = directory.usable().filter((agent) => {
       if (!mayServe(agent)) return false;
@@ -107,26 +111,13 @@
     progress.mayHaveRun += 1;
     // A continuation stays on the weights of the delivered text; the agent refuses other ones.
     const weightsVersion = progress.weightsVersion || choice.weightsVersion;
-    const init = {
-      requestId: req.requestId,
+    const init = toDispatch(req, choice, {
       attempt: progress.attempt,
-      team: req.team,
-      model: req.model,
-      adapter: req.adapter,
-      reservationId: choice.reservationId,
-      incarnation: choice.incarnation,
       weightsVersion,
-      blockHashes: [...req.blockHashes(weightsVersion)],
-      promptTokens: req.promptTokens,
-      outputTokens: req.outputTokens,
-      priority: req.priority,
-      remainingMs: Math.floor(req.deadline.remainingMs()),
-      body: req.body,
-      kind: req.kind,
+      remainingMs: req.deadline.remainingMs(),
       deliveredText: progress.text,
       deliveredTokens: progress.tokens,
-      salt: req.salt,
-    };
+    });
     return startAttempt(parts, choice, init, token);
   };
 
@@ -154,6 +145,7 @@
     token: CancellationToken,
   ): Promise<HedgeResult> => {
     const primary = dispatch(req, choice, progress, token);
+    if (choice.probe && req.repeatable !== false) prober.probe(req, choice.probe);
     const delayMs = hedgeTimer.delayMs(choice.expectedFirstTokenMs);
     const mayHedge = req.repeatable !== false && progress.text === '';
     if (delayMs === undefined || !mayHedge) {
--- a/src/routing/health.ts
+++ b/src/routing/health.ts
@@ -1,6 +1,6 @@
 import { type Clock } from '../base/clock.js';
 
-/** Agents in normal service, and the one that gets this request as a probe. */
+/** Agents in normal service, and one on probation whose next probe is due. */
 export interface HealthSelection<T> {
   readonly serving: readonly T[];
   readonly probe: T | undefined;
@@ -19,8 +19,12 @@
   observeGap(target: string, msPerToken: number): void;
   /** Factor of at least 1 for what the target's agent expects. */
   factor(target: string): number;
-  /** Separates targets on probation: at most a third, the slowest first. */
-  select<T>(candidates: readonly T[], targetOf: (candidate: T) => string): HealthSelection<T>;
+  /** Separates targets on probation, the slowest first: at most a third of the `total`. */
+  select<T>(
+    candidates: readonly T[],
+    targetOf: (candidate: T) => string,
+    total?: number,
+  ): HealthSelection<T>;
 }
 
 /**
@@ -60,8 +64,10 @@
 /** Good probes in a row that end probation. */
 const probesToRecover = 2;
 
-/** Time between probe requests to one target on probation. */
-const probeIntervalMs = 1_000;
+/** Time between probes of one target on probation; doubled until one is good. */
+const minProbeIntervalMs = 1_000;
+
+const maxProbeIntervalMs = 8_000;
 
 /** Without new timings a target is taken as healthy again after this time. */
 const forgetAfterMs = 30_000;
@@ -83,6 +89,7 @@
   onProbation: boolean;
   goodProbes: number;
   probedAt: number;
+  probeIntervalMs: number;
 }
 
 /** Moving geometric mean; single outliers weigh less than in the arithmetic one. */
@@ -113,6 +120,7 @@
         onProbation: false,
         goodProbes: 0,
         probedAt: -Infinity,
+        probeIntervalMs: minProbeIntervalMs,
       };
       states.set(target, state);
     }
@@ -174,6 +182,7 @@
       return;
     }
     state.goodProbes += 1;
+    state.probeIntervalMs = minProbeIntervalMs;
     if (state.goodProbes >= probesToRecover) states.delete(target);
   };
 
@@ -221,7 +230,7 @@
       const slow = slowness(state);
       return slow < slowFrom ? 1 : slow;
     },
-    select(candidates, targetOf) {
+    select(candidates, targetOf, total = candidates.length) {
       const slow: { readonly candidate: (typeof candidates)[number]; readonly score: number }[] =
         [];
       for (const candidate of candidates) {
@@ -233,14 +242,13 @@
       }
       if (slow.length === 0) return { serving: candidates, probe: undefined };
       slow.sort((a, b) => b.score - a.score);
-      const out = new Set(
-        slow.slice(0, Math.floor(candidates.length / 3)).map(({ candidate }) => candidate),
-      );
+      const out = new Set(slow.slice(0, Math.floor(total / 3)).map(({ candidate }) => candidate));
       const serving = candidates.filter((candidate) => !out.has(candidate));
       for (const candidate of out) {
         const state = stateOf(targetOf(candidate));
-        if (clock.now() - state.probedAt < probeIntervalMs) continue;
+        if (clock.now() - state.probedAt < state.probeIntervalMs) continue;
         state.probedAt = clock.now();
+        state.probeIntervalMs = Math.min(maxProbeIntervalMs, state.probeIntervalMs * 2);
         return { serving, probe: candidate };
       }
       return { serving, probe: undefined };
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -22,6 +22,9 @@
  */
 const recomputeWeight = 0.25;
 
+/** Factor on the expectation of an agent that other requests with the same prefix do not ask. */
+const spareFactor = 1.25;
+
 /** Agents of the second round, asked when all of the first one refuse. */
 const secondRoundSize = 4;
 
@@ -91,7 +94,11 @@
     return answers;
   };
 
-  const pickOffer = (req: CompletionRequest, answers: readonly Answer[]): Choice | undefined => {
+  const pickOffer = (
+    req: CompletionRequest,
+    answers: readonly Answer[],
+    spare?: AgentView,
+  ): Choice | undefined => {
     const offers = answers.flatMap(({ agent, reply }) =>
       reply?.refusal === RefusalReason.UNSPECIFIED ? [{ agent, reply }] : [],
     );
@@ -99,7 +106,8 @@
     for (const { reply } of offers) mostCached = Math.max(mostCached, reply.cachedTokens);
     const scored = offers.map(({ agent, reply }) => {
       const missed = (mostCached - reply.cachedTokens) / Math.max(1, req.promptTokens);
-      const expectedMs = reply.expectedFirstTokenMs * health.factor(targetOf(agent));
+      const factor = health.factor(targetOf(agent)) * (agent === spare ? spareFactor : 1);
+      const expectedMs = reply.expectedFirstTokenMs * factor;
       return { agent, reply, score: (expectedMs + 1) * (1 + recomputeWeight * missed) };
     });
     let best = Infinity;
@@ -141,15 +149,13 @@
 
   return {
     async choose(req, agents, token, purpose = 'first') {
-      const { serving, probe } = health.select(agents, targetOf);
-      if (probe && purpose === 'first') {
-        const probed = pickOffer(req, await askAll(req, [probe], token));
-        if (probed) return probed;
-      }
-      const first = candidates.select(req, serving);
+      // The list for a hedge lacks the target of the first attempt, which counts all the same.
+      const total = purpose === 'hedge' ? agents.length + 1 : agents.length;
+      const { serving, probe } = health.select(agents, targetOf, total);
+      const { agents: first, spare } = candidates.select(req, serving);
       const answers = [...(await askAll(req, first, token))];
-      const offer = pickOffer(req, answers);
-      if (offer) return offer;
+      const offer = pickOffer(req, answers, spare);
+      if (offer) return { ...offer, probe };
       const late = answers.filter(({ settled }) => !settled).map(({ agent }) => agent);
       if (late.length > 0) return chooseByStatus(guess(late));
       const rest = serving.filter((agent) => !first.includes(agent));
--- a/src/routing/policies.ts
+++ b/src/routing/policies.ts
@@ -18,6 +18,8 @@
   /** Expected time from dispatch to the first token; 0 when it is not known. */
   readonly expectedFirstTokenMs: number;
   readonly cachedTokens: number;
+  /** Slow target that is due for a probe; the request itself does not go there. */
+  readonly probe?: AgentView | undefined;
 }
 
 /** No agent accepts the request now. */
@@ -33,7 +35,7 @@
 export type Placement = Choice | NoChoice;
 
 /** What kind of attempt is placed. */
-export type AttemptPurpose = 'first' | 'retry' | 'hedge';
+export type AttemptPurpose = 'first' | 'retry' | 'hedge' | 'probe';
 
 /** Chooses the target of one attempt among the agents that serve its model. */
 export interface PlacementPolicy {
--- /dev/null
+++ b/src/routing/probe.ts
@@ -0,0 +1,69 @@
+import { randomUUID } from 'node:crypto';
+import { createCancellationSource } from '../base/cancellation.js';
+import { errMessage } from '../base/errors.js';
+import { type RetryBudget } from '../limits/retrybudget.js';
+import { type AgentView } from '../membership/directory.js';
+import { type AttemptParts, startAttempt, toDispatch } from './attempt.js';
+import { type PlacementPolicy } from './policies.js';
+import { type CompletionRequest } from './request.js';
+
+/** Measures targets on probation. */
+export interface Prober {
+  /**
+   * Sends a copy of a request to a slow target and reads its first pieces. The caller's own
+   * attempt runs elsewhere, so no caller waits for a probe.
+   */
+  probe(req: CompletionRequest, agent: AgentView): void;
+}
+
+export interface ProberOptions {
+  readonly parts: AttemptParts;
+  readonly policy: PlacementPolicy;
+  /** Pays for probes like for other extra attempts. */
+  readonly budget: RetryBudget;
+}
+
+/** A probe without a first token after this time counts as slow and ends. */
+const probeLimitMs = 10_000;
+
+/** Pieces that are read; enough to judge the time between tokens. */
+const probePieces = 8;
+
+export function createProber({ parts, policy, budget }: ProberOptions): Prober {
+  const { clock, log, health } = parts;
+
+  const run = async (req: CompletionRequest, agent: AgentView): Promise<void> => {
+    const source = createCancellationSource();
+    const choice = await policy.choose(req, [agent], source.token, 'probe');
+    if (choice.kind !== 'chosen' || !budget.withdraw()) return;
+    // A request id of its own keeps the probe apart from the caller's resumable attempts.
+    const probed = { ...req, requestId: `probe-${randomUUID()}` };
+    const { weightsVersion, expectedFirstTokenMs } = choice;
+    const init = toDispatch(probed, choice, {
+      attempt: 1,
+      weightsVersion,
+      remainingMs: probeLimitMs,
+      deliveredText: '',
+      deliveredTokens: 0,
+    });
+    const attempt = startAttempt(parts, choice, init, source.token);
+    const timer = clock.setTimer(probeLimitMs, () => {
+      health.observeLate(attempt.target, expectedFirstTokenMs, probeLimitMs);
+      attempt.cancel('probe took too long');
+    });
+    for (let piece = 0; piece < probePieces; piece += 1) {
+      const step = await attempt.next();
+      if (step.kind !== 'text') break;
+    }
+    timer.dispose();
+    attempt.cancel('probe is complete');
+  };
+
+  return {
+    probe(req, agent) {
+      run(req, agent).catch((err: unknown) => {
+        log.debug({ address: agent.address, err: errMessage(err) }, 'probe failed');
+      });
+    },
+  };
+}
