Resume streams on a new connection, and by request id through another entry

Cause: a stream whose connection broke or went silent failed its attempt, a gap in the numbers was an error at once, and the replay buffer kept every chunk and followed only the fastest reader.

Change: streams are put in order, resumed after their last chunk and failed only when a resume shows no progress within 1 s. Agents send progress every 500 ms of quiet, keep a bounded window, wait for the slowest reader and drop peers that answer no ping. Events carry numbers that go on over a continuation, and GET /v1/requests/{id}/stream resumes them through any entry.

--- a/src/adapters/connect/agentservice.ts
+++ b/src/adapters/connect/agentservice.ts
@@ -1,6 +1,7 @@
 import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect';
 import { createCancellationSource } from '../../base/cancellation.js';
 import { type Clock, sleep } from '../../base/clock.js';
+import { ReplayWindowError } from '../../base/errors.js';
 import { AgentService, RefusalReason } from '../../gen/cicadatide/v1/agent_pb.js';
 import { type ServiceWorker } from '../../idempotency/serviceworker.js';
 import { type EngineWorker } from '../../scheduling/worker.js';
@@ -94,7 +95,12 @@
         ctx.signal.addEventListener('abort', () => source.cancel('stream closed'));
         const chunks = requireEngine().resume(req, source.token);
         if (!chunks) throw new ConnectError('no such request', Code.NotFound);
-        yield* chunks;
+        try {
+          yield* chunks;
+        } catch (err) {
+          if (!(err instanceof ReplayWindowError)) throw err;
+          throw new ConnectError(err.message, Code.OutOfRange);
+        }
       },
       cancel(req) {
         return { found: requireEngine().cancel(req.requestId, req.attempt, req.team) };
--- a/src/adapters/connect/listener.ts
+++ b/src/adapters/connect/listener.ts
@@ -15,6 +15,28 @@
   destroy(): void;
 }
 
+const pingIntervalMs = 1_000;
+
+/**
+ * Closes a session whose peer answers no ping for a whole interval, so that the streams of a peer
+ * that vanished without closing its connection do not count as readers.
+ */
+function pingPeer(session: ServerHttp2Session): () => void {
+  let isAnswered = true;
+  const timer = setInterval(() => {
+    if (!isAnswered) {
+      session.destroy();
+      return;
+    }
+    isAnswered = false;
+    if (session.destroyed) return;
+    session.ping((err) => {
+      isAnswered = !err;
+    });
+  }, pingIntervalMs);
+  return () => clearInterval(timer);
+}
+
 export async function listenInternal(
   bind: HostPort,
   credential: string,
@@ -25,7 +47,11 @@
   const sessions = new Set<ServerHttp2Session>();
   server.on('session', (session) => {
     sessions.add(session);
-    session.once('close', () => sessions.delete(session));
+    const stopPings = pingPeer(session);
+    session.once('close', () => {
+      stopPings();
+      sessions.delete(session);
+    });
     session.on('error', () => session.destroy());
   });
   await new Promise<void>((resolve, reject) => {
--- a/src/base/errors.ts
+++ b/src/base/errors.ts
@@ -31,3 +31,6 @@
 
 /** The target refused the connection, so the work certainly did not run. */
 export const TargetRefusedError = CicadatideError.subclass('TargetRefusedError');
+
+/** A stream can't be resumed because the chunks after the given number are no longer kept. */
+export const ReplayWindowError = CicadatideError.subclass('ReplayWindowError');
--- a/src/daemon/callers/completions.ts
+++ b/src/daemon/callers/completions.ts
@@ -128,21 +128,29 @@
         if (event.kind === 'accepted') setAnswerHeaders(res, requestId, event);
         if (event.kind === 'text') {
           start();
-          await writeEvent(res, JSON.stringify(format.chunk(head, event.text, null, first)));
+          await writeEvent(
+            res,
+            JSON.stringify(format.chunk(head, event.text, null, first)),
+            event.seq,
+          );
           first = false;
         }
         if (event.kind !== 'end') continue;
         start();
-        await writeEvent(res, JSON.stringify(format.chunk(head, '', event.finishReason, first)));
+        await writeEvent(
+          res,
+          JSON.stringify(format.chunk(head, '', event.finishReason, first)),
+          event.seq,
+        );
         if (includeUsage) {
           const usage = {
             ...format.chunk(head, '', null, false),
             choices: [],
             usage: usageOf(event),
           };
-          await writeEvent(res, JSON.stringify(usage));
+          await writeEvent(res, JSON.stringify(usage), event.seq);
         }
-        await writeEvent(res, '[DONE]');
+        await writeEvent(res, '[DONE]', event.seq);
       }
       res.end();
     } catch (err) {
--- a/src/daemon/callers/write.ts
+++ b/src/daemon/callers/write.ts
@@ -15,7 +15,8 @@
 }
 
 /** Writes one server-sent event and waits until the caller has room for more. */
-export async function writeEvent(res: ServerResponse, data: string): Promise<void> {
+export async function writeEvent(res: ServerResponse, data: string, id?: number): Promise<void> {
   if (res.destroyed) return;
-  if (!res.write(`data: ${data}\n\n`)) await waitForDrain(res);
+  const idLine = id === undefined ? '' : `id: ${id}\n`;
+  if (!res.write(`${idLine}data: ${data}\n\n`)) await waitForDrain(res);
 }
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -27,6 +27,7 @@
 } from '../routing/policies.js';
 import { createCompletionHandler } from './callers/completions.js';
 import { createModelsHandler } from './callers/models.js';
+import { createResumeHandler, requestPrefix } from './callers/resume.js';
 import { createCallerServer } from './callers/server.js';
 import { createServiceHandler, servicePrefix } from './callers/services.js';
 import { closeHttp, listenHttp } from './listen.js';
@@ -121,6 +122,11 @@
         methods: ['POST'],
         handler: createCompletionHandler(completion, 'text'),
       },
+      {
+        path: requestPrefix,
+        methods: ['GET'],
+        handler: createResumeHandler({ clock, log, replica, directory }),
+      },
       { path: '/v1/models', methods: ['GET'], handler: createModelsHandler(clock, replica) },
       {
         path: servicePrefix,
@@ -182,9 +188,10 @@
     },
     stop() {
       const cut = callers.active;
+      // Without peer connections nothing is cancelled, so callers can resume through another entry.
+      closeAll();
       callers.server.close();
       callers.server.closeAllConnections();
-      closeAll();
       return cut;
     },
   };
--- a/src/idempotency/dispatch.ts
+++ b/src/idempotency/dispatch.ts
@@ -2,6 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import { createCancellationSource } from '../base/cancellation.js';
 import { type Clock, withTimeout } from '../base/clock.js';
+import { isConnectionRefused } from '../base/connections.js';
 import { errMessage } from '../base/errors.js';
 import { type RefusalCode } from '../base/refusals.js';
 import {
@@ -14,7 +15,6 @@
 import { type HeaderList } from '../ports/service.js';
 import { type OnceCall, type ResponseSink } from './calls.js';
 import { type Claim } from './claims.js';
-import { isConnectionRefused } from './outcomes.js';
 import { maxResultBytes, type ServiceResult } from './results.js';
 
 /** How the dispatch of an attempt ended. */
--- a/src/idempotency/outcomes.ts
+++ b/src/idempotency/outcomes.ts
@@ -1,6 +1,6 @@
 /** Finds the outcome of an attempt whose reply did not arrive, by asking the bound agent. */
-import { ConnectError } from '@connectrpc/connect';
 import { type Clock, withTimeout } from '../base/clock.js';
+import { isConnectionRefused } from '../base/connections.js';
 import { errMessage } from '../base/errors.js';
 import { type Logger } from '../base/logging.js';
 import { AttemptState, type ResultReply } from '../gen/cicadatide/v1/agent_pb.js';
@@ -33,23 +33,6 @@
 
 const askTimeoutMs = 1_000;
 
-const refusedCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
-
-/**
- * True when no byte of a call can have left this process, because the connection itself was
- * refused. A connection that broke later is reported with the same Connect code, so only the
- * system error of the connect call counts.
- */
-export function isConnectionRefused(err: unknown): boolean {
-  let cause: unknown = err instanceof ConnectError ? err.cause : err;
-  for (let depth = 0; depth < 4 && cause instanceof Error; depth += 1) {
-    const { code, syscall } = cause as NodeJS.ErrnoException;
-    if (syscall === 'connect' && refusedCodes.has(code ?? '')) return true;
-    cause = cause.cause;
-  }
-  return false;
-}
-
 const outcomes: Readonly<Partial<Record<AttemptState, 'neverRun' | 'running'>>> = {
   [AttemptState.NEVER_RUN]: 'neverRun',
   [AttemptState.RUNNING]: 'running',
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -5,7 +5,7 @@
 import { type Logger } from '../base/logging.js';
 import { fullJitter, type Random } from '../base/random.js';
 import { refusal, type RefusalError } from '../base/refusals.js';
-import { type StreamEnd, type StreamFailure } from '../gen/cicadatide/v1/agent_pb.js';
+import { type Chunk, type StreamEnd, type StreamFailure } from '../gen/cicadatide/v1/agent_pb.js';
 import { type AgentDirectory, type AgentView } from '../membership/directory.js';
 import { streamAttempt } from '../streams/attempt.js';
 import { type Choice, type PlacementPolicy } from './policies.js';
@@ -14,9 +14,16 @@
 /** What the caller's side sees of a running completion. */
 export type CompletionEvent =
   | { readonly kind: 'accepted'; readonly target: string; readonly attempt: number }
-  | { readonly kind: 'text'; readonly text: string; readonly tokens: number }
+  | {
+      readonly kind: 'text';
+      /** Increases over all attempts of the request; a caller resumes after it. */
+      readonly seq: number;
+      readonly text: string;
+      readonly tokens: number;
+    }
   | {
       readonly kind: 'end';
+      readonly seq: number;
       readonly finishReason: string;
       readonly promptTokens: number;
       readonly cachedTokens: number;
@@ -47,6 +54,9 @@
 /** Attempts of one request, the first one included. */
 const maxAttempts = 4;
 
+/** Chunks that a continuation passes on; the agent's replay window is as large. */
+const maxDeliveredChunks = 256;
+
 const retryBaseMs = 20;
 
 const retryMaxMs = 500;
@@ -59,13 +69,21 @@
   weightsVersion: string;
   /** Target of the newest attempt. */
   target: string;
+  /** Newest chunks of all attempts; a continuation keeps them for a resuming caller. */
+  chunks: Chunk[];
   readonly failedTargets: Set<string>;
 }
 
 type AttemptOutcome =
-  | { readonly kind: 'ended'; readonly end: StreamEnd }
+  | { readonly kind: 'ended'; readonly seq: number; readonly end: StreamEnd }
   | { readonly kind: 'failed'; readonly failure: StreamFailure | undefined; readonly err: string };
 
+function keepChunk(progress: Progress, chunk: Chunk): void {
+  progress.chunks.push(chunk);
+  if (progress.chunks.length < 2 * maxDeliveredChunks) return;
+  progress.chunks = progress.chunks.slice(-maxDeliveredChunks);
+}
+
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { clock, random, log, directory, policy } = options;
 
@@ -114,11 +132,14 @@
       deliveredText: progress.text,
       deliveredTokens: progress.tokens,
       salt: req.salt,
+      delivered: progress.chunks.slice(-maxDeliveredChunks),
     };
     const tracked = directory.trackRequest(agent.address);
     let finished = false;
     try {
-      for await (const { part } of streamAttempt(agent.connection, init, token)) {
+      for await (const chunk of streamAttempt(agent.connection, init, token, clock)) {
+        const { part, seq } = chunk;
+        if (part.case === 'accepted' || part.case === 'text') keepChunk(progress, chunk);
         if (part.case === 'accepted') {
           progress.target = part.value.target;
           yield { kind: 'accepted', target: part.value.target, attempt: progress.attempt };
@@ -127,7 +148,7 @@
           progress.weightsVersion = version;
           progress.text += part.value.text;
           progress.tokens += part.value.tokens;
-          yield { kind: 'text', text: part.value.text, tokens: part.value.tokens };
+          yield { kind: 'text', seq, text: part.value.text, tokens: part.value.tokens };
         }
         if (part.case === 'failure') {
           finished = true;
@@ -135,7 +156,7 @@
         }
         if (part.case === 'end') {
           finished = true;
-          return { kind: 'ended', end: part.value };
+          return { kind: 'ended', seq, end: part.value };
         }
       }
       return { kind: 'failed', failure: undefined, err: 'stream ended early' };
@@ -167,6 +188,7 @@
       tokens: 0,
       weightsVersion: '',
       target: '',
+      chunks: [],
       failedTargets: new Set(),
     };
     let lastError = 'no target is ready for this route';
@@ -183,7 +205,8 @@
       if (outcome.kind === 'ended') {
         const { finishReason, promptTokens, cachedTokens } = outcome.end;
         const outputTokens = progress.tokens;
-        yield { kind: 'end', finishReason, promptTokens, cachedTokens, outputTokens };
+        const { seq } = outcome;
+        yield { kind: 'end', seq, finishReason, promptTokens, cachedTokens, outputTokens };
         return;
       }
       lastError = outcome.err;
--- a/src/scheduling/worker.ts
+++ b/src/scheduling/worker.ts
@@ -69,6 +69,9 @@
 /** Chunks that an attempt may run ahead of its reader. */
 const maxUnreadChunks = 256;
 
+/** Time in which the stream of a cancelling entry closes, so that its reader is not counted. */
+const cancelRecheckMs = 200;
+
 /** What must match before work is admitted; absent fields are not checked. */
 interface AdmissionCheck {
   readonly model: string;
@@ -111,7 +114,11 @@
     let found: Run | undefined;
     if (attempt > 0) found = runs.get(runKey(requestId, attempt));
     else {
-      for (const [key, run] of runs) if (key.startsWith(`${requestId}/`)) found = run;
+      // The loser of a hedge is cancelled and may be the newest, so a failed run comes last.
+      for (const [key, run] of runs) {
+        if (!key.startsWith(`${requestId}/`)) continue;
+        if (!found || found.buffer.failed || !run.buffer.failed) found = run;
+      }
     }
     return found?.team === team ? found : undefined;
   };
@@ -237,8 +244,25 @@
     const key = runKey(req.requestId, req.attempt);
     const runSource = createCancellationSource(lifetime.token);
     const { requestId, attempt } = req;
-    const buffer = createReplayBuffer(requestId, attempt, (fields) =>
-      create(ChunkSchema, { requestId, attempt, ...fields }),
+    const buffer: ReplayBuffer = createReplayBuffer(
+      requestId,
+      attempt,
+      (fields) => create(ChunkSchema, { requestId, attempt, ...fields }),
+      {
+        clock,
+        delivered: req.delivered,
+        progress: () => ({
+          case: 'progress',
+          value: {
+            $typeName: 'cicadatide.v1.Progress',
+            target,
+            model: req.model,
+            kind: req.kind,
+            failed: buffer.failed,
+            ended: buffer.ended,
+          },
+        }),
+      },
     );
     const run: Run = { team: req.team, buffer, cancel: (reason) => runSource.cancel(reason) };
     runs.set(key, run);
@@ -303,7 +327,8 @@
     dispatch(req, token) {
       reservations.release(req.reservationId);
       const known = runs.get(runKey(req.requestId, req.attempt));
-      return (known ?? startRun(req)).buffer.read(0, token);
+      const afterSeq = req.delivered.at(-1)?.seq ?? 0;
+      return (known ?? startRun(req)).buffer.read(afterSeq, token);
     },
     resume(req, token) {
       const run = findRun(req.requestId, req.attempt, req.team);
@@ -311,7 +336,12 @@
     },
     cancel(requestId, attempt, team) {
       const run = findRun(requestId, attempt, team);
-      run?.cancel('cancelled by the entry');
+      // A caller that resumed through another entry still reads when its first entry cancels.
+      const cancelUnread = (): void => {
+        if (run?.buffer.readers === 0) run.cancel('cancelled by the entry');
+      };
+      cancelUnread();
+      if (run && run.buffer.readers > 0) clock.setTimer(cancelRecheckMs, cancelUnread);
       return run !== undefined;
     },
     leave() {
--- a/src/streams/attempt.ts
+++ b/src/streams/attempt.ts
@@ -1,29 +1,149 @@
-import { type CancellationToken } from '../base/cancellation.js';
-import { TargetFailedError } from '../base/errors.js';
+/**
+ * Streams of attempts as an entry reads them. A stream without progress, or one that broke, is
+ * resumed on a new connection where it stood before the attempt counts as failed.
+ */
+import { Code, ConnectError } from '@connectrpc/connect';
+import { type CancellationToken, createCancellationSource } from '../base/cancellation.js';
+import { type Clock, sleep, systemClock, withTimeout } from '../base/clock.js';
+import { isConnectionRefused } from '../base/connections.js';
 import { type Chunk, type DispatchRequest } from '../gen/cicadatide/v1/agent_pb.js';
 import { type AgentClient, type PeerConnection } from '../ports/agents.js';
+import { createReassembly } from './reassembly.js';
 
 /** Fields of a dispatch as an entry fills them. */
 export type DispatchInit = Omit<DispatchRequest, '$typeName' | '$unknown'>;
 
+/** An attempt that runs already, and the chunk after which its stream is wanted. */
+export interface ResumeInit {
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly team: string;
+  readonly afterSeq: number;
+}
+
+type AgentConnection = PeerConnection<AgentClient>;
+
+type OpenStream = (signal: AbortSignal) => AsyncIterable<Chunk>;
+
+/** Silence that counts as a dead connection; the agent sends progress every 500 ms. */
+const silenceMs = 2_000;
+
+/** Time for a resumed stream to show progress; with the silence at most 3 s on a dead connection. */
+const recoveryMs = 1_000;
+
+const retryDelayMs = 50;
+
+/** Resumes without any new chunk between them, after which the attempt has failed. */
+const maxIdleResumes = 3;
+
+/** Errors of a resume that no repetition changes. */
+const finalCodes: ReadonlySet<Code> = new Set([
+  Code.NotFound,
+  Code.OutOfRange,
+  Code.FailedPrecondition,
+  Code.InvalidArgument,
+  Code.Unauthenticated,
+]);
+
+/** Time of the last reset by connection, so that streams do not break each other's new one. */
+const resets = new WeakMap<AgentConnection, number>();
+
+function resetOnce(connection: AgentConnection, openedAt: number, clock: Clock): void {
+  const last = resets.get(connection);
+  if (last !== undefined && last >= openedAt) return;
+  resets.set(connection, clock.now());
+  connection.reset('a stream made no progress');
+}
+
+const silent = (): ConnectError => new ConnectError('no progress on the stream', Code.Unavailable);
+
+async function* follow(
+  connection: AgentConnection,
+  init: ResumeInit,
+  dispatch: OpenStream | undefined,
+  token: CancellationToken,
+  clock: Clock,
+): AsyncGenerator<Chunk> {
+  const { requestId, attempt, team } = init;
+  const chunks = createReassembly(requestId, attempt, init.afterSeq);
+  const resume: OpenStream = (signal) =>
+    connection.client.resume({ requestId, attempt, team, afterSeq: chunks.lastSeq }, { signal });
+  let open = dispatch ?? resume;
+  let idleResumes = 0;
+  let allowedMs = dispatch ? silenceMs : recoveryMs;
+  /** End of the time in which a broken stream may be recovered; undefined while it is healthy. */
+  let recoverUntil: number | undefined;
+
+  for (;;) {
+    const source = createCancellationSource(token);
+    const openedAt = clock.now();
+    let progressAt = openedAt;
+    let failure: unknown;
+    try {
+      const iterator = open(source.token.signal)[Symbol.asyncIterator]();
+      for (;;) {
+        const waitMs = progressAt + allowedMs - clock.now();
+        const next = waitMs > 0 ? await withTimeout(clock, waitMs, iterator.next()) : undefined;
+        if (!next) {
+          resetOnce(connection, openedAt, clock);
+          throw silent();
+        }
+        if (next.done) throw new ConnectError('stream ended without its end', Code.Unavailable);
+        const released = chunks.accept(next.value);
+        if (released.length > 0 || chunks.isCurrent(next.value)) {
+          progressAt = clock.now();
+          allowedMs = silenceMs;
+          recoverUntil = undefined;
+        }
+        for (const chunk of released) {
+          idleResumes = 0;
+          yield chunk;
+          if (chunk.part.case === 'end' || chunk.part.case === 'failure') return;
+        }
+        // The time that the consumer took is not silence of the agent.
+        if (released.length > 0) progressAt = clock.now();
+      }
+    } catch (err) {
+      token.throwIfCancelled();
+      failure = err;
+    } finally {
+      source.cancel('stream closed');
+      source.dispose();
+    }
+    const isFinal = finalCodes.has(ConnectError.from(failure).code);
+    if (isFinal || isConnectionRefused(failure)) throw failure;
+    recoverUntil ??= clock.now() + recoveryMs;
+    idleResumes += 1;
+    if (clock.now() >= recoverUntil || idleResumes > maxIdleResumes) throw failure;
+    chunks.restart();
+    if (idleResumes > 1) await sleep(clock, retryDelayMs * idleResumes, token);
+    allowedMs = Math.max(1, recoverUntil - clock.now());
+    open = resume;
+  }
+}
+
 /**
- * Dispatches one attempt and yields its chunks in order, each once. Chunks of other requests or
- * attempts are dropped. Throws TargetFailedError when the stream ends without a terminal chunk.
+ * Dispatches one attempt and yields its numbered chunks in order, each once, until the terminal
+ * one. Rejects with the error of the last connection when the stream could not be recovered.
  */
-export async function* streamAttempt(
-  connection: PeerConnection<AgentClient>,
+export function streamAttempt(
+  connection: AgentConnection,
   init: DispatchInit,
   token: CancellationToken,
+  clock: Clock = systemClock,
 ): AsyncGenerator<Chunk> {
-  let lastSeq = 0;
-  const stream = connection.client.dispatch(init, { signal: token.signal });
-  for await (const chunk of stream) {
-    if (chunk.requestId !== init.requestId || chunk.attempt !== init.attempt) continue;
-    if (chunk.seq <= lastSeq) continue;
-    if (chunk.seq !== lastSeq + 1) throw new TargetFailedError('chunk is missing in the stream');
-    lastSeq = chunk.seq;
-    yield chunk;
-    if (chunk.part.case === 'end' || chunk.part.case === 'failure') return;
-  }
-  throw new TargetFailedError('stream of the agent ended without its terminal chunk');
+  const { requestId, attempt, team } = init;
+  const afterSeq = init.delivered.at(-1)?.seq ?? 0;
+  const dispatch: OpenStream = (signal) => connection.client.dispatch(init, { signal });
+  return follow(connection, { requestId, attempt, team, afterSeq }, dispatch, token, clock);
+}
+
+/** Yields the numbered chunks of a running attempt after the given one. */
+export function resumeAttempt(
+  connection: AgentConnection,
+  init: ResumeInit,
+  token: CancellationToken,
+  clock: Clock = systemClock,
+): AsyncGenerator<Chunk> {
+  return follow(connection, init, undefined, token, clock);
 }
