--- a/src/adapters/connect/connector.ts
+++ b/src/adapters/connect/connector.ts
@@ -10,6 +10,30 @@
 
 const pingTimeoutMs = 1_000;
 
+type SessionManager = Pick<Http2SessionManager, 'authority' | 'request' | 'notifyResponseByteRead'>;
+
+/**
+ * Passes requests to a session manager and keeps an error listener on each session. The manager
+ * drops its own listener when a request finds a session that is being destroyed after a ping
+ * timeout; the error that the session emits afterwards would end the process.
+ */
+function guardSessions(manager: Http2SessionManager): SessionManager {
+  const guarded = new WeakSet<object>();
+  return {
+    authority: manager.authority,
+    async request(method, path, headers, options) {
+      const stream = await manager.request(method, path, headers, options);
+      const { session } = stream;
+      if (session && !guarded.has(session)) {
+        guarded.add(session);
+        session.on('error', () => undefined);
+      }
+      return stream;
+    },
+    notifyResponseByteRead: (stream) => manager.notifyResponseByteRead(stream),
+  };
+}
+
 /** Opens HTTP/2 connections to agents and entries with the internal credential. */
 export function createPeerConnector(credential: string): PeerConnector {
   const open = (address: string) => {
@@ -22,7 +46,7 @@
     const transport = createConnectTransport({
       baseUrl: address,
       httpVersion: '2',
-      sessionManager: manager,
+      sessionManager: guardSessions(manager),
       interceptors: [rejectDisposed, clientCredential(credential)],
     });
     const dispose = (): void => {
--- a/src/adapters/connect/listener.ts
+++ b/src/adapters/connect/listener.ts
@@ -25,7 +25,10 @@
   let isAnswered = true;
   const timer = setInterval(() => {
     if (!isAnswered) {
-      session.destroy();
+      // After a stall of this process the answer may be received but not read yet.
+      setImmediate(() => {
+        if (!isAnswered) session.destroy();
+      });
       return;
     }
     isAnswered = false;
