--- a/src/adapters/connect/connector.ts
+++ b/src/adapters/connect/connector.ts
@@ -1,4 +1,4 @@
-import { createClient, type Interceptor } from '@connectrpc/connect';
+import { Code, ConnectError, createClient, type Interceptor } from '@connectrpc/connect';
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
 import { AgentService } from '../../gen/cicadatide/v1/agent_pb.js';
 import { PeerService } from '../../gen/cicadatide/v1/peer_pb.js';
@@ -10,38 +10,69 @@
 
 const pingTimeoutMs = 1_000;
 
+type SessionManager = Pick<Http2SessionManager, 'authority' | 'request' | 'notifyResponseByteRead'>;
+
+/**
+ * Passes requests to a session manager and keeps an error listener on each session. The manager
+ * drops its own listener when a request finds a session that is being destroyed after a ping
+ * timeout; the error that the session emits afterwards would end the process.
+ */
+function guardSessions(manager: Http2SessionManager): SessionManager {
+  const guarded = new WeakSet<object>();
+  return {
+    authority: manager.authority,
+    async request(method, path, headers, options) {
+      const stream = await manager.request(method, path, headers, options);
+      const { session } = stream;
+      if (session && !guarded.has(session)) {
+        guarded.add(session);
+        session.on('error', () => undefined);
+      }
+      return stream;
+    },
+    notifyResponseByteRead: (stream) => manager.notifyResponseByteRead(stream),
+  };
+}
+
 /** Opens HTTP/2 connections to agents and entries with the internal credential. */
 export function createPeerConnector(credential: string): PeerConnector {
-  const interceptors: Interceptor[] = [clientCredential(credential)];
-
   const open = (address: string) => {
+    let disposed = false;
+    const rejectDisposed: Interceptor = (next) => async (req) => {
+      if (disposed) throw new ConnectError('the connection is closed', Code.Canceled);
+      return next(req);
+    };
     const manager = new Http2SessionManager(address, { pingIntervalMs, pingTimeoutMs });
     const transport = createConnectTransport({
       baseUrl: address,
       httpVersion: '2',
-      sessionManager: manager,
-      interceptors,
+      sessionManager: guardSessions(manager),
+      interceptors: [rejectDisposed, clientCredential(credential)],
     });
-    return { manager, transport };
+    const dispose = (): void => {
+      disposed = true;
+      manager.abort();
+    };
+    return { manager, transport, dispose };
   };
 
   return {
     agent(address) {
-      const { manager, transport } = open(address);
+      const { manager, transport, dispose } = open(address);
       return {
         address,
         client: createClient(AgentService, transport),
         reset: (reason) => manager.abort(new Error(reason)),
-        dispose: () => manager.abort(),
+        dispose,
       };
     },
     entry(address) {
-      const { manager, transport } = open(address);
+      const { manager, transport, dispose } = open(address);
       return {
         address,
         client: createClient(PeerService, transport),
         reset: (reason) => manager.abort(new Error(reason)),
-        dispose: () => manager.abort(),
+        dispose,
       };
     },
   };
--- a/src/routing/attempt.ts
+++ b/src/routing/attempt.ts
@@ -1,9 +1,10 @@
 import { Code, ConnectError } from '@connectrpc/connect';
 import { type CancellationToken, createCancellationSource } from '../base/cancellation.js';
 import { type Clock } from '../base/clock.js';
+import { isConnectionRefused } from '../base/connections.js';
 import { errMessage } from '../base/errors.js';
 import { type Logger } from '../base/logging.js';
-import { RefusalReason, type StreamEnd } from '../gen/cicadatide/v1/agent_pb.js';
+import { type Chunk, RefusalReason, type StreamEnd } from '../gen/cicadatide/v1/agent_pb.js';
 import { type AgentDirectory } from '../membership/directory.js';
 import { type DispatchInit, streamAttempt } from '../streams/attempt.js';
 import { targetOf } from './candidates.js';
@@ -24,8 +25,13 @@
 
 /** One step of an attempt; `end` and `failed` are the last ones. */
 export type AttemptStep =
-  | { readonly kind: 'text'; readonly text: string; readonly tokens: number }
-  | { readonly kind: 'end'; readonly end: StreamEnd }
+  | {
+      readonly kind: 'text';
+      readonly seq: number;
+      readonly text: string;
+      readonly tokens: number;
+    }
+  | { readonly kind: 'end'; readonly seq: number; readonly end: StreamEnd }
   | { readonly kind: 'failed'; readonly failure: AttemptFailure };
 
 /** A dispatched attempt. */
@@ -33,6 +39,8 @@
   readonly choice: Choice;
   readonly attempt: number;
   readonly target: string;
+  /** Returns the numbered chunks before the terminal one that came since the last call. */
+  takeChunks(): readonly Chunk[];
   /** Returns the next step; a cancelled attempt fails and never rejects. */
   next(): Promise<AttemptStep>;
   /** Ends the attempt here and at the agent, unless it has ended. */
@@ -55,6 +63,8 @@
   readonly remainingMs: number;
   readonly deliveredText: string;
   readonly deliveredTokens: number;
+  /** Newest chunks of earlier attempts; the numbers of this attempt follow them. */
+  readonly delivered: Chunk[];
 }
 
 /** Fills the dispatch of one attempt. */
@@ -89,16 +99,6 @@
 
 const cancelTimeoutMs = 1_000;
 
-/** Tells whether a connection was refused, so that nothing was sent to the agent. */
-function isRefusedConnection(err: unknown): boolean {
-  let cause: unknown = err;
-  for (let depth = 0; depth < 5 && cause instanceof Error; depth += 1) {
-    if ((cause as NodeJS.ErrnoException).code === 'ECONNREFUSED') return true;
-    cause = cause.cause;
-  }
-  return false;
-}
-
 /** Dispatches an attempt and measures it against the other targets. */
 export function startAttempt(
   parts: AttemptParts,
@@ -111,11 +111,12 @@
   const target = targetOf(agent);
   const source = createCancellationSource(token);
   const tracked = directory.trackRequest(agent.address);
-  const chunks = streamAttempt(agent.connection, init, source.token);
+  const chunks = streamAttempt(agent.connection, init, source.token, clock);
   const startedAt = clock.now();
   let last: AttemptStep | undefined;
   let answered = false;
   let deliveredAt = 0;
+  let taken: Chunk[] = [];
 
   const finish = (step: AttemptStep): AttemptStep => {
     last = step;
@@ -170,13 +171,14 @@
       const result = await Promise.race([chunks.next(), cancelled]);
       if (last) return last;
       if (!result || result.done) return fail('stream of the agent ended early', false);
-      const { part } = result.value;
+      const { part, seq } = result.value;
+      if (part.case === 'accepted' || part.case === 'text') taken.push(result.value);
       if (part.case === 'text') {
         const { text, tokens } = part.value;
         measure(tokens, pulledAt);
-        return { kind: 'text', text, tokens };
+        return { kind: 'text', seq, text, tokens };
       }
-      if (part.case === 'end') return finish({ kind: 'end', end: part.value });
+      if (part.case === 'end') return finish({ kind: 'end', seq, end: part.value });
       if (part.case !== 'failure') continue;
       const { message, notRun, refusal, retryAfterMs } = part.value;
       const reasons = refusal === RefusalReason.UNSPECIFIED ? [] : [refusal];
@@ -189,6 +191,11 @@
     choice,
     attempt: init.attempt,
     target,
+    takeChunks() {
+      const newest = taken;
+      taken = [];
+      return newest;
+    },
     async next() {
       if (last) return last;
       try {
@@ -198,7 +205,7 @@
         const unavailable = ConnectError.from(err).code === Code.Unavailable;
         if (unavailable) directory.reportFailure(agent.address, errMessage(err));
         else cancelAtAgent();
-        return fail(errMessage(err), isRefusedConnection(err));
+        return fail(errMessage(err), isConnectionRefused(err));
       } finally {
         if (last) link.dispose();
       }
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -3,6 +3,7 @@
 import { type Logger } from '../base/logging.js';
 import { fullJitter, type Random } from '../base/random.js';
 import { type RetryBudget } from '../limits/retrybudget.js';
+import { type Chunk } from '../gen/cicadatide/v1/agent_pb.js';
 import { type AgentDirectory, type AgentView } from '../membership/directory.js';
 import {
   type AttemptFailure,
@@ -30,9 +31,16 @@
 /** What the caller's side sees of a running completion. */
 export type CompletionEvent =
   | { readonly kind: 'accepted'; readonly target: string; readonly attempt: number }
-  | { readonly kind: 'text'; readonly text: string; readonly tokens: number }
+  | {
+      readonly kind: 'text';
+      /** Increases over all attempts of the request; a caller resumes after it. */
+      readonly seq: number;
+      readonly text: string;
+      readonly tokens: number;
+    }
   | {
       readonly kind: 'end';
+      readonly seq: number;
       readonly finishReason: string;
       readonly promptTokens: number;
       readonly cachedTokens: number;
@@ -74,10 +82,19 @@
 /** Refusals for a stale view that are retried without delay and cost. */
 const maxStale = 2;
 
+/** Chunks that a continuation passes on; the agent's replay window is as large. */
+const maxDeliveredChunks = 256;
+
 const retryBaseMs = 20;
 
 const retryMaxMs = 500;
 
+function keepChunks(progress: Progress, chunks: readonly Chunk[]): void {
+  progress.chunks.push(...chunks);
+  if (progress.chunks.length < 2 * maxDeliveredChunks) return;
+  progress.chunks = progress.chunks.slice(-maxDeliveredChunks);
+}
+
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { clock, random, log, directory, policy, health, budget } = options;
   const hedgeTimer = createHedgeTimer();
@@ -117,6 +134,7 @@
       remainingMs: req.deadline.remainingMs(),
       deliveredText: progress.text,
       deliveredTokens: progress.tokens,
+      delivered: progress.chunks.slice(-maxDeliveredChunks),
     });
     return startAttempt(parts, choice, init, token);
   };
@@ -183,6 +201,7 @@
         yield { kind: 'accepted', target: running.target, attempt: running.attempt };
       }
       while (step.kind === 'text') {
+        keepChunks(progress, running.takeChunks());
         progress.weightsVersion = running.choice.weightsVersion;
         progress.text += step.text;
         progress.tokens += step.tokens;
@@ -200,7 +219,9 @@
       return step.failure;
     }
     const { finishReason, promptTokens, cachedTokens } = step.end;
-    yield { kind: 'end', finishReason, promptTokens, cachedTokens, outputTokens: progress.tokens };
+    const { seq } = step;
+    const outputTokens = progress.tokens;
+    yield { kind: 'end', seq, finishReason, promptTokens, cachedTokens, outputTokens };
     return undefined;
   }
 
--- a/src/routing/outcomes.ts
+++ b/src/routing/outcomes.ts
@@ -1,5 +1,5 @@
 import { refusal, type RefusalError } from '../base/refusals.js';
-import { RefusalReason } from '../gen/cicadatide/v1/agent_pb.js';
+import { type Chunk, RefusalReason } from '../gen/cicadatide/v1/agent_pb.js';
 import { type AttemptFailure } from './attempt.js';
 import { type NoChoice } from './policies.js';
 
@@ -13,6 +13,8 @@
   stale: number;
   text: string;
   tokens: number;
+  /** Newest chunks of all attempts; a continuation keeps them for a resuming caller. */
+  chunks: Chunk[];
   /** Weights of the delivered text, or an empty string. */
   weightsVersion: string;
   /** Dispatched attempts of which it is not certain that they did not run. */
@@ -27,6 +29,7 @@
     stale: 0,
     text: '',
     tokens: 0,
+    chunks: [],
     weightsVersion: '',
     mayHaveRun: 0,
     failedTargets: new Set(),
--- a/src/routing/probe.ts
+++ b/src/routing/probe.ts
@@ -45,6 +45,7 @@
       remainingMs: probeLimitMs,
       deliveredText: '',
       deliveredTokens: 0,
+      delivered: [],
     });
     const attempt = startAttempt(parts, choice, init, source.token);
     const timer = clock.setTimer(probeLimitMs, () => {
--- a/src/scheduling/attempts.ts
+++ b/src/scheduling/attempts.ts
@@ -21,6 +21,8 @@
   start(req: DispatchRequest): Attempt;
   /** Returns undefined for an unknown attempt and for one of another team; 0 is the newest. */
   find(requestId: string, attempt: number, team: string): Attempt | undefined;
+  /** Cancels an attempt unless another reader has taken it over; false when it is unknown. */
+  cancel(requestId: string, attempt: number, team: string): boolean;
 }
 
 export interface AttemptsOptions {
@@ -41,6 +43,9 @@
 /** Time that a finished attempt is kept for a resuming reader. */
 const finishedRetentionMs = 10_000;
 
+/** Time in which the stream of a cancelling entry closes, so that its reader is not counted. */
+const cancelRecheckMs = 200;
+
 export function createAttempts(options: AttemptsOptions): Attempts {
   const { clock, accepted, execute, onError } = options;
   const lifetime = createCancellationSource();
@@ -61,8 +66,25 @@
   const begin = (req: DispatchRequest): Attempt => {
     const { requestId, attempt, team } = req;
     const source = createCancellationSource(lifetime.token);
-    const buffer = createReplayBuffer(requestId, attempt, (fields) =>
-      create(ChunkSchema, { requestId, attempt, ...fields }),
+    const buffer: ReplayBuffer = createReplayBuffer(
+      requestId,
+      attempt,
+      (fields) => create(ChunkSchema, { requestId, attempt, ...fields }),
+      {
+        clock,
+        delivered: req.delivered,
+        progress: () => ({
+          case: 'progress',
+          value: {
+            $typeName: 'cicadatide.v1.Progress',
+            target: accepted().target,
+            model: req.model,
+            kind: req.kind,
+            failed: buffer.failed,
+            ended: buffer.ended,
+          },
+        }),
+      },
     );
     const run: Attempt = { team, buffer, cancel: (reason) => source.cancel(reason) };
     attempts.set(keyOf(requestId, attempt), run);
@@ -80,6 +102,19 @@
     return run;
   };
 
+  const find: Attempts['find'] = (requestId, attempt, team) => {
+    let found: Attempt | undefined;
+    if (attempt > 0) found = attempts.get(keyOf(requestId, attempt));
+    else {
+      // The loser of a hedge is cancelled and may be the newest, so a failed attempt comes last.
+      for (const [key, run] of attempts) {
+        if (!key.startsWith(`${requestId}/`)) continue;
+        if (!found || found.buffer.failed || !run.buffer.failed) found = run;
+      }
+    }
+    return found?.team === team ? found : undefined;
+  };
+
   return {
     get active() {
       let count = 0;
@@ -87,13 +122,16 @@
       return count;
     },
     start: (req) => attempts.get(keyOf(req.requestId, req.attempt)) ?? begin(req),
-    find(requestId, attempt, team) {
-      let found: Attempt | undefined;
-      if (attempt > 0) found = attempts.get(keyOf(requestId, attempt));
-      else {
-        for (const [key, run] of attempts) if (key.startsWith(`${requestId}/`)) found = run;
-      }
-      return found?.team === team ? found : undefined;
+    find,
+    cancel(requestId, attempt, team) {
+      const run = find(requestId, attempt, team);
+      // A caller that resumed through another entry still reads when its first entry cancels.
+      const cancelUnread = (): void => {
+        if (run?.buffer.readers === 0) run.cancel('cancelled by the entry');
+      };
+      cancelUnread();
+      if (run && run.buffer.readers > 0) clock.setTimer(cancelRecheckMs, cancelUnread);
+      return run !== undefined;
     },
     dispose: () => lifetime.cancel('agent stopped'),
   };
--- a/src/scheduling/worker.ts
+++ b/src/scheduling/worker.ts
@@ -162,15 +162,12 @@
     },
     dispatch(req, token) {
       reservations.use(req.reservationId);
-      return attempts.start(req).buffer.read(0, token);
+      const afterSeq = req.delivered.at(-1)?.seq ?? 0;
+      return attempts.start(req).buffer.read(afterSeq, token);
     },
     resume: (req, token) =>
       attempts.find(req.requestId, req.attempt, req.team)?.buffer.read(req.afterSeq, token),
-    cancel(requestId, attempt, team) {
-      const run = attempts.find(requestId, attempt, team);
-      run?.cancel('cancelled by the entry');
-      return run !== undefined;
-    },
+    cancel: attempts.cancel,
     leave() {
       leaving = true;
     },
--- a/test/routing/dispatcher.test.ts
+++ b/test/routing/dispatcher.test.ts
@@ -89,7 +89,7 @@
   Code.Unavailable,
   undefined,
   undefined,
-  Object.assign(new Error('connect'), { code: 'ECONNREFUSED' }),
+  Object.assign(new Error('connect'), { code: 'ECONNREFUSED', syscall: 'connect' }),
 );
 
 // Guards against an answer that is lost, repeated or mixed after a fault of the first target.
--- a/test/routing/fakes.ts
+++ b/test/routing/fakes.ts
@@ -1,3 +1,4 @@
+import { Code, ConnectError } from '@connectrpc/connect';
 import { createDeadline } from '../../src/base/deadline.js';
 import { toDisposable } from '../../src/base/lifecycle.js';
 import { type Clock, sleep } from '../../src/base/clock.js';
@@ -74,7 +75,7 @@
       const source = createCancellationSource();
       signal.addEventListener('abort', () => source.cancel());
       const { requestId, attempt } = req;
-      let seq = 0;
+      let seq = req.delivered.at(-1)?.seq ?? 0;
       try {
         for (const step of spec.dispatch?.(req) ?? [text('a'), end]) {
           if (step instanceof Error) throw step;
@@ -89,6 +90,10 @@
         fake.closed.push(attempt);
       }
     },
+
+    async *resume() {
+      throw new ConnectError('no such request', Code.NotFound);
+    },
     cancel: async ({ attempt }: { readonly attempt: number }) => {
       fake.cancelled.push(attempt);
       return { found: true };
