--- a/src/daemon/agent.ts
+++ b/src/daemon/agent.ts
@@ -18,6 +18,7 @@
 import { startConfiguration } from './configuration.js';
 import { listenHttp } from './listen.js';
 import { createOperatorServer } from './operators/server.js';
+import { createPlatform } from './platform.js';
 import { type DaemonProcess, drainPollMs } from './process.js';
 import { type Settings } from './settings/schema.js';
 
@@ -34,10 +35,11 @@
   log: Logger,
   adapters: AgentAdapters = {},
 ): Promise<DaemonProcess> {
-  const { clock = systemClock, random = systemRandom, instances } = adapters;
+  const { clock = systemClock, random = systemRandom } = adapters;
   const { name: target, kind, url, service: serviceRoute = '', places } = settings.target;
   if (!target || !kind || !url) throw new SettingsError('[target] name, kind and url are missing');
   const resources = createDisposableStore();
+  const { instances } = { ...createPlatform(settings, resources), ...adapters };
   const registry = new Registry();
   const replica = createConfigurationReplica();
   const connector = createPeerConnector(settings.internal.credential);
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -28,6 +28,7 @@
 import { startConfiguration } from './configuration.js';
 import { closeHttp, listenHttp } from './listen.js';
 import { createOperatorServer } from './operators/server.js';
+import { createPlatform } from './platform.js';
 import { type DaemonProcess, drainPollMs } from './process.js';
 import { type Settings } from './settings/schema.js';
 
@@ -54,10 +55,12 @@
   log: Logger,
   adapters: EntryAdapters = {},
 ): Promise<DaemonProcess> {
-  const { clock = systemClock, random = systemRandom, table, instances } = adapters;
+  const { clock = systemClock, random = systemRandom } = adapters;
   const { callers: callersBind } = settings.listen;
   if (!callersBind) throw new SettingsError('[listen] callers is missing');
   const resources = createDisposableStore();
+  const platform = createPlatform(settings, resources);
+  const { table, instances } = { ...platform, ...adapters };
   const registry = new Registry();
   const replica = adapters.replica ?? createConfigurationReplica();
   const connector = createPeerConnector(settings.internal.credential);
