Add the operators' API and the command-line tool

Cause: records could be submitted from code only, and nothing reported their spread. Change: JSON API below /v1/ of the operators' listener with tokens and the roles viewer, operator and admin; the tool cicadatide with one file per command and documented exit codes. Submissions by the wrong role are audited too. A replica reads only changed records again after a change. Conclusion: over the DynamoDB stand-in, a team submitted with the tool is served without a restart, its audit line is there, and a write whose replies are lost is reported as unknown and settled by repeating it with its id.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -60,7 +60,12 @@
   },
   {
     // The binaries read their settings before anything else runs, and end on purpose.
-    files: ['src/daemon/main.ts', 'src/daemon/settings/read.ts', 'src/cli/**/*.ts'],
+    files: [
+      'src/base/version.ts',
+      'src/daemon/main.ts',
+      'src/daemon/settings/read.ts',
+      'src/cli/**/*.ts',
+    ],
     rules: { 'n/hashbang': 'off', 'n/no-sync': 'off', 'n/no-process-exit': 'off' },
   },
   {
--- a/src/base/refusals.ts
+++ b/src/base/refusals.ts
@@ -23,6 +23,7 @@
   unknownModel: kind(404, 'invalid_request_error', 'use a model listed by /v1/models'),
   unknownRoute: kind(404, 'invalid_request_error', 'use a documented path'),
   unknownRequest: kind(404, 'invalid_request_error', 'use the id of a recent request of your team'),
+  unknownRecord: kind(404, 'invalid_request_error', 'use a name that the list shows'),
   methodNotAllowed: kind(405, 'invalid_request_error', 'use the documented method'),
   conflict: kind(409, 'conflict_error', 'read the current revision and submit again'),
   keyReused: kind(422, 'invalid_request_error', 'use a new Idempotency-Key for a new request'),
--- /dev/null
+++ b/src/cli/client.ts
@@ -0,0 +1,92 @@
+import { Agent, request } from 'undici';
+import { errMessage } from '../base/errors.js';
+import { commandError, type ExitName } from './command.js';
+
+/** Reply of the operators' API. */
+export interface ApiReply {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Client of the operators' API of one entry. */
+export interface OperatorClient {
+  /** Returns the body of a successful reply; other replies become the error of the command. */
+  get<T>(path: string): Promise<T>;
+  post<T>(path: string, body: unknown): Promise<T>;
+  /** Returns any reply; `onLost` names the remedy when the reply was lost. */
+  send(path: string, body: unknown, onLost: string): Promise<ApiReply>;
+}
+
+const timeoutMs = 20_000;
+
+/** Failures before the request was sent. */
+const notSentCodes = new Set([
+  'ECONNREFUSED',
+  'ENOTFOUND',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+function exitOf(status: number): ExitName {
+  if (status === 409) return 'conflict';
+  if (status === 502) return 'unknown';
+  return status === 503 ? 'unreachable' : 'refused';
+}
+
+function messageOf({ status, body }: ApiReply): string {
+  const { error } = (body ?? {}) as { readonly error?: { readonly message?: string } };
+  return error?.message ?? `the server answered with status ${status}`;
+}
+
+export function createOperatorClient(url: string, token: string): OperatorClient {
+  const dispatcher = new Agent({
+    connectTimeout: 5_000,
+    keepAliveTimeout: 1,
+    pipelining: 0,
+    headersTimeout: timeoutMs,
+    bodyTimeout: timeoutMs,
+  });
+
+  const call = async (
+    method: 'GET' | 'POST',
+    path: string,
+    body: unknown,
+    onLost?: string,
+  ): Promise<ApiReply> => {
+    try {
+      const res = await request(new URL(`/v1/${path}`, url), {
+        dispatcher,
+        method,
+        headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json' },
+        body: body === undefined ? undefined : JSON.stringify(body),
+      });
+      return { status: res.statusCode, body: await res.body.json() };
+    } catch (err) {
+      const { code = '' } = err as { readonly code?: string };
+      const reason = errMessage(err) || code;
+      if (onLost && !notSentCodes.has(code)) {
+        throw commandError('unknown', `reply of ${url} was lost (${reason}); ${onLost}`);
+      }
+      throw commandError(
+        'unreachable',
+        `${url} can't be reached (${reason}); check --url or CICADATIDE_URL, or try another entry`,
+      );
+    }
+  };
+
+  const requireOk = <T>(reply: ApiReply): T => {
+    if (reply.status >= 200 && reply.status < 300) return reply.body as T;
+    throw commandError(exitOf(reply.status), messageOf(reply));
+  };
+
+  return {
+    get: async (path) => requireOk(await call('GET', path, undefined)),
+    post: async (path, body) => requireOk(await call('POST', path, body)),
+    async send(path, body, onLost) {
+      const reply = await call('POST', path, body, onLost);
+      const { error } = (reply.body ?? {}) as { readonly error?: unknown };
+      return error ? { ...reply, body: requireOk(reply) } : reply;
+    },
+  };
+}
--- /dev/null
+++ b/src/cli/commands/list.ts
@@ -0,0 +1,26 @@
+import { type ConfigurationSnapshot } from '../../configuration/records.js';
+import { type Command } from '../command.js';
+import { formatTable } from '../text.js';
+
+export const listCommand: Command = {
+  summary: 'list the records in force',
+  usage: '[KIND]',
+  args: [0, 1],
+  async run(ctx) {
+    const [kind] = ctx.args;
+    const query = kind === undefined ? '' : `?kind=${encodeURIComponent(kind)}`;
+    const found = await ctx.client().get<ConfigurationSnapshot>(`records${query}`);
+    ctx.print(found, () =>
+      formatTable([
+        ['KIND', 'NAME', 'REVISION', 'SCHEMA'],
+        ...found.records.map((record) => [
+          record.kind,
+          record.name,
+          String(record.revision),
+          String(record.schemaVersion),
+        ]),
+      ]),
+    );
+    return 'ok';
+  },
+};
--- /dev/null
+++ b/src/cli/run.ts
@@ -0,0 +1,176 @@
+import { readFileSync } from 'node:fs';
+import { parseArgs } from 'node:util';
+import { errMessage } from '../base/errors.js';
+import { readVersion } from '../base/version.js';
+import { createOperatorClient } from './client.js';
+import {
+  type Command,
+  CommandError,
+  commandError,
+  type CommandIo,
+  exitCodes,
+  type OptionValues,
+  textOption,
+} from './command.js';
+import { auditCommand } from './commands/audit.js';
+import { checkConfigCommand } from './commands/checkconfig.js';
+import { deleteCommand } from './commands/delete.js';
+import { diffCommand } from './commands/diff.js';
+import { hashKeyCommand } from './commands/hashkey.js';
+import { listCommand } from './commands/list.js';
+import { outcomeCommand } from './commands/outcome.js';
+import { settleCommand } from './commands/settle.js';
+import { showCommand } from './commands/show.js';
+import { statusCommand } from './commands/status.js';
+import { submitCommand } from './commands/submit.js';
+import { unknownCommand } from './commands/unknown.js';
+
+const commands: Readonly<Record<string, Command>> = {
+  submit: submitCommand,
+  list: listCommand,
+  show: showCommand,
+  diff: diffCommand,
+  delete: deleteCommand,
+  outcome: outcomeCommand,
+  audit: auditCommand,
+  status: statusCommand,
+  unknown: unknownCommand,
+  settle: settleCommand,
+  'hash-key': hashKeyCommand,
+  'check-config': checkConfigCommand,
+};
+
+const commonOptions = {
+  url: { type: 'string' },
+  'token-file': { type: 'string' },
+  json: { type: 'boolean' },
+  help: { type: 'boolean' },
+  version: { type: 'boolean' },
+} as const;
+
+const commonUsage = `common options:
+  --url URL          operators' listener of an entry; CICADATIDE_URL when absent
+  --token-file FILE  file that holds the operator token; CICADATIDE_TOKEN when absent
+  --json             print JSON instead of text
+  --help             print this text and exit
+  --version          print the version and exit
+
+exit codes: 0 ok, 1 refused, 2 wrong usage, 3 conflict with another change,
+            4 outcome unknown, 5 entry or its table not reachable
+`;
+
+function usageOf(name: string | undefined): string {
+  const command = name === undefined ? undefined : commands[name];
+  if (command) {
+    const details = (command.details ?? []).map((line) => `  ${line}\n`).join('');
+    const title = `usage: cicadatide ${name} ${command.usage}`.trimEnd();
+    return `${title}\n\n${command.summary}\n\n${details}${details && '\n'}${commonUsage}`;
+  }
+  const lines = Object.entries(commands).map(([each, { summary }]) => {
+    return `  ${each.padEnd(13)} ${summary}`;
+  });
+  return `usage: cicadatide COMMAND [ARGUMENTS] [OPTIONS]\n\n${lines.join('\n')}\n\n${commonUsage}`;
+}
+
+const allOptions = Object.assign(
+  {},
+  commonOptions,
+  ...Object.values(commands).map(({ options }) => options ?? {}),
+) as NonNullable<Command['options']>;
+
+function parse(argv: readonly string[]) {
+  try {
+    const config = { args: [...argv], options: allOptions, allowPositionals: true };
+    const { values, positionals } = parseArgs(config);
+    return { values: values as OptionValues, positionals };
+  } catch (err) {
+    throw commandError('usage', errMessage(err));
+  }
+}
+
+function checkOptions(name: string, command: Command, values: OptionValues): void {
+  const known = { ...commonOptions, ...command.options };
+  for (const option of Object.keys(values)) {
+    if (Object.hasOwn(known, option)) continue;
+    throw commandError('usage', `--${option} is no option of ${name}; see ${name} --help`);
+  }
+}
+
+function readToken(values: OptionValues, env: NodeJS.ProcessEnv): string {
+  const file = textOption(values, 'token-file');
+  const { CICADATIDE_TOKEN: fromEnv = '' } = env;
+  if (file === undefined && fromEnv === '') {
+    throw commandError(
+      'usage',
+      'the operator token is missing; set CICADATIDE_TOKEN or --token-file',
+    );
+  }
+  if (file === undefined) return fromEnv;
+  try {
+    return readFileSync(file, 'utf8').trim();
+  } catch (err) {
+    throw commandError('usage', `--token-file: can't be read (${errMessage(err)})`);
+  }
+}
+
+function readUrl(values: OptionValues, env: NodeJS.ProcessEnv): string {
+  const url = textOption(values, 'url') ?? env.CICADATIDE_URL;
+  if (url !== undefined && /^https?:\/\//.test(url) && URL.canParse(url)) return url;
+  const found = url === undefined ? 'nothing' : `"${url}"`;
+  throw commandError(
+    'usage',
+    `--url: found ${found}; write it or CICADATIDE_URL as http://IP:PORT`,
+  );
+}
+
+async function runCommand(
+  argv: readonly string[],
+  env: NodeJS.ProcessEnv,
+  io: CommandIo,
+): Promise<number> {
+  const { values, positionals } = parse(argv);
+  const [name, ...args] = positionals;
+  const command = name !== undefined && Object.hasOwn(commands, name) ? commands[name] : undefined;
+  if (values.help) {
+    io.out(usageOf(name));
+    return exitCodes.ok;
+  }
+  if (values.version) {
+    io.out(`${readVersion()}\n`);
+    return exitCodes.ok;
+  }
+  if (!command || name === undefined) {
+    const found = name === undefined ? 'no command' : `unknown command "${name}"`;
+    throw commandError('usage', `${found}; \`cicadatide --help\` lists them`);
+  }
+  checkOptions(name, command, values);
+  const [least, most] = command.args;
+  if (args.length < least || args.length > most) {
+    throw commandError('usage', `usage: cicadatide ${name} ${command.usage}`.trimEnd());
+  }
+  const exit = await command.run({
+    io,
+    values,
+    args,
+    client: () => createOperatorClient(readUrl(values, env), readToken(values, env)),
+    print(value, toText) {
+      io.out(`${values.json ? JSON.stringify(value, undefined, 2) : toText()}\n`);
+    },
+  });
+  return exitCodes[exit];
+}
+
+/** Runs the tool with arguments and returns the exit code. */
+export async function runCli(
+  argv: readonly string[],
+  env: NodeJS.ProcessEnv,
+  io: CommandIo,
+): Promise<number> {
+  try {
+    return await runCommand(argv, env, io);
+  } catch (err) {
+    io.err(`cicadatide: ${errMessage(err)}\n`);
+    if (err instanceof CommandError) return exitCodes[err.exit];
+    return exitCodes.refused;
+  }
+}
--- /dev/null
+++ b/src/configuration/audit.ts
@@ -0,0 +1,65 @@
+import { noCancellation, type CancellationToken } from '../base/cancellation.js';
+import { type Clock } from '../base/clock.js';
+import { errMessage } from '../base/errors.js';
+import { type Logger } from '../base/logging.js';
+import { type Random } from '../base/random.js';
+import { type TablePort, type TableWrite } from '../ports/table.js';
+import { type AuditEntry, auditKey, partitions } from './rows.js';
+
+/** An audit entry without its time. */
+export type AuditEvent = Omit<AuditEntry, 'at'>;
+
+/** Trail of all accepted and refused changes. Entries are never changed or removed. */
+export interface AuditTrail {
+  /** The write that adds an entry, for the transaction of an accepted change. */
+  toWrite(event: AuditEvent): TableWrite;
+  /** Adds an entry for a decision that stands whether or not the entry can be written. */
+  append(event: AuditEvent, more?: readonly TableWrite[]): Promise<void>;
+  /** Lists entries after a time in ISO 8601, oldest first. */
+  list(since: string, limit: number, token: CancellationToken): Promise<readonly AuditEntry[]>;
+}
+
+export interface AuditOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly table: TablePort;
+}
+
+/** Longest submitted text that an entry repeats. */
+const maxAuditText = 64;
+
+function shorten(text: string): string {
+  return text.slice(0, maxAuditText);
+}
+
+export function createAuditTrail({ clock, random, log, table }: AuditOptions): AuditTrail {
+  const toWrite = (event: AuditEvent): TableWrite => {
+    const entry: AuditEntry = {
+      ...event,
+      at: new Date(clock.wallTime()).toISOString(),
+      submissionId: shorten(event.submissionId),
+      kind: shorten(event.kind),
+      name: shorten(event.name),
+    };
+    const key = auditKey(entry, random.integer(2 ** 32));
+    return { ...key, value: JSON.stringify(entry), condition: { version: 0 } };
+  };
+
+  return {
+    toWrite,
+    async append(event, more = []) {
+      try {
+        await table.transact([toWrite(event), ...more], noCancellation);
+      } catch (err) {
+        const { operator, kind, name, action, state } = event;
+        const fields = { operator, kind, name, action, state, err: errMessage(err) };
+        log.warn(fields, 'audit entry could not be written; this line stands for it');
+      }
+    },
+    async list(since, limit, token) {
+      const items = await table.query(partitions.audit, since, limit, token);
+      return items.map(({ value }) => JSON.parse(value) as AuditEntry);
+    },
+  };
+}
--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -41,13 +41,21 @@
  * Reads the records of known kinds. A record that this version can't read, such as one of a newer
  * schema, stays in force as it was last readable.
  */
-function parseRecords(records: readonly StoredRecord[], older?: Parsed): Parsed {
+function parseRecords(
+  records: readonly StoredRecord[],
+  cache: WeakMap<StoredRecord, unknown>,
+  older?: Parsed,
+): Parsed {
   const parseKind = (kind: RecordKind): ReadonlyMap<string, unknown> => {
     const parsed = new Map<string, unknown>();
     for (const record of records) {
       if (record.kind !== kind || record.deleted) continue;
-      const result = recordSchemas[kind].safeParse(record.value);
-      const value = result.success ? result.data : older?.[kind].get(record.name);
+      let value = cache.get(record);
+      if (!value) {
+        const result = recordSchemas[kind].safeParse(record.value);
+        value = result.success ? result.data : older?.[kind].get(record.name);
+        if (value) cache.set(record, value);
+      }
       if (value) parsed.set(record.name, value);
     }
     return parsed;
@@ -71,13 +79,15 @@
 export function createConfigurationReplica(): ConfigurationReplica {
   const listeners = new Set<() => void>();
   let current: ConfigurationSnapshot = { revision: 0, records: [] };
-  let parsed = parseRecords([]);
+  // A change keeps the other records as they are, so that only changed ones are read again.
+  const cache = new WeakMap<StoredRecord, unknown>();
+  let parsed = parseRecords([], cache);
   let teamsByKey = new Map<string, RecordOf<'team'>>();
   let operatorsByToken = new Map<string, RecordOf<'operator'>>();
   let ready = false;
 
   const rebuild = (): void => {
-    parsed = parseRecords(current.records, parsed);
+    parsed = parseRecords(current.records, cache, parsed);
     teamsByKey = new Map();
     for (const team of parsed.team.values()) {
       for (const keyHash of team.keyHashes) teamsByKey.set(keyHash, team);
--- a/src/configuration/rows.ts
+++ b/src/configuration/rows.ts
@@ -23,7 +23,7 @@
   readonly submissionId: string;
   readonly kind: string;
   readonly name: string;
-  readonly action: 'write' | 'delete';
+  readonly action: 'write' | 'delete' | 'settle';
   readonly state: 'accepted' | 'refused';
   /** Revision of the record that the submission was based on. */
   readonly fromRevision: number;
--- a/src/configuration/store.ts
+++ b/src/configuration/store.ts
@@ -1,18 +1,16 @@
 import { createHash } from 'node:crypto';
-import { type CancellationToken, noCancellation } from '../base/cancellation.js';
+import { type CancellationToken } from '../base/cancellation.js';
 import { type Clock, sleep } from '../base/clock.js';
 import { errMessage, StoreReplyLostError, StoreUnavailableError } from '../base/errors.js';
 import { type Logger } from '../base/logging.js';
 import { fullJitter, type Random } from '../base/random.js';
 import { type TableItem, type TablePort, type TableWrite } from '../ports/table.js';
+import { type AuditEvent, type AuditTrail, createAuditTrail } from './audit.js';
 import { type StoredRecord } from './records.js';
 import { type ConfigurationReplica } from './replica.js';
 import {
-  type AuditEntry,
-  auditKey,
   changeKey,
   headKey,
-  partitions,
   readHeadRow,
   readRecordRow,
   recordKey,
@@ -53,8 +51,7 @@
     token: CancellationToken,
     revision?: number,
   ): Promise<StoredRecord | undefined>;
-  /** Lists audit entries after a time in ISO 8601, oldest first. */
-  audit(since: string, limit: number, token: CancellationToken): Promise<readonly AuditEntry[]>;
+  readonly audit: AuditTrail;
 }
 
 export interface StoreOptions {
@@ -71,9 +68,6 @@
  */
 const maxAttempts = 8;
 
-/** Longest submitted text that a line of the audit trail repeats. */
-const maxAuditText = 64;
-
 const retryBaseMs = 10;
 
 const retryMaxMs = 200;
@@ -92,23 +86,23 @@
 
 export function createConfigurationStore(options: StoreOptions): ConfigurationStore {
   const { clock, random, log, table, replica } = options;
+  const audit = createAuditTrail(options);
 
   const readSubmission = async (id: string, token: CancellationToken) => {
     const item = await table.get(submissionKey(id), token);
     return item && (JSON.parse(item.value) as SubmissionRow);
   };
 
-  const auditEntry = (
+  const auditEvent = (
     submission: Submission,
     operator: string,
     revision: number,
     reason: string,
-  ): AuditEntry => ({
-    at: new Date(clock.wallTime()).toISOString(),
+  ): AuditEvent => ({
     operator,
-    submissionId: submission.submissionId.slice(0, maxAuditText),
-    kind: submission.kind.slice(0, maxAuditText),
-    name: submission.name.slice(0, maxAuditText),
+    submissionId: submission.submissionId,
+    kind: submission.kind,
+    name: submission.name,
     action: submission.remove ? 'delete' : 'write',
     state: revision > 0 ? 'accepted' : 'refused',
     fromRevision: submission.baseRevision,
@@ -116,39 +110,22 @@
     reason,
   });
 
-  const auditWrite = (entry: AuditEntry): TableWrite => ({
-    ...auditKey(entry, random.integer(2 ** 32)),
-    value: JSON.stringify(entry),
-    condition: { version: 0 },
-  });
-
   const submissionWrite = (row: SubmissionRow): TableWrite => ({
     ...submissionKey(row.submissionId),
     value: JSON.stringify(row),
     condition: { version: 0 },
   });
 
-  /** The audit of a refusal is best effort: a refusal stands whether or not it was recorded. */
-  const writeRefusal = async (writes: readonly TableWrite[], token: CancellationToken) => {
-    try {
-      await table.transact(writes, token);
-    } catch (err) {
-      log.warn({ err: errMessage(err) }, 'refused submission could not be written to the audit');
-    }
-  };
-
   const refuse = async (
     submission: Submission,
     operator: string,
-    token: CancellationToken,
     refusal: Pick<SubmissionRow, 'state' | 'revision' | 'problems'>,
     keepRow = true,
   ): Promise<SubmissionOutcome> => {
     const { submissionId } = submission;
     const row = { submissionId, digest: digestOf(submission), ...refusal };
-    const writes = [auditWrite(auditEntry(submission, operator, 0, row.problems.join('; ')))];
-    if (keepRow) writes.push(submissionWrite(row));
-    await writeRefusal(writes, token);
+    const event = auditEvent(submission, operator, 0, row.problems.join('; '));
+    await audit.append(event, keepRow ? [submissionWrite(row)] : []);
     return toOutcome(row);
   };
 
@@ -162,7 +139,7 @@
     if (!row) return undefined;
     if (row.digest === digestOf(submission)) return toOutcome(row);
     const problems = ['submissionId: was used for another change; write a new id'];
-    return refuse(submission, operator, token, { state: 'refused', revision: 0, problems }, false);
+    return refuse(submission, operator, { state: 'refused', revision: 0, problems }, false);
   };
 
   const writesOf = (
@@ -192,7 +169,7 @@
       { ...recordKey(kind, name), value: text, condition: { version: stored?.version ?? 0 } },
       { ...changeKey(revision), value: text, condition: { version: 0 } },
       submissionWrite({ ...row, problems: [] }),
-      auditWrite(auditEntry(submission, operator, revision, '')),
+      audit.toWrite(auditEvent(submission, operator, revision, '')),
     ];
     return { revision, writes };
   };
@@ -232,7 +209,7 @@
     if (mismatch) {
       // The mismatch may come from this very submission, when an earlier attempt took effect late.
       const late = await findRecorded(submission, operator, token);
-      return late ?? refuse(submission, operator, token, mismatch);
+      return late ?? refuse(submission, operator, mismatch);
     }
     const { revision, writes } = writesOf(submission, operator, head, stored);
     const result = await table.transact(writes, token);
@@ -245,7 +222,7 @@
     const mistakes = validateSubmission(submission, replica);
     if (mistakes.length > 0) {
       const outcome = { state: 'refused', revision: 0, problems: mistakes } as const;
-      return refuse(submission, operator, token, outcome, !mistakes[0]?.startsWith('submissionId'));
+      return refuse(submission, operator, outcome, !mistakes[0]?.startsWith('submissionId'));
     }
     let replyLost = false;
     let reason = 'other changes were accepted first each time';
@@ -273,11 +250,10 @@
   };
 
   return {
+    audit,
     submit,
-    async auditRefusal(submission, operator, reason) {
-      const writes = [auditWrite(auditEntry(submission, operator, 0, reason))];
-      await writeRefusal(writes, noCancellation);
-    },
+    auditRefusal: (submission, operator, reason) =>
+      audit.append(auditEvent(submission, operator, 0, reason)),
     async outcome(submissionId, token) {
       const row = await readSubmission(submissionId, token);
       return row && toOutcome(row);
@@ -288,9 +264,5 @@
       const record = item && readRecordRow(item);
       return record?.kind === kind && record.name === name ? record : undefined;
     },
-    async audit(since, limit, token) {
-      const items = await table.query(partitions.audit, since, limit, token);
-      return items.map(({ value }) => JSON.parse(value) as AuditEntry);
-    },
   };
 }
--- a/src/configuration/sync.ts
+++ b/src/configuration/sync.ts
@@ -16,8 +16,9 @@
  * - Steady state: each entry reads the head row once per 0.75 to 1.25 s, 340 reads/s. Agents
  *   never read the table; they ask one entry per second.
  * - A change: each entry reads the change rows once. All within one second: 340 + 340 = 680.
- * - All entries start at once with an empty replica: at most 5 reads each (head, 2 pages of
- *   records, changes, next head) after a start delay of up to 2 s: 340 × 5 / 2 s = 850 reads/s.
+ * - All entries start at once without a ready peer: 5 reads each (head, then head, 2 pages of
+ *   records and changes) after a start delay of up to 2 s, beside the polls of those that are
+ *   done: 340 × 5 / 2 s + 340 = 1,190 reads/s.
  *   Entries that find a ready peer need only the head row.
  * - Return of the table after an outage: retries have full jitter up to 5 s and each needs one
  *   read, so that the return adds no reads above the steady state.
@@ -25,7 +26,7 @@
 export interface ConfigurationUpdater extends Disposable {
   /** A peer says that this revision exists; an older one is ignored. */
   notice(revision: number): void;
-  /** Applies a change that this process accepted, and tells the other entries. */
+  /** Applies a change that this process accepted, and starts to tell the other entries. */
   announce(revision: number): Promise<void>;
   /** Asks all other entries for their revision, for the status of the operators. */
   askEntries(): Promise<void>;
@@ -202,7 +203,10 @@
           log.warn({ err: errMessage(err), revision }, 'accepted change is applied at next poll');
         });
       }
-      await Promise.allSettled(peers.entries().map((peer) => peer.notify(revision, token)));
+      for (const peer of peers.entries()) {
+        // A peer that misses the push finds the change at its next poll.
+        peer.notify(revision, token).catch(() => undefined);
+      }
     },
     async askEntries() {
       await pullFrom(peers.entries());
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -27,6 +27,8 @@
 import { createServiceHandler, servicePrefix } from './callers/services.js';
 import { startConfiguration } from './configuration.js';
 import { closeHttp, listenHttp } from './listen.js';
+import { createOperatorApi } from './operators/api.js';
+import { type UnknownCalls } from './operators/context.js';
 import { createOperatorServer } from './operators/server.js';
 import { createPlatform } from './platform.js';
 import { type DaemonProcess, drainPollMs } from './process.js';
@@ -40,6 +42,8 @@
   readonly instances?: InstancesPort;
   /** Replica that is already filled, for the quickstart and tests. */
   readonly replica?: ConfigurationReplica;
+  /** Calls with an unknown outcome, for the operators' API. */
+  readonly unknownCalls?: UnknownCalls;
 }
 
 const policies: Readonly<Record<PolicyName, (clock: Clock, random: Random) => PlacementPolicy>> = {
@@ -111,7 +115,15 @@
     log,
     registry,
     isReady: () => !draining && replica.ready,
-    routes: [],
+    routes: [
+      createOperatorApi({
+        clock,
+        configuration,
+        directory,
+        bootstrapTokenHash: settings.operators.bootstrap_token_hash,
+        unknownCalls: adapters.unknownCalls,
+      }),
+    ],
   });
   const internal = await listenInternal(
     settings.listen.internal,
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,8 +1,8 @@
 #!/usr/bin/env node
-import { readFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
 import { errMessage, SettingsError } from '../base/errors.js';
 import { createLogger, type Logger } from '../base/logging.js';
+import { readVersion } from '../base/version.js';
 import { startAgent } from './agent.js';
 import { startEntry } from './entry.js';
 import { type DaemonProcess } from './process.js';
@@ -29,18 +29,6 @@
   Record<Role, (settings: Settings, log: Logger) => Promise<DaemonProcess>>
 > = { entry: startEntry, agent: startAgent };
 
-function readVersion(): string {
-  for (const path of ['../../package.json', '../../../package.json']) {
-    try {
-      const text = readFileSync(new URL(path, import.meta.url), 'utf8');
-      return (JSON.parse(text) as { readonly version: string }).version;
-    } catch {
-      // The sources and the built package lie at different depths.
-    }
-  }
-  return 'unknown';
-}
-
 function readArguments() {
   return parseArgs({
     options: {
--- /dev/null
+++ b/src/daemon/operators/access.ts
@@ -0,0 +1,45 @@
+import { type IncomingMessage } from 'node:http';
+import { refusal } from '../../base/refusals.js';
+import { type RecordOf } from '../../configuration/records.js';
+import { type ConfigurationReplica, hashKey } from '../../configuration/replica.js';
+import { readBearer } from '../callers/context.js';
+
+/** Role of an operator; each role may do what the ones before it may. */
+export type OperatorRole = RecordOf<'operator'>['role'];
+
+/** An authenticated operator. */
+export interface Operator {
+  readonly name: string;
+  readonly role: OperatorRole;
+}
+
+const ranks: Readonly<Record<OperatorRole, number>> = { viewer: 0, operator: 1, admin: 2 };
+
+/** Name under which changes made with the bootstrap token stand in the audit trail. */
+const bootstrapName = 'bootstrap';
+
+/** Tells whether the operator has the role or a higher one. */
+export function hasRole(operator: Operator, role: OperatorRole): boolean {
+  return ranks[operator.role] >= ranks[role];
+}
+
+/** Finds the operator of a bearer token; keys of teams are not accepted. */
+export function authenticateOperator(
+  req: IncomingMessage,
+  replica: ConfigurationReplica,
+  bootstrapTokenHash: string | undefined,
+): Operator {
+  const token = readBearer(req);
+  const found = token ? replica.findOperatorByToken(token) : undefined;
+  if (found) return { name: found.name, role: found.role };
+  if (token && bootstrapTokenHash === hashKey(token)) return { name: bootstrapName, role: 'admin' };
+  throw refusal('unauthorized', 'the operator token is missing or not known');
+}
+
+export function requireRole(operator: Operator, role: OperatorRole): void {
+  if (hasRole(operator, role)) return;
+  throw refusal(
+    'forbidden',
+    `this needs the role ${role}, and ${operator.name} has ${operator.role}`,
+  );
+}
--- /dev/null
+++ b/src/daemon/operators/context.ts
@@ -0,0 +1,63 @@
+import { type IncomingMessage, type ServerResponse } from 'node:http';
+import { type CancellationToken } from '../../base/cancellation.js';
+import { type Clock } from '../../base/clock.js';
+import { refusal } from '../../base/refusals.js';
+import { type ConfigurationStore } from '../../configuration/store.js';
+import { type AgentDirectory } from '../../membership/directory.js';
+import { type ProcessConfiguration } from '../configuration.js';
+import { type Operator, type OperatorRole } from './access.js';
+
+/** Outcome that an operator settles for a call whose outcome is unknown. */
+export type SettledOutcome = 'completed' | 'not-run';
+
+/** Calls that are not idempotent and whose outcome is unknown. */
+export interface UnknownCalls {
+  /** Lists the oldest unknown calls; each has an `id`. */
+  listUnknown(
+    limit: number,
+    token: CancellationToken,
+  ): Promise<readonly Readonly<{ id: string } & Record<string, unknown>>[]>;
+  /** Settles one call; returns false when it is not unknown. */
+  settle(
+    id: string,
+    outcome: SettledOutcome,
+    operator: string,
+    token: CancellationToken,
+  ): Promise<boolean>;
+}
+
+/** What the operators' API works on. */
+export interface OperatorApiOptions {
+  readonly clock: Clock;
+  readonly configuration: ProcessConfiguration;
+  readonly directory: AgentDirectory;
+  readonly bootstrapTokenHash: string | undefined;
+  /** Absent while this entry keeps no claims. */
+  readonly unknownCalls?: UnknownCalls;
+}
+
+/** One authenticated request of an operator. */
+export interface OperatorContext {
+  readonly api: OperatorApiOptions;
+  readonly operator: Operator;
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly url: URL;
+  /** Decoded parts of the path that the route's pattern captures. */
+  readonly params: readonly string[];
+  readonly token: CancellationToken;
+}
+
+/** One operation of the API. */
+export interface OperatorOperation {
+  readonly method: 'GET' | 'POST';
+  readonly pattern: RegExp;
+  readonly role: OperatorRole;
+  readonly run: (ctx: OperatorContext) => Promise<void>;
+}
+
+export function requireStore({ api }: OperatorContext): ConfigurationStore {
+  const { store } = api.configuration;
+  if (store) return store;
+  throw refusal('storeDown', 'this entry has no table; set [table] endpoint in its settings');
+}
--- /dev/null
+++ b/src/daemon/operators/reports.ts
@@ -0,0 +1,125 @@
+import { noCancellation } from '../../base/cancellation.js';
+import { withTimeout } from '../../base/clock.js';
+import { refusal } from '../../base/refusals.js';
+import { measureCoverage } from '../../configuration/peers.js';
+import { type AgentView } from '../../membership/directory.js';
+import { readJson } from '../callers/body.js';
+import {
+  type OperatorContext,
+  type OperatorOperation,
+  requireStore,
+  type SettledOutcome,
+  type UnknownCalls,
+} from './context.js';
+import { sendJson } from './server.js';
+
+/** Entries per reply of the audit trail and of unknown calls. */
+const pageSize = 500;
+
+/** Period that the audit trail shows unless the request names one. */
+const auditPeriodMs = 24 * 3_600_000;
+
+/** Time for the other entries to report their revision. */
+const askTimeoutMs = 1_500;
+
+async function outcome(ctx: OperatorContext): Promise<void> {
+  const [submissionId = ''] = ctx.params;
+  const found = await requireStore(ctx).outcome(submissionId, ctx.token);
+  if (found) {
+    sendJson(ctx.res, 200, found);
+    return;
+  }
+  const detail =
+    `no outcome of submission "${submissionId}" is recorded; submit it again with the same ` +
+    'submission id, it takes effect at most once';
+  throw refusal('unknownRecord', detail);
+}
+
+async function audit(ctx: OperatorContext): Promise<void> {
+  const { api, url, res, token } = ctx;
+  const given = url.searchParams.get('since');
+  const sinceMs = given === null ? api.clock.wallTime() - auditPeriodMs : Date.parse(given);
+  if (Number.isNaN(sinceMs)) {
+    throw refusal('invalidRequest', 'since must be a time such as 2026-01-31T00:00:00Z');
+  }
+  const since = new Date(sinceMs).toISOString();
+  const entries = await requireStore(ctx).audit.list(since, pageSize, token);
+  sendJson(res, 200, { since, entries, more: entries.length === pageSize });
+}
+
+function stateOf({ status, usable }: AgentView): string {
+  if (usable) return 'serving';
+  if (!status) return 'silent';
+  if (status.leaving) return 'leaving';
+  return status.targetDown ? 'target-down' : 'silent';
+}
+
+async function status({ api, res }: OperatorContext): Promise<void> {
+  const { clock, configuration, directory } = api;
+  const { replica, updater } = configuration;
+  await withTimeout(clock, askTimeoutMs, updater.askEntries());
+  const targets = directory.all().map((view) => ({
+    target: view.status?.target ?? '',
+    kind: view.status?.kind ?? '',
+    instance: view.status?.instance ?? '',
+    address: view.address,
+    dataCentre: view.status?.dataCentre ?? '',
+    state: stateOf(view),
+    models: view.status?.models ?? [],
+    weightsVersion: view.status?.weightsVersion ?? '',
+    running: view.status?.running ?? 0,
+    places: view.status?.places ?? 0,
+    queueMs: view.status?.queueMs ?? 0,
+  }));
+  targets.sort((a, b) => a.target.localeCompare(b.target));
+  const coverage = measureCoverage(replica.revision, configuration.nodes());
+  sendJson(res, 200, { ready: replica.ready, configuration: coverage, targets });
+}
+
+function requireUnknownCalls({ api }: OperatorContext): UnknownCalls {
+  if (api.unknownCalls) return api.unknownCalls;
+  throw refusal('unknownRoute', 'this entry does not list calls with an unknown outcome');
+}
+
+async function listUnknown(ctx: OperatorContext): Promise<void> {
+  const calls = await requireUnknownCalls(ctx).listUnknown(pageSize, ctx.token);
+  sendJson(ctx.res, 200, { calls, more: calls.length === pageSize });
+}
+
+function isSettledOutcome(value: unknown): value is SettledOutcome {
+  return value === 'completed' || value === 'not-run';
+}
+
+async function settle(ctx: OperatorContext): Promise<void> {
+  const { api, operator, req, res } = ctx;
+  const [id = ''] = ctx.params;
+  const calls = requireUnknownCalls(ctx);
+  const limits = { maxBytes: 4_096, timeoutMs: 10_000 };
+  const { outcome: settled } = await readJson(req, limits, api.clock);
+  if (!isSettledOutcome(settled)) {
+    throw refusal('invalidRequest', 'outcome must be "completed" or "not-run"');
+  }
+  const done = await calls.settle(id, settled, operator.name, noCancellation);
+  await api.configuration.store?.audit.append({
+    operator: operator.name,
+    submissionId: id,
+    kind: 'unknown-call',
+    name: id,
+    action: 'settle',
+    state: done ? 'accepted' : 'refused',
+    fromRevision: 0,
+    toRevision: 0,
+    reason: done ? settled : 'the call is not listed as unknown',
+  });
+  if (!done) throw refusal('unknownRecord', `call "${id}" is not listed as unknown`);
+  sendJson(res, 200, { id, outcome: settled });
+}
+
+/** Operations that report on submissions, nodes, targets and calls. */
+export const reportOperations: readonly OperatorOperation[] = [
+  { method: 'GET', pattern: /^submissions\/([^/]+)$/, role: 'viewer', run: outcome },
+  { method: 'GET', pattern: /^audit$/, role: 'viewer', run: audit },
+  { method: 'GET', pattern: /^status$/, role: 'viewer', run: status },
+  { method: 'GET', pattern: /^unknown$/, role: 'viewer', run: listUnknown },
+  { method: 'POST', pattern: /^unknown\/([^/]+)$/, role: 'operator', run: settle },
+];
--- /dev/null
+++ b/test/cli/cli.test.ts
@@ -0,0 +1,216 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterAll, beforeAll, expect, test } from 'vitest';
+import { runCli } from '../../src/cli/run.js';
+import { hashKey } from '../../src/configuration/replica.js';
+import { type DaemonProcess } from '../../src/daemon/process.js';
+import { startDynamodb } from '../standins/dynamodb.js';
+import { type StandInEngine, startEngine } from '../standins/engine.js';
+import { type FaultyHttp } from '../standins/httpfaults.js';
+import {
+  startSiteAgent,
+  startSiteEntry,
+  teamKey,
+  waitForRoute,
+  waitUntil,
+} from '../standins/site.js';
+
+const model = 'test-model';
+const bootstrapToken = 'bootstrap-token-of-the-site';
+let table: FaultyHttp;
+let engine: StandInEngine;
+let entries: DaemonProcess[];
+let agent: DaemonProcess;
+let folder: string;
+
+interface Run {
+  readonly code: number;
+  readonly out: string;
+  readonly err: string;
+}
+
+async function run(args: readonly string[], token = bootstrapToken, input = ''): Promise<Run> {
+  const text = { out: '', err: '' };
+  const env = { CICADATIDE_URL: entries[0]?.addresses.operators, CICADATIDE_TOKEN: token };
+  const code = await runCli(args, env, {
+    out: (part) => {
+      text.out += part;
+    },
+    err: (part) => {
+      text.err += part;
+    },
+    readStdin: () => input,
+  });
+  return { code, ...text };
+}
+
+const submit = (record: object, args: readonly string[] = [], token = bootstrapToken) =>
+  run(['submit', '-', ...args], token, JSON.stringify(record));
+
+function team(name: string, extra: object = {}) {
+  return { kind: 'team', name, value: { name, keyHashes: [hashKey(teamKey(name))], ...extra } };
+}
+
+beforeAll(async () => {
+  folder = mkdtempSync(join(tmpdir(), 'cicadatide-cli-'));
+  table = await startDynamodb();
+  engine = await startEngine({ model, decodeTokensPerSecond: 2_000 });
+  const sections = {
+    table: { endpoint: table.url },
+    operators: { bootstrap_token_hash: hashKey(bootstrapToken) },
+  };
+  const second = await startSiteEntry({ name: 'entry-2', agents: [], sections });
+  agent = await startSiteAgent({
+    name: 'engine-1',
+    url: engine.url,
+    entries: [second.addresses.internal],
+  });
+  const first = await startSiteEntry({
+    name: 'entry-1',
+    agents: [agent.addresses.internal],
+    entries: [second.addresses.internal],
+    sections,
+  });
+  entries = [first, second];
+  await waitUntil(async () => {
+    const states = await Promise.all(
+      entries.map(({ addresses }) => fetch(`${addresses.operators}/readyz`)),
+    );
+    return states.every(({ ok }) => ok);
+  });
+});
+
+afterAll(async () => {
+  for (const daemon of [...entries, agent]) daemon.stop();
+  await Promise.all([engine.close(), table.stop()]);
+  rmSync(folder, { recursive: true });
+});
+
+// Guards against a change that needs a restart, isn't audited, or stays unknown to other nodes.
+test('a submitted team and route are served without a restart and are in the audit', async () => {
+  const route = { kind: 'route', name: model, value: { name: model, kind: 'model' } };
+  expect(await submit(route)).toMatchObject({ code: 0, err: '' });
+  const accepted = await submit(team('red'), ['--submission-id', 'first-team-red']);
+  expect(accepted.out).toBe('accepted at revision 2 (submission first-team-red)\n');
+  const callers = entries[0]?.addresses.callers ?? '';
+  const body = { model, prompt: 'x', max_tokens: 1 };
+  await waitForRoute(callers, 'red', '/v1/completions', body);
+  const audit = await run(['audit', '--json']);
+  const { entries: lines } = JSON.parse(audit.out) as { readonly entries: readonly object[] };
+  expect(lines.at(-1)).toMatchObject({
+    operator: 'bootstrap',
+    submissionId: 'first-team-red',
+    action: 'write',
+    kind: 'team',
+    name: 'red',
+    state: 'accepted',
+    fromRevision: 0,
+    toRevision: 2,
+  });
+  await waitUntil(async () => {
+    const { out } = await run(['status', '--json']);
+    const { configuration } = JSON.parse(out) as { configuration: { inForce: number } };
+    return configuration.inForce === 3;
+  });
+  const status = await run(['status']);
+  expect(status.out).toContain('configuration revision 2: in force on 3 of 3 nodes');
+  expect(status.out).toMatch(/engine-1 +engine +dc1 +serving/);
+});
+
+// Guards against changes by the wrong role and refusals that leave no audit line.
+test('roles are enforced and refused submissions are audited', async () => {
+  const operator = (name: string, role: string) => ({
+    kind: 'operator',
+    name,
+    value: { name, role, tokenHash: hashKey(`token-${name}`) },
+  });
+  for (const role of ['viewer', 'operator']) await submit(operator(`an-${role}`, role));
+  const rows: readonly (readonly [string, object, number])[] = [
+    ['token-an-viewer', team('green'), 1],
+    ['token-an-operator', team('green'), 0],
+    ['token-an-operator', operator('mallory', 'admin'), 1],
+    [teamKey('red'), team('blue'), 1],
+  ];
+  for (const [token, record, code] of rows) {
+    expect((await submit(record, [], token)).code).toBe(code);
+  }
+  const { out } = await run(['audit'], 'token-an-viewer');
+  expect(out).toMatch(/an-viewer +write +team\/green +refused .*needs the role operator/);
+  expect(out).toMatch(/an-operator +write +team\/green +accepted/);
+  expect(out).toMatch(/an-operator +write +operator\/mallory +refused .*needs the role admin/);
+});
+
+// Guards against a lost update, and against show output that submit can't read.
+test('show, diff, conflict, delete and outcome fit together', async () => {
+  expect((await submit(team('grey'))).code).toBe(0);
+  const shown = await run(['show', 'team', 'grey', '--json']);
+  const record = JSON.parse(shown.out) as { revision: number; value: object };
+  const file = join(folder, 'grey.json');
+  writeFileSync(file, JSON.stringify({ ...record, value: { ...record.value, weight: 3 } }));
+  expect((await run(['diff', file])).out).toMatch(/weight +- +3/);
+  expect((await run(['submit', file])).code).toBe(0);
+  const conflict = await run(['submit', file, '--submission-id', 'second-grey']);
+  expect(conflict.code).toBe(3);
+  expect(conflict.out).toContain('read it with `cicadatide show`');
+  expect((await run(['outcome', 'second-grey'])).code).toBe(3);
+  const since = ['--revision', String(record.revision)];
+  expect((await run(['diff', 'team', 'grey', ...since])).out).toMatch(/weight +- +3/);
+  expect((await run(['list', 'team'])).out).toMatch(/team +grey/);
+  expect((await run(['delete', 'team', 'grey'])).code).toBe(0);
+  expect((await run(['list', 'team'])).out).not.toContain('grey');
+  expect((await run(['outcome', 'never-submitted'])).err).toContain(
+    'submit it again with the same',
+  );
+});
+
+// Guards against a tool that calls a change refused when its effect is unknown.
+test('an outage is reported as such, and a lost reply as unknown', async () => {
+  table.fault = 'reject';
+  expect((await submit(team('early'))).code).toBe(5);
+  table.affects = (req) => String(req.headers['x-amz-target']).includes('TransactWrite');
+  table.fault = 'dropAfter';
+  expect((await submit(team('kept'))).code).toBe(0);
+  table.fault = 'dropBefore';
+  const late = ['--submission-id', 'late-change'];
+  expect(await submit(team('late'), late)).toMatchObject({ code: 4, err: '' });
+  table.affects = undefined;
+  table.fault = 'none';
+  expect((await run(['outcome', 'late-change'])).err).toContain('submit it again with the same');
+  expect((await submit(team('late'), late)).code).toBe(0);
+  expect((await run(['outcome', 'late-change'])).code).toBe(0);
+  const away = ['list', '--url', 'http://127.0.0.1:9'];
+  expect(await run(away)).toMatchObject({ code: 5, out: '' });
+});
+
+// Guards against stack traces and missing remedies for a person's mistakes.
+test('mistakes end with one message and the documented exit code', async () => {
+  const mistakes: readonly (readonly [readonly string[], number])[] = [
+    [[], 2],
+    [['sumbit', 'x.json'], 2],
+    [['submit'], 2],
+    [['submit', 'missing.json'], 2],
+    [['list', '--revision', '3'], 2],
+    [['list', '--nonsense'], 2],
+    [['show', 'team', 'red', '--revision', 'x'], 2],
+    [['list', '--url', 'nowhere'], 2],
+    [['diff', 'team', 'red'], 2],
+    [['settle', 'some-call'], 2],
+    [['show', 'team', 'nobody'], 1],
+    [['unknown'], 1],
+    [['hash-key', 'two words'], 2],
+    [['check-config', 'missing.ini'], 1],
+  ];
+  const results = [];
+  for (const [args, code] of mistakes) {
+    const result = await run(args);
+    expect({ args, code: result.code }).toEqual({ args, code });
+    expect(result.err).not.toMatch(/\n\s+at /);
+    results.push([args.join(' '), result.err.trim()]);
+  }
+  expect(results).toMatchSnapshot();
+  expect((await run(['hash-key'], '', `${teamKey('red')}\n`)).out).toBe(
+    `${hashKey(teamKey('red'))}\n`,
+  );
+  expect((await run(['settle', '--help'])).out).toContain('--outcome NAME');
+});
--- a/test/configuration/store.test.ts
+++ b/test/configuration/store.test.ts
@@ -64,7 +64,7 @@
   const repeated = await store.submit(team('submission-1', 0), 'ada', noCancellation);
   expect(repeated).toMatchObject({ state: 'accepted', revision: 1 });
   expect(await store.outcome('submission-1', noCancellation)).toEqual(repeated);
-  const audit = await store.audit('', 100, noCancellation);
+  const audit = await store.audit.list('', 100, noCancellation);
   expect(audit.filter(({ state }) => state === 'accepted')).toHaveLength(1);
 });
 
@@ -82,7 +82,7 @@
     await submit({ ...team('submission-6', 0, 'blue'), remove: true }),
   ];
   expect(outcomes.map(({ state, problems }) => [state, ...problems])).toMatchSnapshot();
-  const audit = await store.audit('', 100, noCancellation);
+  const audit = await store.audit.list('', 100, noCancellation);
   expect(audit.filter(({ state }) => state === 'refused')).toHaveLength(outcomes.length);
   expect((await store.read('team', 'red', noCancellation))?.revision).toBe(1);
 });
--- a/test/configuration/sync.test.ts
+++ b/test/configuration/sync.test.ts
@@ -1,7 +1,8 @@
+import { Writable } from 'node:stream';
 import { expect, test } from 'vitest';
 import { createMemoryTable } from '../../src/adapters/memory/table.js';
 import { noCancellation } from '../../src/base/cancellation.js';
-import { createNullLogger } from '../../src/base/logging.js';
+import { createLogger } from '../../src/base/logging.js';
 import { createSeededRandom } from '../../src/base/random.js';
 import { measureCoverage, type ConfigurationPeer } from '../../src/configuration/peers.js';
 import { createConfigurationReader } from '../../src/configuration/reader.js';
@@ -30,7 +31,12 @@
   const clock: ManualClock = createManualClock();
   const table: FaultyTable = createFaultyTable(createMemoryTable());
   const nodes: Node[] = [];
-  const log = createNullLogger();
+  const lines: string[] = [];
+  const write = (chunk: Buffer, _encoding: unknown, done: () => void) => {
+    lines.push(chunk.toString('utf8'));
+    done();
+  };
+  const log = createLogger('site', 'warn', new Writable({ write }));
 
   const toPeer = (node: Node): ConfigurationPeer => ({
     address: node.name,
@@ -93,7 +99,7 @@
     return outcome.revision;
   };
 
-  return { clock, table, nodes, start, stop, change };
+  return { clock, table, lines, nodes, start, stop, change };
 }
 
 // Guards against a process that keeps an old revision or a deleted record.
@@ -200,17 +206,48 @@
 
 // Guards against a start with made-up configuration, and against giving up.
 test('without table and peer a process is not ready and keeps trying', async () => {
-  const { clock, table, start } = createSite(31);
+  const { clock, table, lines, start } = createSite(31);
   table.fault = 'down';
   const entry = start('entry-1');
   await clock.advance(60_000);
   expect(entry.replica.ready).toBe(false);
   expect(table.reads).toBeGreaterThan(12);
+  expect(lines.join('')).toContain('check [table] endpoint and [peers] entries');
   table.fault = 'none';
   await clock.advance(5_500);
   expect(entry.replica.ready).toBe(true);
 });
 
+// Guards against a stampede when no peer answers, and against loss of unknown kinds.
+test('340 entries that start without peers stay inside 2,000 reads per second', async () => {
+  const { clock, table, nodes, start } = createSite(53);
+  const size = 1_100;
+  const put = (partition: string, sort: string, value: object) => {
+    const write = { partition, sort, value: JSON.stringify(value), condition: { version: 0 } };
+    return table.transact([write], noCancellation);
+  };
+  for (let revision = 1; revision <= size; revision += 1) {
+    const record = { kind: 'future', name: `r${revision}`, schemaVersion: 9, revision };
+    await put('config.record', `future/r${revision}`, {
+      ...record,
+      value: { x: 1 },
+      deleted: false,
+    });
+  }
+  await put('config.head', 'head', { revision: size });
+  for (let index = 1; index <= 340; index += 1) start(`entry-${index}`).reachable = false;
+  const counts: number[] = [];
+  for (let second = 0; second < 4; second += 1) {
+    const before = table.reads;
+    await clock.advance(1_000);
+    counts.push(table.reads - before);
+  }
+  if (process.env.CICADATIDE_SHOW_FIGURES) console.log(JSON.stringify(counts));
+  expect(Math.max(...counts)).toBeLessThan(1_300);
+  for (const { replica } of nodes) expect(replica.snapshot().records).toHaveLength(size);
+  expect(nodes[0]?.replica.snapshot().records[0]?.value).toEqual({ x: 1 });
+}, 60_000);
+
 // Guards against more table reads than the platform serves, also after an outage.
 test('340 entries and 600 agents stay inside 2,000 reads per second', async () => {
   const { clock, table, start, nodes, change } = createSite(47);
--- a/test/standins/httpfaults.ts
+++ b/test/standins/httpfaults.ts
@@ -12,6 +12,8 @@
   readonly url: string;
   readonly counts: { connections(): number; requests(): number };
   fault: HttpFault;
+  /** Requests that the fault applies to; all when absent. */
+  affects?: (req: IncomingMessage) => boolean;
   latencyMs: number;
   /** Connections that exist now stop answering; new ones work. */
   freezeConnections(): void;
@@ -27,6 +29,8 @@
   readonly body?: string | Uint8Array;
 }
 
+type FaultState = Pick<FaultyHttp, 'fault' | 'affects' | 'latencyMs'>;
+
 export interface FaultyHttpOptions {
   readonly handle: (req: IncomingMessage, body: Buffer) => HttpAnswer;
   /** Answer to a rejected request. */
@@ -45,15 +49,12 @@
   let requests = 0;
   let port = 0;
 
-  const serve = async (
-    current: Pick<FaultyHttp, 'fault' | 'latencyMs'>,
-    req: IncomingMessage,
-    res: ServerResponse,
-  ) => {
+  const serve = async (current: FaultState, req: IncomingMessage, res: ServerResponse) => {
     requests += 1;
     const parts: Buffer[] = [];
     for await (const part of req as AsyncIterable<Buffer>) parts.push(part);
-    const { fault, latencyMs } = current;
+    const { latencyMs } = current;
+    const fault = (current.affects?.(req) ?? true) ? current.fault : 'none';
     if (latencyMs > 0) {
       await new Promise((resolve) => {
         setTimeout(resolve, latencyMs);
@@ -68,7 +69,7 @@
     else send(res, fault === 'error' ? { status: 500, body: '{}' } : answer);
   };
 
-  const state: Pick<FaultyHttp, 'fault' | 'latencyMs'> = { fault: 'none', latencyMs: 0 };
+  const state: FaultState = { fault: 'none', latencyMs: 0 };
   const server = createServer((req, res) => {
     serve(state, req, res).catch(() => req.socket.destroy());
   });
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -39,6 +39,10 @@
   };
 }
 
+function joinAddresses(urls: readonly string[]): string {
+  return urls.map((url) => url.replace('http://', '')).join(', ');
+}
+
 /** INI text with the given sections. */
 export function iniText(sections: Readonly<Record<string, Readonly<Record<string, string>>>>) {
   return Object.entries(sections)
@@ -55,6 +59,8 @@
   readonly kind?: 'engine' | 'service';
   readonly service?: string;
   readonly dataCentre?: string;
+  /** Internal addresses of entries. */
+  readonly entries?: readonly string[];
 }
 
 /** Starts an agent in this process. */
@@ -70,6 +76,7 @@
     },
     listen: { operators: '127.0.0.1:0', internal: '127.0.0.1:0' },
     internal: { credential: siteCredential },
+    peers: { entries: joinAddresses(spec.entries ?? []) },
     target: {
       name: spec.name,
       kind: spec.kind ?? 'engine',
@@ -84,7 +91,12 @@
 export interface EntrySpec {
   readonly name: string;
   readonly agents: readonly string[];
-  readonly configuration: ConfigurationSnapshot;
+  /** Configuration in force from the start; without it the entry gets it from table or peers. */
+  readonly configuration?: ConfigurationSnapshot;
+  /** Internal addresses of other entries. */
+  readonly entries?: readonly string[];
+  /** Further sections of the settings. */
+  readonly sections?: Readonly<Record<string, Readonly<Record<string, string>>>>;
   readonly policy?: string;
   readonly adapters?: EntryAdapters;
 }
@@ -98,12 +110,13 @@
     process: { role: 'entry', instance: spec.name, data_centre: 'dc1' },
     listen: { callers: '127.0.0.1:0', operators: '127.0.0.1:0', internal: '127.0.0.1:0' },
     internal: { credential: siteCredential },
-    peers: { agents: spec.agents.map((url) => url.replace('http://', '')).join(', ') },
+    peers: { agents: joinAddresses(spec.agents), entries: joinAddresses(spec.entries ?? []) },
     requests: { policy: spec.policy ?? 'cicadatide' },
     shutdown: { balancer_wait: '100ms', drain: '10s' },
+    ...spec.sections,
   });
   const replica = createConfigurationReplica();
-  replica.apply(spec.configuration);
+  if (spec.configuration) replica.apply(spec.configuration);
   return startEntry(parseSettings(text, spec.name), log, { replica, ...spec.adapters });
 }
 
