--- a/src/adapters/connect/configurationpeers.ts
+++ b/src/adapters/connect/configurationpeers.ts
@@ -1,3 +1,4 @@
+import { Code, ConnectError } from '@connectrpc/connect';
 import { type CancellationToken, createCancellationSource } from '../../base/cancellation.js';
 import { type Clock, sleep } from '../../base/clock.js';
 import { errMessage } from '../../base/errors.js';
@@ -99,7 +100,7 @@
     try {
       return await run(connection.client, { timeoutMs: callTimeoutMs, signal: token.signal });
     } catch (err) {
-      connection.reset('call failed');
+      if (ConnectError.from(err).code === Code.DeadlineExceeded) connection.reset('no answer');
       throw err;
     }
   };
--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -64,6 +64,7 @@
   return Object.fromEntries(kinds.map((kind) => [kind, parseKind(kind)])) as unknown as Parsed;
 }
 
+/** Merges in revision order, so that every process indexes the records in the same order. */
 function mergeRecords(
   older: readonly StoredRecord[],
   changes: readonly StoredRecord[],
@@ -73,7 +74,7 @@
     const key = `${record.kind}/${record.name}`;
     if (record.revision > (merged.get(key)?.revision ?? -1)) merged.set(key, record);
   }
-  return [...merged.values()];
+  return [...merged.values()].sort((a, b) => a.revision - b.revision);
 }
 
 export function createConfigurationReplica(): ConfigurationReplica {
@@ -90,7 +91,10 @@
     parsed = parseRecords(current.records, cache, parsed);
     teamsByKey = new Map();
     for (const team of parsed.team.values()) {
-      for (const keyHash of team.keyHashes) teamsByKey.set(keyHash, team);
+      for (const keyHash of team.keyHashes) {
+        // Two operators may give one key to two teams at once; it stays with the older record.
+        if (!teamsByKey.has(keyHash)) teamsByKey.set(keyHash, team);
+      }
     }
     const operators = [...parsed.operator.values()];
     operatorsByToken = new Map(operators.map((operator) => [operator.tokenHash, operator]));
--- a/src/configuration/sync.ts
+++ b/src/configuration/sync.ts
@@ -20,8 +20,9 @@
  *   records and changes) after a start delay of up to 2 s, beside the polls of those that are
  *   done: 340 × 5 / 2 s + 340 = 1,190 reads/s.
  *   Entries that find a ready peer need only the head row.
- * - Return of the table after an outage: retries have full jitter up to 5 s and each needs one
- *   read, so that the return adds no reads above the steady state.
+ * - Outage and return of the table: while peers answer, each entry goes on with one jittered read
+ *   per second; without any answer, retries have full jitter up to 5 s. Changes can't be accepted
+ *   meanwhile, so that the return adds no reads.
  */
 export interface ConfigurationUpdater extends Disposable {
   /** A peer says that this revision exists; an older one is ignored. */
@@ -40,6 +41,8 @@
   /** Absent for agents, which read from peers only. */
   readonly reader: ConfigurationReader | undefined;
   readonly peers: ConfigurationPeers;
+  /** True when the process is of no use without configuration, which is then logged. */
+  readonly required: boolean;
 }
 
 const pollMs = 1_000;
@@ -64,10 +67,11 @@
 const peerRounds = 3;
 
 export function createConfigurationUpdater(options: UpdaterOptions): ConfigurationUpdater {
-  const { clock, random, log, replica, reader, peers } = options;
+  const { clock, random, log, replica, reader, peers, required } = options;
   const source = createCancellationSource();
   const { token } = source;
   let noticed = 0;
+  let tableDown = false;
   let wake = (): void => undefined;
 
   const pick = (from: readonly ConfigurationPeer[], count: number): ConfigurationPeer[] =>
@@ -139,11 +143,14 @@
     if (reader) {
       try {
         await readTable(reader);
+        if (tableDown) log.info({ revision: replica.revision }, 'table is available again');
+        tableDown = false;
         return true;
       } catch (err) {
         token.throwIfCancelled();
         const fields = { err: errMessage(err), revision: replica.revision };
-        log.warn(fields, 'table is not available; asking peers for the configuration');
+        if (!tableDown) log.warn(fields, 'table is not available; asking peers for changes');
+        tableDown = true;
       }
     }
     return wasReady ? pullSome() : answers > 0;
@@ -170,7 +177,7 @@
     let failures = 0;
     for (;;) {
       failures = (await refresh()) ? 0 : failures + 1;
-      if (!replica.ready) {
+      if (!replica.ready && required) {
         log.warn(
           { failures },
           'no configuration: neither the table nor a peer answered; check [table] endpoint and ' +
--- a/src/daemon/agent.ts
+++ b/src/daemon/agent.ts
@@ -57,9 +57,7 @@
     },
     resources,
   );
-  /** Agents of a site without known entries serve without configuration. */
-  const isConfigured = (): boolean =>
-    replica.ready || (settings.peers.entries.length === 0 && !instances);
+  const isConfigured = (): boolean => replica.ready || !configuration.required;
   const identity: AgentIdentity = {
     instance: settings.process.instance,
     target,
--- a/src/daemon/configuration.ts
+++ b/src/daemon/configuration.ts
@@ -30,6 +30,8 @@
   readonly peers: ConnectedPeers;
   /** Part of the peer service to register at the internal listener. */
   readonly part: ConfigurationPart;
+  /** True when the process must have a configuration before it is ready. */
+  readonly required: boolean;
   /** Every known process, this one included, with the revision in force there. */
   nodes(): readonly ConfigurationNode[];
 }
@@ -78,19 +80,21 @@
       agents: () => agentNodes().map(({ address, revision = 0 }) => ({ address, revision })),
     }),
   );
+  const required = role === 'entry' || settings.peers.entries.length > 0 || instances !== undefined;
   const reader = table && createConfigurationReader(table);
   const updater = resources.add(
-    createConfigurationUpdater({ clock, random, log, replica, reader, peers }),
+    createConfigurationUpdater({ clock, random, log, replica, reader, peers, required }),
   );
   const onNotice = (revision: number): void => updater.notice(revision);
   return {
     replica,
     updater,
+    required,
     peers,
     store: table && createConfigurationStore({ clock, random, log, table, replica }),
     part: createConfigurationPart({ replica, instance, role, onNotice }),
     nodes: () => [
-      { address: 'self', instance, role, revision: replica.revision },
+      { address: 'self', instance, role, revision: replica.ready ? replica.revision : undefined },
       ...peers.nodes(),
       ...agentNodes(),
     ],
--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -110,8 +110,10 @@
   });
   await waitUntil(async () => {
     const { out } = await run(['status', '--json']);
-    const { configuration } = JSON.parse(out) as { configuration: { inForce: number } };
-    return configuration.inForce === 3;
+    const { configuration } = JSON.parse(out) as {
+      configuration: { revision: number; inForce: number };
+    };
+    return configuration.revision === 2 && configuration.inForce === 3;
   });
   const status = await run(['status']);
   expect(status.out).toContain('configuration revision 2: in force on 3 of 3 nodes');
--- a/test/configuration/sync.test.ts
+++ b/test/configuration/sync.test.ts
@@ -65,7 +65,8 @@
       agents: role === 'entry' ? others('agent') : () => [],
     };
     const reader = role === 'entry' ? createConfigurationReader(table) : undefined;
-    const sync = createConfigurationUpdater({ clock, random, log, replica, reader, peers });
+    const options = { clock, random, log, replica, reader, peers, required: true };
+    const sync = createConfigurationUpdater(options);
     const node = { name, replica, sync, reachable: true };
     nodes.push(node);
     return node;
