Audit refused settlements and repeated refusals

Cause: a refused submission that was repeated with its id left no second audit line, because its outcome row existed and the whole write lost its condition; a viewer's attempt to settle a call was not audited. A token with over 10 listeners printed a warning of Node. Change: the audit line is written alone when the other rows exist; settling checks the role itself; tokens take any number of listeners.

--- a/src/base/cancellation.ts
+++ b/src/base/cancellation.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { CancelledError } from './errors.js';
 import { type Disposable, toDisposable } from './lifecycle.js';
 
@@ -20,6 +21,8 @@
 /** Creates a source whose token is also cancelled with the parent token. */
 export function createCancellationSource(parent?: CancellationToken): CancellationSource {
   const controller = new AbortController();
+  // A token of a whole process has one listener for each running operation.
+  setMaxListeners(0, controller.signal);
   let reason = 'cancelled';
   const token: CancellationToken = {
     signal: controller.signal,
--- a/src/configuration/audit.ts
+++ b/src/configuration/audit.ts
@@ -50,7 +50,9 @@
     toWrite,
     async append(event, more = []) {
       try {
-        await table.transact([toWrite(event), ...more], noCancellation);
+        const result = await table.transact([toWrite(event), ...more], noCancellation);
+        // The other rows may exist already; the audit entry is written without them then.
+        if (result === 'conflict') await table.transact([toWrite(event)], noCancellation);
       } catch (err) {
         const { operator, kind, name, action, state } = event;
         const fields = { operator, kind, name, action, state, err: errMessage(err) };
--- a/src/daemon/operators/access.ts
+++ b/src/daemon/operators/access.ts
@@ -36,10 +36,11 @@
   throw refusal('unauthorized', 'the operator token is missing or not known');
 }
 
+/** Says which role is missing. */
+export function describeMissingRole({ name, role }: Operator, required: OperatorRole): string {
+  return `this needs the role ${required}, and ${name} has ${role}`;
+}
+
 export function requireRole(operator: Operator, role: OperatorRole): void {
-  if (hasRole(operator, role)) return;
-  throw refusal(
-    'forbidden',
-    `this needs the role ${role}, and ${operator.name} has ${operator.role}`,
-  );
+  if (!hasRole(operator, role)) throw refusal('forbidden', describeMissingRole(operator, role));
 }
--- a/src/daemon/operators/records.ts
+++ b/src/daemon/operators/records.ts
@@ -5,7 +5,7 @@
 import { type SubmissionOutcome } from '../../configuration/store.js';
 import { type Submission } from '../../configuration/validation.js';
 import { readJson } from '../callers/body.js';
-import { hasRole } from './access.js';
+import { describeMissingRole, hasRole } from './access.js';
 import { type OperatorContext, type OperatorOperation, requireStore } from './context.js';
 import { sendJson } from './server.js';
 
@@ -41,7 +41,7 @@
   const submission = toSubmission(await readJson(req, bodyLimits, api.clock));
   const role = submission.kind === 'operator' ? 'admin' : 'operator';
   if (!hasRole(operator, role)) {
-    const reason = `this needs the role ${role}, and ${operator.name} has ${operator.role}`;
+    const reason = describeMissingRole(operator, role);
     await store.auditRefusal(submission, operator.name, reason);
     throw refusal('forbidden', reason);
   }
--- a/src/daemon/operators/reports.ts
+++ b/src/daemon/operators/reports.ts
@@ -4,6 +4,7 @@
 import { measureCoverage } from '../../configuration/peers.js';
 import { type AgentView } from '../../membership/directory.js';
 import { readJson } from '../callers/body.js';
+import { describeMissingRole, hasRole, requireRole } from './access.js';
 import {
   type OperatorContext,
   type OperatorOperation,
@@ -35,7 +36,7 @@
   throw refusal('unknownRecord', detail);
 }
 
-async function audit(ctx: OperatorContext): Promise<void> {
+async function listAudit(ctx: OperatorContext): Promise<void> {
   const { api, url, res, token } = ctx;
   const given = url.searchParams.get('since');
   const sinceMs = given === null ? api.clock.wallTime() - auditPeriodMs : Date.parse(given);
@@ -99,27 +100,34 @@
   if (!isSettledOutcome(settled)) {
     throw refusal('invalidRequest', 'outcome must be "completed" or "not-run"');
   }
+  const audit = async (state: 'accepted' | 'refused', reason: string): Promise<void> => {
+    await api.configuration.store?.audit.append({
+      operator: operator.name,
+      submissionId: id,
+      kind: 'unknown-call',
+      name: id,
+      action: 'settle',
+      state,
+      fromRevision: 0,
+      toRevision: 0,
+      reason,
+    });
+  };
+  if (!hasRole(operator, 'operator')) {
+    await audit('refused', describeMissingRole(operator, 'operator'));
+    requireRole(operator, 'operator');
+  }
   const done = await calls.settle(id, settled, operator.name, noCancellation);
-  await api.configuration.store?.audit.append({
-    operator: operator.name,
-    submissionId: id,
-    kind: 'unknown-call',
-    name: id,
-    action: 'settle',
-    state: done ? 'accepted' : 'refused',
-    fromRevision: 0,
-    toRevision: 0,
-    reason: done ? settled : 'the call is not listed as unknown',
-  });
+  await audit(done ? 'accepted' : 'refused', done ? settled : 'the call is not listed as unknown');
   if (!done) throw refusal('unknownRecord', `call "${id}" is not listed as unknown`);
   sendJson(res, 200, { id, outcome: settled });
 }
 
-/** Operations that report on submissions, nodes, targets and calls. */
+/** Operations on reports and calls. Settling checks the role itself, to audit a refusal. */
 export const reportOperations: readonly OperatorOperation[] = [
   { method: 'GET', pattern: /^submissions\/([^/]+)$/, role: 'viewer', run: outcome },
-  { method: 'GET', pattern: /^audit$/, role: 'viewer', run: audit },
+  { method: 'GET', pattern: /^audit$/, role: 'viewer', run: listAudit },
   { method: 'GET', pattern: /^status$/, role: 'viewer', run: status },
   { method: 'GET', pattern: /^unknown$/, role: 'viewer', run: listUnknown },
-  { method: 'POST', pattern: /^unknown\/([^/]+)$/, role: 'operator', run: settle },
+  { method: 'POST', pattern: /^unknown\/([^/]+)$/, role: 'viewer', run: settle },
 ];
--- a/test/configuration/store.test.ts
+++ b/test/configuration/store.test.ts
@@ -78,6 +78,7 @@
     await submit(team('submission-1', 1)),
     await submit({ ...team('submission-3', 1), kind: 'taem' }),
     await submit({ ...team('submission-4', 1), value: { name: 'red', weight: -1 } }),
+    await submit({ ...team('submission-4', 1), value: { name: 'red', weight: -1 } }),
     await submit({ ...team('submission-5', 1), schemaVersion: 2 }),
     await submit({ ...team('submission-6', 0, 'blue'), remove: true }),
   ];
@@ -101,6 +102,16 @@
   expect(first?.revision).toBe(1);
 });
 
+// Guards against a refusal that turns into another outcome because its audit can't be written.
+test('a conflict stays a conflict when the table fails at the audit', async () => {
+  const table = createFaultyTable(createMemoryTable());
+  const store = createStore(table);
+  await store.submit(team('submission-1', 0), 'ada', noCancellation);
+  table.plan = ['none', 'none', 'none', 'none', 'down'];
+  const outcome = await store.submit(team('submission-2', 0), 'ada', noCancellation);
+  expect(outcome).toMatchObject({ state: 'conflict', revision: 1 });
+});
+
 /** Yields between calls in an order drawn from the seed, so that submissions interleave. */
 function interleave(inner: FaultyTable, seed: number): TablePort {
   const random = createSeededRandom(seed);
