Test settling of unknown calls with roles and audit

Change: the command-line test lists and settles a call as viewer and as operator. Conclusion: the refused and the accepted settlement stand in the audit trail.

--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -4,6 +4,7 @@
 import { afterAll, beforeAll, expect, test } from 'vitest';
 import { runCli } from '../../src/cli/run.js';
 import { hashKey } from '../../src/configuration/replica.js';
+import { type UnknownCalls } from '../../src/daemon/operators/context.js';
 import { type DaemonProcess } from '../../src/daemon/process.js';
 import { startDynamodb } from '../standins/dynamodb.js';
 import { type StandInEngine, startEngine } from '../standins/engine.js';
@@ -24,6 +25,13 @@
 let agent: DaemonProcess;
 let folder: string;
 
+const open = new Map([['call-1', { id: 'call-1', team: 'red' }]]);
+
+const unknownCalls: UnknownCalls = {
+  listUnknown: async () => [...open.values()],
+  settle: async (id) => open.delete(id),
+};
+
 interface Run {
   readonly code: number;
   readonly out: string;
@@ -71,6 +79,7 @@
     agents: [agent.addresses.internal],
     entries: [second.addresses.internal],
     sections,
+    adapters: { unknownCalls },
   });
   entries = [first, second];
   await waitUntil(async () => {
@@ -137,7 +146,13 @@
   for (const [token, record, code] of rows) {
     expect((await submit(record, [], token)).code).toBe(code);
   }
+  const settle = ['settle', 'call-1', '--outcome', 'not-run'];
+  expect((await run(['unknown'], 'token-an-viewer')).out).toMatch(/call-1 +red/);
+  expect((await run(settle, 'token-an-viewer')).code).toBe(1);
+  expect((await run(settle, 'token-an-operator')).out).toBe('settled call-1 as not-run\n');
   const { out } = await run(['audit'], 'token-an-viewer');
+  expect(out).toMatch(/an-viewer +settle +unknown-call\/call-1 +refused .*needs the role operator/);
+  expect(out).toMatch(/an-operator +settle +unknown-call\/call-1 +accepted .*not-run/);
   expect(out).toMatch(/an-viewer +write +team\/green +refused .*needs the role operator/);
   expect(out).toMatch(/an-operator +write +team\/green +accepted/);
   expect(out).toMatch(/an-operator +write +operator\/mallory +refused .*needs the role admin/);
@@ -199,7 +214,7 @@
     [['diff', 'team', 'red'], 2],
     [['settle', 'some-call'], 2],
     [['show', 'team', 'nobody'], 1],
-    [['unknown'], 1],
+    [['settle', 'no-such-call', '--outcome', 'completed'], 1],
     [['hash-key', 'two words'], 2],
     [['check-config', 'missing.ini'], 1],
   ];
