Give each key one owner in the transaction of its record

Cause: two operators could give one key to two teams at the same moment, because the check read the replica only. A push that came while a round ran waited for the next poll. Change: a row per key and token names its owner and is written with the record; a push during a round starts the next one at once. Conclusion: three teams that claim one key at once get one acceptance and two refusals.

--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -92,7 +92,7 @@
     teamsByKey = new Map();
     for (const team of parsed.team.values()) {
       for (const keyHash of team.keyHashes) {
-        // Two operators may give one key to two teams at once; it stays with the older record.
+        // The store gives a key one owner; should there be two, every process takes the same one.
         if (!teamsByKey.has(keyHash)) teamsByKey.set(keyHash, team);
       }
     }
--- a/src/configuration/rows.ts
+++ b/src/configuration/rows.ts
@@ -39,6 +39,7 @@
   change: 'config.change',
   submission: 'config.submission',
   audit: 'config.audit',
+  key: 'config.key',
 } as const;
 
 const revisionDigits = 16;
--- a/src/configuration/store.ts
+++ b/src/configuration/store.ts
@@ -6,6 +6,7 @@
 import { fullJitter, type Random } from '../base/random.js';
 import { type TableItem, type TablePort, type TableWrite } from '../ports/table.js';
 import { type AuditEvent, type AuditTrail, createAuditTrail } from './audit.js';
+import { changeKeys } from './keys.js';
 import { type StoredRecord } from './records.js';
 import { type ConfigurationReplica } from './replica.js';
 import {
@@ -211,15 +212,21 @@
       const late = await findRecorded(submission, operator, token);
       return late ?? refuse(submission, operator, mismatch);
     }
+    const keys = await changeKeys(table, submission, stored && readRecordRow(stored), token);
+    if (keys.problems.length > 0) {
+      const late = await findRecorded(submission, operator, token);
+      const { problems } = keys;
+      return late ?? refuse(submission, operator, { state: 'refused', revision: 0, problems });
+    }
     const { revision, writes } = writesOf(submission, operator, head, stored);
-    const result = await table.transact(writes, token);
+    const result = await table.transact([...writes, ...keys.writes], token);
     if (result === 'conflict') return undefined;
     return { submissionId, state: 'accepted', revision, problems: [] };
   };
 
   const submit: ConfigurationStore['submit'] = async (submission, operator, token) => {
     const { submissionId } = submission;
-    const mistakes = validateSubmission(submission, replica);
+    const mistakes = validateSubmission(submission);
     if (mistakes.length > 0) {
       const outcome = { state: 'refused', revision: 0, problems: mistakes } as const;
       return refuse(submission, operator, outcome, !mistakes[0]?.startsWith('submissionId'));
--- a/src/configuration/sync.ts
+++ b/src/configuration/sync.ts
@@ -72,6 +72,8 @@
   const { token } = source;
   let noticed = 0;
   let tableDown = false;
+  /** Set by a push that arrives while a round is running. */
+  let pushed = false;
   let wake = (): void => undefined;
 
   const pick = (from: readonly ConfigurationPeer[], count: number): ConfigurationPeer[] =>
@@ -118,8 +120,7 @@
   };
 
   const readTable = async (from: ConfigurationReader): Promise<void> => {
-    const pushed = noticed > replica.revision && replica.ready;
-    if (!pushed) {
+    if (noticed <= replica.revision || !replica.ready) {
       const head = await from.readHead(token);
       if (head < replica.revision) {
         log.warn({ head, revision: replica.revision }, 'table is older than this replica; ignored');
@@ -160,12 +161,14 @@
     const wait = createCancellationSource(token);
     wake = () => wait.cancel('newer revision noticed');
     try {
+      if (pushed) wake();
       await sleep(clock, delayMs, wait.token);
     } catch (err) {
       if (token.isCancellationRequested) throw err;
       await sleep(clock, noticeSpreadMs * random.next(), token);
     } finally {
       wake = () => undefined;
+      pushed = false;
       wait.dispose();
     }
   };
@@ -201,6 +204,7 @@
     notice(revision) {
       if (revision <= replica.revision) return;
       noticed = Math.max(noticed, revision);
+      pushed = true;
       wake();
     },
     async announce(revision) {
--- a/src/configuration/validation.ts
+++ b/src/configuration/validation.ts
@@ -1,5 +1,4 @@
-import { type ConfigurationReplica } from './replica.js';
-import { isKnownKind, type RecordOf, recordSchemas, schemaVersions } from './records.js';
+import { isKnownKind, recordSchemas, schemaVersions } from './records.js';
 
 /** A change of one record as an operator submits it. */
 export interface Submission {
@@ -42,30 +41,8 @@
   return problems;
 }
 
-function checkUnique(submission: Submission, replica: ConfigurationReplica): readonly string[] {
-  if (submission.kind === 'team') {
-    const { keyHashes = [] } = submission.value as Partial<RecordOf<'team'>>;
-    for (const { name, keyHashes: taken } of replica.list('team')) {
-      if (name === submission.name) continue;
-      const shared = keyHashes.find((hash) => taken.includes(hash));
-      if (shared) return [`value.keyHashes: ${shared} belongs to team "${name}"; write another`];
-    }
-  }
-  if (submission.kind === 'operator') {
-    const { tokenHash } = submission.value as RecordOf<'operator'>;
-    for (const other of replica.list('operator')) {
-      if (other.name === submission.name || other.tokenHash !== tokenHash) continue;
-      return [`value.tokenHash: belongs to operator "${other.name}"; write another`];
-    }
-  }
-  return [];
-}
-
 /** Lists every mistake of a submission as `field: what to write`. */
-export function validateSubmission(
-  submission: Submission,
-  replica: ConfigurationReplica,
-): readonly string[] {
+export function validateSubmission(submission: Submission): readonly string[] {
   const problems = checkEnvelope(submission);
   const { kind, value } = submission;
   if (problems.length > 0 || !isKnownKind(kind) || submission.remove) return problems;
@@ -85,5 +62,5 @@
     });
   }
   if (result.data.name !== submission.name) return [`value.name: write "${submission.name}"`];
-  return checkUnique(submission, replica);
+  return [];
 }
--- a/test/configuration/store.test.ts
+++ b/test/configuration/store.test.ts
@@ -112,6 +112,28 @@
   expect(outcome).toMatchObject({ state: 'conflict', revision: 1 });
 });
 
+// Guards against a key with two owners, and against a key that can't be given to another team.
+test('a key has one owner, also when two operators give it away at once', async () => {
+  const inner = createFaultyTable(createMemoryTable());
+  const store = createStore(inner);
+  const keyHashes = ['a'.repeat(64)];
+  const submit = (submission: Submission) => store.submit(submission, 'ada', noCancellation);
+  const races = ['red', 'blue', 'green'].map((name) =>
+    submit(team(`${name}-submission`, 0, name, { keyHashes })),
+  );
+  const outcomes = await Promise.all(races);
+  const winner = outcomes.find(({ state }) => state === 'accepted');
+  expect(outcomes.filter(({ state }) => state === 'refused')).toHaveLength(2);
+  const [name = ''] = (winner?.submissionId ?? '').split('-');
+  const loser = ['red', 'blue', 'green'].find((other) => other !== name) ?? '';
+  await submit({ ...team('submission-2', winner?.revision ?? 0, name), remove: true });
+  const given = await submit(team('submission-3', 0, loser, { keyHashes }));
+  expect(given.state).toBe('accepted');
+  const many = Array.from({ length: 21 }, (_value, index) => String(index).padStart(64, '0'));
+  const tooMany = await submit(team('submission-4', 0, 'grey', { keyHashes: many }));
+  expect(tooMany.problems.join()).toContain('at most 20 in one submission');
+});
+
 /** Yields between calls in an order drawn from the seed, so that submissions interleave. */
 function interleave(inner: FaultyTable, seed: number): TablePort {
   const random = createSeededRandom(seed);
