--- a/src/adapters/connect/configurationpeers.ts
+++ b/src/adapters/connect/configurationpeers.ts
@@ -1,3 +1,4 @@
+import { Code, ConnectError } from '@connectrpc/connect';
 import { type CancellationToken, createCancellationSource } from '../../base/cancellation.js';
 import { type Clock, sleep } from '../../base/clock.js';
 import { errMessage } from '../../base/errors.js';
@@ -21,6 +22,8 @@
   observe(instance: string, revision: number): void;
   /** Other known entries with the revision that they reported last. */
   nodes(): readonly ConfigurationNode[];
+  /** Connections to the other known entries. */
+  connections(): readonly PeerConnection<PeerClient>[];
 }
 
 export interface ConnectedPeersOptions {
@@ -99,7 +102,7 @@
     try {
       return await run(connection.client, { timeoutMs: callTimeoutMs, signal: token.signal });
     } catch (err) {
-      connection.reset('call failed');
+      if (ConnectError.from(err).code === Code.DeadlineExceeded) connection.reset('no answer');
       throw err;
     }
   };
@@ -178,6 +181,7 @@
         const revision = fresh ? item.revision : undefined;
         return { address, instance: item?.instance ?? '', role: 'entry', revision };
       }),
+    connections: () => entryAddresses().map((address) => connect(address).connection),
     dispose() {
       source.cancel('peers closed');
       for (const { connection } of known.values()) connection.dispose();
--- a/src/configuration/sync.ts
+++ b/src/configuration/sync.ts
@@ -16,16 +16,18 @@
  * - Steady state: each entry reads the head row once per 0.75 to 1.25 s, 340 reads/s. Agents
  *   never read the table; they ask one entry per second.
  * - A change: each entry reads the change rows once. All within one second: 340 + 340 = 680.
- * - All entries start at once with an empty replica: at most 5 reads each (head, 2 pages of
- *   records, changes, next head) after a start delay of up to 2 s: 340 × 5 / 2 s = 850 reads/s.
+ * - All entries start at once without a ready peer: 5 reads each (head, then head, 2 pages of
+ *   records and changes) after a start delay of up to 2 s, beside the polls of those that are
+ *   done: 340 × 5 / 2 s + 340 = 1,190 reads/s.
  *   Entries that find a ready peer need only the head row.
- * - Return of the table after an outage: retries have full jitter up to 5 s and each needs one
- *   read, so that the return adds no reads above the steady state.
+ * - Outage and return of the table: while peers answer, each entry goes on with one jittered read
+ *   per second; without any answer, retries have full jitter up to 5 s. Changes can't be accepted
+ *   meanwhile, so that the return adds no reads.
  */
 export interface ConfigurationUpdater extends Disposable {
   /** A peer says that this revision exists; an older one is ignored. */
   notice(revision: number): void;
-  /** Applies a change that this process accepted, and tells the other entries. */
+  /** Applies a change that this process accepted, and starts to tell the other entries. */
   announce(revision: number): Promise<void>;
   /** Asks all other entries for their revision, for the status of the operators. */
   askEntries(): Promise<void>;
@@ -39,6 +41,8 @@
   /** Absent for agents, which read from peers only. */
   readonly reader: ConfigurationReader | undefined;
   readonly peers: ConfigurationPeers;
+  /** True when the process is of no use without configuration, which is then logged. */
+  readonly required: boolean;
 }
 
 const pollMs = 1_000;
@@ -63,10 +67,13 @@
 const peerRounds = 3;
 
 export function createConfigurationUpdater(options: UpdaterOptions): ConfigurationUpdater {
-  const { clock, random, log, replica, reader, peers } = options;
+  const { clock, random, log, replica, reader, peers, required } = options;
   const source = createCancellationSource();
   const { token } = source;
   let noticed = 0;
+  let tableDown = false;
+  /** Set by a push that arrives while a round is running. */
+  let pushed = false;
   let wake = (): void => undefined;
 
   const pick = (from: readonly ConfigurationPeer[], count: number): ConfigurationPeer[] =>
@@ -113,8 +120,7 @@
   };
 
   const readTable = async (from: ConfigurationReader): Promise<void> => {
-    const pushed = noticed > replica.revision && replica.ready;
-    if (!pushed) {
+    if (noticed <= replica.revision || !replica.ready) {
       const head = await from.readHead(token);
       if (head < replica.revision) {
         log.warn({ head, revision: replica.revision }, 'table is older than this replica; ignored');
@@ -138,11 +144,14 @@
     if (reader) {
       try {
         await readTable(reader);
+        if (tableDown) log.info({ revision: replica.revision }, 'table is available again');
+        tableDown = false;
         return true;
       } catch (err) {
         token.throwIfCancelled();
         const fields = { err: errMessage(err), revision: replica.revision };
-        log.warn(fields, 'table is not available; asking peers for the configuration');
+        if (!tableDown) log.warn(fields, 'table is not available; asking peers for changes');
+        tableDown = true;
       }
     }
     return wasReady ? pullSome() : answers > 0;
@@ -152,12 +161,14 @@
     const wait = createCancellationSource(token);
     wake = () => wait.cancel('newer revision noticed');
     try {
+      if (pushed) wake();
       await sleep(clock, delayMs, wait.token);
     } catch (err) {
       if (token.isCancellationRequested) throw err;
       await sleep(clock, noticeSpreadMs * random.next(), token);
     } finally {
       wake = () => undefined;
+      pushed = false;
       wait.dispose();
     }
   };
@@ -169,7 +180,7 @@
     let failures = 0;
     for (;;) {
       failures = (await refresh()) ? 0 : failures + 1;
-      if (!replica.ready) {
+      if (!replica.ready && required) {
         log.warn(
           { failures },
           'no configuration: neither the table nor a peer answered; check [table] endpoint and ' +
@@ -193,6 +204,7 @@
     notice(revision) {
       if (revision <= replica.revision) return;
       noticed = Math.max(noticed, revision);
+      pushed = true;
       wake();
     },
     async announce(revision) {
@@ -202,7 +214,10 @@
           log.warn({ err: errMessage(err), revision }, 'accepted change is applied at next poll');
         });
       }
-      await Promise.allSettled(peers.entries().map((peer) => peer.notify(revision, token)));
+      for (const peer of peers.entries()) {
+        // A peer that misses the push finds the change at its next poll.
+        peer.notify(revision, token).catch(() => undefined);
+      }
     },
     async askEntries() {
       await pullFrom(peers.entries());
--- a/src/daemon/agent.ts
+++ b/src/daemon/agent.ts
@@ -19,6 +19,7 @@
 import { listenHttp } from './listen.js';
 import { registerAgentMetrics } from './metrics.js';
 import { createOperatorServer } from './operators/server.js';
+import { createPlatform } from './platform.js';
 import { type DaemonProcess, drainPollMs } from './process.js';
 import { type Settings } from './settings/schema.js';
 
@@ -35,10 +36,11 @@
   log: Logger,
   adapters: AgentAdapters = {},
 ): Promise<DaemonProcess> {
-  const { clock = systemClock, random = systemRandom, instances } = adapters;
+  const { clock = systemClock, random = systemRandom } = adapters;
   const { name: target, kind, url, service: serviceRoute = '', places } = settings.target;
   if (!target || !kind || !url) throw new SettingsError('[target] name, kind and url are missing');
   const resources = createDisposableStore();
+  const { instances } = { ...createPlatform(settings, resources), ...adapters };
   const registry = new Registry();
   collectDefaultMetrics({ register: registry });
   const replica = createConfigurationReplica();
@@ -57,9 +59,7 @@
     },
     resources,
   );
-  /** Agents of a site without known entries serve without configuration. */
-  const isConfigured = (): boolean =>
-    replica.ready || (settings.peers.entries.length === 0 && !instances);
+  const isConfigured = (): boolean => replica.ready || !configuration.required;
   const identity: AgentIdentity = {
     instance: settings.process.instance,
     target,
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -14,11 +14,7 @@
 import { createTeamLimiter } from '../limits/teamlimits.js';
 import { createUsageExchange } from '../limits/usageexchange.js';
 import { createRetryBudget } from '../limits/retrybudget.js';
-import { createOnceCaller, type OnceCaller } from '../idempotency/calls.js';
-import { type ClaimStore, createClaimStore } from '../idempotency/claims.js';
-import { createOutcomeSource } from '../idempotency/outcomes.js';
-import { createResultKeeper } from '../idempotency/results.js';
-import { type AgentDirectory, createAgentDirectory } from '../membership/directory.js';
+import { createAgentDirectory } from '../membership/directory.js';
 import { type InstancesPort } from '../ports/instances.js';
 import { type ObjectPort } from '../ports/objects.js';
 import { type TablePort } from '../ports/table.js';
@@ -32,15 +28,17 @@
   type PlacementPolicy,
   type PolicyName,
 } from '../routing/policies.js';
-import { createCompletionHandler } from './callers/completions.js';
-import { createModelsHandler } from './callers/models.js';
-import { createResumeHandler, requestPrefix } from './callers/resume.js';
+import { createCallerRoutes } from './callers/routes.js';
 import { createCallerServer } from './callers/server.js';
-import { createServiceHandler, servicePrefix } from './callers/services.js';
 import { startConfiguration } from './configuration.js';
 import { closeHttp, listenHttp } from './listen.js';
 import { createEntryMetrics } from './metrics.js';
+import { createOperatorApi } from './operators/api.js';
+import { type UnknownCalls } from './operators/context.js';
 import { createOperatorServer } from './operators/server.js';
+import { createOnceStack } from './once.js';
+import { startOrders } from './orders.js';
+import { createPlatform } from './platform.js';
 import { type DaemonProcess, drainPollMs } from './process.js';
 import { type Settings } from './settings/schema.js';
 
@@ -55,6 +53,8 @@
   readonly instances?: InstancesPort;
   /** Replica that is already filled, for the quickstart and tests. */
   readonly replica?: ConfigurationReplica;
+  /** Calls with an unknown outcome, for tests of the operators' API. */
+  readonly unknownCalls?: UnknownCalls;
 }
 
 const policies: Readonly<Record<PolicyName, (options: OfferPolicyOptions) => PlacementPolicy>> = {
@@ -64,34 +64,18 @@
   cicadatide: createOfferPolicy,
 };
 
-function createOnceStack(
-  clock: Clock,
-  log: Logger,
-  claims: ClaimStore,
-  objects: ObjectPort | undefined,
-  directory: AgentDirectory,
-): OnceCaller {
-  const connectionTo = (address: string) =>
-    directory.all().find((agent) => agent.address === address)?.connection;
-  return createOnceCaller({
-    clock,
-    log,
-    claims,
-    results: createResultKeeper(log, objects),
-    outcomes: createOutcomeSource({ clock, log, connectionTo }),
-  });
-}
-
 /** Composes and starts one entry. */
 export async function startEntry(
   settings: Settings,
   log: Logger,
   adapters: EntryAdapters = {},
 ): Promise<DaemonProcess> {
-  const { clock = systemClock, random = systemRandom, table, instances } = adapters;
+  const { clock = systemClock, random = systemRandom } = adapters;
   const { callers: callersBind } = settings.listen;
   if (!callersBind) throw new SettingsError('[listen] callers is missing');
   const resources = createDisposableStore();
+  const platform = createPlatform(settings, resources);
+  const { table, objects, instances } = { ...platform, ...adapters };
   const registry = new Registry();
   collectDefaultMetrics({ register: registry });
   const replica = adapters.replica ?? createConfigurationReplica();
@@ -121,65 +105,57 @@
   };
   const shares = createUsageShares(clock);
   const teamLimits = createTeamLimiter(clock, shares);
-  const peers = settings.peers.entries.map((address) => resources.add(connector.entry(address)));
   const usage = resources.add(
     createUsageExchange({
       clock,
       log,
       self: { instance: settings.process.instance, incarnation: randomUUID() },
-      peers: () => peers,
+      peers: configuration.peers.connections,
       shares,
       limiter: teamLimits,
       configurationRevision: () => replica.revision,
     }),
   );
   const metrics = createEntryMetrics(registry, directory, replica);
-  const completion = { clock, log, replica, dispatcher, limits, metrics, teamLimits };
-  const claims = adapters.table && createClaimStore({ clock, log, table: adapters.table });
-  const onceCaller = claims && createOnceStack(clock, log, claims, adapters.objects, directory);
+  const once = table && createOnceStack({ clock, log, table, objects, directory, replica });
+  const { instance } = settings.process;
+  if (table) {
+    startOrders({ clock, random, log, table, instance, replica, directory }, resources);
+  }
   const callers = createCallerServer({
     clock,
     log,
     replica,
     metrics,
     maxHeaderBytes: settings.requests.max_header,
-    routes: [
-      {
-        path: '/v1/chat/completions',
-        methods: ['POST'],
-        handler: createCompletionHandler(completion, 'chat'),
-      },
-      {
-        path: '/v1/completions',
-        methods: ['POST'],
-        handler: createCompletionHandler(completion, 'text'),
-      },
-      {
-        path: requestPrefix,
-        methods: ['GET'],
-        handler: createResumeHandler({ clock, log, replica, directory }),
-      },
-      { path: '/v1/models', methods: ['GET'], handler: createModelsHandler(clock, replica) },
-      {
-        path: servicePrefix,
-        handler: createServiceHandler({
-          clock,
-          random,
-          replica,
-          directory,
-          onceCaller,
-          bodyTimeoutMs: limits.timeoutMs,
-          teamLimits,
-        }),
-      },
-    ],
+    routes: createCallerRoutes({
+      clock,
+      random,
+      log,
+      replica,
+      directory,
+      dispatcher,
+      limits,
+      metrics,
+      teamLimits,
+      onceCaller: once?.caller,
+      bodyTimeoutMs: limits.timeoutMs,
+    }),
   });
   let draining = false;
   const operators = createOperatorServer({
     log,
     registry,
     isReady: () => !draining && replica.ready,
-    routes: [],
+    routes: [
+      createOperatorApi({
+        clock,
+        configuration,
+        directory,
+        bootstrapTokenHash: settings.operators.bootstrap_token_hash,
+        unknownCalls: adapters.unknownCalls ?? once?.unknownCalls,
+      }),
+    ],
   });
   const internal = await listenInternal(
     settings.listen.internal,
--- a/test/configuration/store.test.ts
+++ b/test/configuration/store.test.ts
@@ -64,7 +64,7 @@
   const repeated = await store.submit(team('submission-1', 0), 'ada', noCancellation);
   expect(repeated).toMatchObject({ state: 'accepted', revision: 1 });
   expect(await store.outcome('submission-1', noCancellation)).toEqual(repeated);
-  const audit = await store.audit('', 100, noCancellation);
+  const audit = await store.audit.list('', 100, noCancellation);
   expect(audit.filter(({ state }) => state === 'accepted')).toHaveLength(1);
 });
 
@@ -78,11 +78,12 @@
     await submit(team('submission-1', 1)),
     await submit({ ...team('submission-3', 1), kind: 'taem' }),
     await submit({ ...team('submission-4', 1), value: { name: 'red', weight: -1 } }),
+    await submit({ ...team('submission-4', 1), value: { name: 'red', weight: -1 } }),
     await submit({ ...team('submission-5', 1), schemaVersion: 2 }),
     await submit({ ...team('submission-6', 0, 'blue'), remove: true }),
   ];
   expect(outcomes.map(({ state, problems }) => [state, ...problems])).toMatchSnapshot();
-  const audit = await store.audit('', 100, noCancellation);
+  const audit = await store.audit.list('', 100, noCancellation);
   expect(audit.filter(({ state }) => state === 'refused')).toHaveLength(outcomes.length);
   expect((await store.read('team', 'red', noCancellation))?.revision).toBe(1);
 });
@@ -101,6 +102,38 @@
   expect(first?.revision).toBe(1);
 });
 
+// Guards against a refusal that turns into another outcome because its audit can't be written.
+test('a conflict stays a conflict when the table fails at the audit', async () => {
+  const table = createFaultyTable(createMemoryTable());
+  const store = createStore(table);
+  await store.submit(team('submission-1', 0), 'ada', noCancellation);
+  table.plan = ['none', 'none', 'none', 'none', 'down'];
+  const outcome = await store.submit(team('submission-2', 0), 'ada', noCancellation);
+  expect(outcome).toMatchObject({ state: 'conflict', revision: 1 });
+});
+
+// Guards against a key with two owners, and against a key that can't be given to another team.
+test('a key has one owner, also when two operators give it away at once', async () => {
+  const inner = createFaultyTable(createMemoryTable());
+  const store = createStore(inner);
+  const keyHashes = ['a'.repeat(64)];
+  const submit = (submission: Submission) => store.submit(submission, 'ada', noCancellation);
+  const races = ['red', 'blue', 'green'].map((name) =>
+    submit(team(`${name}-submission`, 0, name, { keyHashes })),
+  );
+  const outcomes = await Promise.all(races);
+  const winner = outcomes.find(({ state }) => state === 'accepted');
+  expect(outcomes.filter(({ state }) => state === 'refused')).toHaveLength(2);
+  const [name = ''] = (winner?.submissionId ?? '').split('-');
+  const loser = ['red', 'blue', 'green'].find((other) => other !== name) ?? '';
+  await submit({ ...team('submission-2', winner?.revision ?? 0, name), remove: true });
+  const given = await submit(team('submission-3', 0, loser, { keyHashes }));
+  expect(given.state).toBe('accepted');
+  const many = Array.from({ length: 21 }, (_value, index) => String(index).padStart(64, '0'));
+  const tooMany = await submit(team('submission-4', 0, 'grey', { keyHashes: many }));
+  expect(tooMany.problems.join()).toContain('at most 20 in one submission');
+});
+
 /** Yields between calls in an order drawn from the seed, so that submissions interleave. */
 function interleave(inner: FaultyTable, seed: number): TablePort {
   const random = createSeededRandom(seed);
--- a/test/daemon/callers/faults.test.ts
+++ b/test/daemon/callers/faults.test.ts
@@ -11,7 +11,7 @@
     name: 'entry-1',
     agents: [],
     configuration: siteRecords(['red'], [model], ['desk']),
-    settings: { requests: { body_timeout: '200ms', max_body: '4KiB', max_header: '2KiB' } },
+    sections: { requests: { body_timeout: '200ms', max_body: '4KiB', max_header: '2KiB' } },
   });
 });
 
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -41,6 +41,10 @@
   };
 }
 
+function joinAddresses(urls: readonly string[]): string {
+  return urls.map((url) => url.replace('http://', '')).join(', ');
+}
+
 /** INI text with the given sections. */
 export function iniText(sections: Readonly<Record<string, Readonly<Record<string, string>>>>) {
   return Object.entries(sections)
@@ -59,6 +63,8 @@
   readonly dataCentre?: string;
   /** Internal address to listen on; a free port when absent. */
   readonly internal?: string;
+  /** Internal addresses of entries. */
+  readonly entries?: readonly string[];
 }
 
 /** Starts an agent in this process. */
@@ -74,6 +80,7 @@
     },
     listen: { operators: '127.0.0.1:0', internal: spec.internal ?? '127.0.0.1:0' },
     internal: { credential: siteCredential },
+    peers: { entries: joinAddresses(spec.entries ?? []) },
     target: {
       name: spec.name,
       kind: spec.kind ?? 'engine',
@@ -88,11 +95,14 @@
 export interface EntrySpec {
   readonly name: string;
   readonly agents: readonly string[];
-  readonly configuration: ConfigurationSnapshot;
+  /** Configuration in force from the start; without it the entry gets it from table or peers. */
+  readonly configuration?: ConfigurationSnapshot;
+  /** Internal addresses of other entries. */
+  readonly entries?: readonly string[];
+  /** Further sections of the settings. */
+  readonly sections?: Readonly<Record<string, Readonly<Record<string, string>>>>;
   readonly policy?: string;
   readonly adapters?: EntryAdapters;
-  /** Further settings by section. */
-  readonly settings?: Readonly<Record<string, Readonly<Record<string, string>>>>;
   /** Address to listen on for callers; a free port when absent. */
   readonly callers?: string;
 }
@@ -113,16 +123,16 @@
       internal: '127.0.0.1:0',
     },
     internal: { credential: siteCredential },
-    peers: { agents: spec.agents.map((url) => url.replace('http://', '')).join(', ') },
-    ...spec.settings,
-    requests: { policy: spec.policy ?? 'cicadatide', ...spec.settings?.['requests'] },
+    peers: { agents: joinAddresses(spec.agents), entries: joinAddresses(spec.entries ?? []) },
+    requests: { policy: spec.policy ?? 'cicadatide' },
     shutdown: { balancer_wait: '100ms', drain: '10s' },
+    ...spec.sections,
   });
   const replica = createConfigurationReplica();
-  replica.apply(spec.configuration);
+  if (spec.configuration) replica.apply(spec.configuration);
   return startEntry(parseSettings(text, spec.name), log, {
     replica,
-    ...platform,
+    ...(spec.sections?.['table'] ? {} : platform),
     ...spec.adapters,
   });
 }
