--- a/measure/output/summary.ts
+++ b/measure/output/summary.ts
@@ -1,6 +1,7 @@
 import { build, type Histogram } from 'hdr-histogram-js';
+import { createAnswer } from '../../test/standins/engine/answer.js';
 import { type RequestOutcome } from '../load/generator.js';
-import { type LoadPart } from '../load/workload.js';
+import { type LoadPart, promptTextOf, type ScheduledRequest } from '../load/workload.js';
 import { parameters } from '../parameters.js';
 import { type PartResult, type Percentiles } from './results.js';
 
@@ -27,9 +28,14 @@
 /** Collector made by {@link createDurations}. */
 export type Durations = ReturnType<typeof createDurations>;
 
-/** True when the answer arrived whole. */
+/** Text of the whole answer to a request. */
+export function expectedText(request: ScheduledRequest): string {
+  return createAnswer(promptTextOf(request)).text(0, request.outputTokens);
+}
+
+/** True when the answer arrived whole, with the right words in their order. */
 export function isWhole({ reading, request }: RequestOutcome): boolean {
-  return reading?.done === true && reading.tokens === request.outputTokens;
+  return reading?.done === true && reading.text === expectedText(request);
 }
 
 /** True when the answer arrived whole and met both time limits. */
--- a/measure/output/table.ts
+++ b/measure/output/table.ts
@@ -69,6 +69,7 @@
         `added p50 ${level.addedInterTokenMs.p50} p99 ${level.addedInterTokenMs.p99} ms`,
     );
   }
+  if (run.daemonCrashes > 0) lines.push(`    daemon processes crashed: ${run.daemonCrashes}`);
   for (const note of run.skipped ?? []) lines.push(`    skipped: ${note}`);
   return lines.join('\n');
 }
--- a/measure/runner.ts
+++ b/measure/runner.ts
@@ -104,6 +104,7 @@
     ...summariseCache(workload, records.engineRuns),
     ...summariseLatency(requests),
     violations: countViolations(load, records),
+    daemonCrashes: records.daemonCrashes,
     outcomes: countOutcomes(measured),
     serviceCalls: countCalls(load),
     ...(scenario.parts.length > 1 && { steps: summariseParts(scenario.parts, requests) }),
--- a/measure/site/pool.ts
+++ b/measure/site/pool.ts
@@ -12,6 +12,8 @@
   prepareReplacements(): Promise<void>;
   /** Kills all hosts of entries and agents and puts the prepared ones in their place. */
   replaceDaemonHosts(): Promise<void>;
+  /** Replaces daemon hosts that ended by themselves and returns how many there were. */
+  replaceCrashed(): Promise<number>;
   close(): Promise<void>;
 }
 
@@ -63,6 +65,16 @@
       spares = [];
       await Promise.all(old.map((host) => host.kill()));
     },
+    async replaceCrashed() {
+      const revive = (hosts: readonly HostProcess[]): HostProcess[] =>
+        hosts.map((host) => (host.alive ? host : startHostProcess()));
+      const crashed = [...agentHosts, ...entryHosts].filter((host) => !host.alive).length;
+      if (crashed === 0) return 0;
+      agentHosts = revive(agentHosts);
+      entryHosts = revive(entryHosts);
+      await warm([...agentHosts, ...entryHosts]);
+      return crashed;
+    },
     async close() {
       await Promise.all(all().map((host) => host.kill()));
     },
--- a/measure/site/process.ts
+++ b/measure/site/process.ts
@@ -10,6 +10,8 @@
 /** A child process that runs daemons and stand-ins on command. */
 export interface HostProcess {
   call<N extends CommandName>(name: N, args?: CommandArgs<N>): Promise<CommandResult<N>>;
+  /** False once the process has ended. */
+  readonly alive: boolean;
   /** Ends the process at once, as a crash of the machine would. */
   kill(): Promise<void>;
 }
@@ -29,8 +31,10 @@
   });
   const pending = new Map<number, PendingCall>();
   let nextId = 1;
+  let alive = true;
   const exited = new Promise<void>((resolve) => {
     child.once('exit', () => {
+      alive = false;
       for (const call of pending.values()) call.reject(new Error('the host process ended'));
       pending.clear();
       resolve();
@@ -43,8 +47,15 @@
     else call?.reject(new Error(reply.err));
   });
 
+  // A send to a process that has just crashed must not end the tool.
+  child.on('error', () => undefined);
+
   return {
+    get alive() {
+      return alive;
+    },
     call(name, args) {
+      if (!alive) return Promise.reject(new Error('the host process ended'));
       const id = nextId;
       nextId += 1;
       return new Promise((resolve, reject) => {
--- a/measure/site/site.ts
+++ b/measure/site/site.ts
@@ -1,4 +1,4 @@
-import { type EngineRun } from '../../test/standins/engine.js';
+import { type EngineOptions, type EngineRun } from '../../test/standins/engine.js';
 import { type TableFault } from '../../test/standins/faultytable.js';
 import { siteRecords, waitForRoute } from '../../test/standins/site.js';
 import { teamNames } from '../load/workload.js';
@@ -11,9 +11,8 @@
   /** Puts a TCP proxy between the entries and each engine's agent. */
   readonly proxies?: boolean;
   readonly table?: boolean;
-  readonly engine?: Partial<Record<'places' | 'prefillTokensPerSecond' | 'tickMs', number>> & {
-    readonly decodeTokensPerSecond?: number;
-  };
+  /** Properties of the engines that differ from the parameters. */
+  readonly engine?: Partial<EngineOptions>;
   readonly seed: number;
 }
 
@@ -28,6 +27,10 @@
   /** Runs of each service call by its key. */
   readonly serviceRuns: ReadonlyMap<string, number>;
   readonly tableCalls: number;
+  /** Processes of entries and agents that ended by themselves. */
+  readonly daemonCrashes: number;
+  /** Wall-clock time at which engines began to leave. */
+  readonly leavingSince: ReadonlyMap<string, number>;
 }
 
 /** Entries, agents and stand-in targets of one run. */
@@ -39,6 +42,8 @@
   crashEngine(index: number, downMs: number): Promise<void>;
   /** Kills every entry and agent at once and starts all of them again. */
   restartAll(): Promise<void>;
+  /** Stops the agent of an engine as planned; resolves when it has finished its work. */
+  drainAgent(index: number): Promise<void>;
   silenceAgent(index: number): Promise<void>;
   setTableFault(fault: TableFault): Promise<void>;
   /** Stops everything and returns what the stand-ins recorded. */
@@ -108,6 +113,7 @@
       )
     : agentAddresses;
 
+  const leavingSince = new Map<string, number>();
   const entries: string[] = [];
   const startEntries = () =>
     Promise.all(
@@ -140,13 +146,21 @@
       await pool.replaceDaemonHosts();
       await Promise.all([startAgents(), startEntries()]);
     },
+    async drainAgent(index) {
+      const name = engineNames[index] as string;
+      leavingSince.set(name, Date.now());
+      await pool.agent(index).call('drainDaemon', { name });
+    },
     silenceAgent: (index) => pool.support().call('silenceProxy', { name: `proxy-${index + 1}` }),
     setTableFault: (fault) => pool.support().call('setTableFault', { fault }),
     async close() {
-      await Promise.all([
+      const daemonCrashes = await pool.replaceCrashed();
+      const stops = [
         ...entryNames.map((name, index) => pool.entry(index).call('stopDaemon', { name })),
         ...agentSpecs.map(({ name }, index) => pool.agent(index).call('stopDaemon', { name })),
-      ]);
+      ];
+      // Daemons that crashed can't be stopped; the pool has replaced their processes.
+      await Promise.allSettled(stops);
       if (options.proxies) await pool.support().call('closeProxies');
       const runs = await Promise.all(
         engineNames.map(async (name, index) => {
@@ -162,7 +176,13 @@
         counts.set(key, (counts.get(key) ?? 0) + run);
       }
       const { reads, writes } = await pool.support().call('closeTable');
-      return { engineRuns: runs.flat(), serviceRuns: counts, tableCalls: reads + writes };
+      return {
+        engineRuns: runs.flat(),
+        serviceRuns: counts,
+        tableCalls: reads + writes,
+        daemonCrashes,
+        leavingSince,
+      };
     },
   };
 }
--- a/test/standins/engine/batch.ts
+++ b/test/standins/engine/batch.ts
@@ -8,7 +8,7 @@
   /** Decode speed of a stream that runs alone. */
   readonly decodeTokensPerSecond: number;
   /** Decode time grows by this share for each further stream in the batch. */
-  readonly decodeSlowdownPerStream?: number;
+  readonly decodeSlowdownPerStream?: number | undefined;
   /** Decode time grows by this share while a prefill runs. */
   readonly decodeSlowdownByPrefill?: number;
   readonly blockTokens: number;
