--- a/measure/output/results.ts
+++ b/measure/output/results.ts
@@ -55,6 +55,8 @@
   readonly violations: Violations;
   /** Entry and agent processes that ended by themselves. */
   readonly daemonCrashes: number;
+  /** Event loop delay of the load generator (p99); a large one makes latencies look worse. */
+  readonly generatorDelayMs: number;
   /** Requests by outcome, for reading the other figures. */
   readonly outcomes: Readonly<Record<string, number>>;
   readonly serviceCalls: Readonly<Record<string, number>>;
--- a/measure/output/summary.ts
+++ b/measure/output/summary.ts
@@ -1,3 +1,4 @@
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { build, type Histogram } from 'hdr-histogram-js';
 import { createAnswer } from '../../test/standins/engine/answer.js';
 import { type RequestOutcome } from '../load/generator.js';
@@ -33,6 +34,22 @@
   return createAnswer(promptTextOf(request)).text(0, request.outputTokens);
 }
 
+const nanosPerMs = 1e6;
+
+const delayResolutionMs = 5;
+
+/** Watches the event loop of this process; the result stops it and gives the p99 of its delay. */
+export function watchEventLoop(): () => number {
+  const histogram = monitorEventLoopDelay({ resolution: delayResolutionMs });
+  histogram.enable();
+  return () => {
+    histogram.disable();
+    // Each sample includes the wait of the watcher's own timer.
+    const delayMs = histogram.percentile(99) / nanosPerMs - delayResolutionMs;
+    return Math.max(0, Math.round(delayMs * 10) / 10);
+  };
+}
+
 /** True when the answer arrived whole, with the right words in their order. */
 export function isWhole({ reading, request }: RequestOutcome): boolean {
   return reading?.done === true && reading.text === expectedText(request);
--- a/measure/output/table.ts
+++ b/measure/output/table.ts
@@ -4,6 +4,9 @@
 
 const percent = (value: number): string => `${(value * 100).toFixed(1)}%`;
 
+/** Above this delay of the load generator, small differences of latencies mean nothing. */
+const maxGeneratorDelayMs = 20;
+
 /** Violations that are not 0, or `none`. */
 export function describeViolations(violations: Violations): string {
   const found = Object.entries(violations).filter(([, count]) => count > 0);
@@ -70,6 +73,9 @@
     );
   }
   if (run.daemonCrashes > 0) lines.push(`    daemon processes crashed: ${run.daemonCrashes}`);
+  if (run.generatorDelayMs > maxGeneratorDelayMs) {
+    lines.push(`    load generator was late: event loop delay p99 ${ms(run.generatorDelayMs)} ms`);
+  }
   for (const note of run.skipped ?? []) lines.push(`    skipped: ${note}`);
   return lines.join('\n');
 }
--- a/measure/overhead.ts
+++ b/measure/overhead.ts
@@ -3,7 +3,13 @@
 import { type ScheduledRequest, teamNames } from './load/workload.js';
 import { countViolations } from './output/checks.js';
 import { type OverheadResult, type RunResult } from './output/results.js';
-import { createDurations, isWhole, share, summariseLatency } from './output/summary.js';
+import {
+  createDurations,
+  isWhole,
+  share,
+  summariseLatency,
+  watchEventLoop,
+} from './output/summary.js';
 import { type RunSpec } from './runner.js';
 import { type HostPool } from './site/pool.js';
 import { type Site, startSite } from './site/site.js';
@@ -128,6 +134,7 @@
     cache_salt: `team:${team}`,
     weights_version: 'v1',
   }));
+  const readDelay = watchEventLoop();
   const overhead: OverheadResult[] = [];
   const through: RequestOutcome[] = [];
   try {
@@ -143,6 +150,7 @@
   } finally {
     await Promise.all([routed.close(), direct.close()]);
   }
+  const generatorDelayMs = readDelay();
   const records = await site.close();
   return {
     scenario: spec.scenario,
@@ -155,6 +163,7 @@
     leastRecomputedTokens: 0,
     violations: countViolations({ requests: through, calls: [] }, records),
     daemonCrashes: records.daemonCrashes,
+    generatorDelayMs,
     outcomes: {},
     serviceCalls: {},
     overhead,
--- a/measure/runner.ts
+++ b/measure/runner.ts
@@ -16,6 +16,7 @@
   shareOnTime,
   summariseLatency,
   summariseParts,
+  watchEventLoop,
 } from './output/summary.js';
 import { parameters } from './parameters.js';
 import { type LoadScenarioName, type Scenario, scenarios } from './scenarios.js';
@@ -92,6 +93,7 @@
   workload: Workload,
   load: LoadOutcome,
   records: SiteRecords,
+  generatorDelayMs: number,
 ): RunResult {
   const requests = load.requests.filter(({ request }) => request.part >= 0);
   const measured = { ...load, requests };
@@ -105,6 +107,7 @@
     ...summariseLatency(requests),
     violations: countViolations(load, records),
     daemonCrashes: records.daemonCrashes,
+    generatorDelayMs,
     outcomes: countOutcomes(measured),
     serviceCalls: countCalls(load),
     ...(scenario.parts.length > 1 && { steps: summariseParts(scenario.parts, requests) }),
@@ -134,13 +137,15 @@
   const site = await startSite(pool, { policy, seed, proxies, table });
   const generator = createLoadGenerator(site.entries);
   let finishActions = async (): Promise<void> => undefined;
+  const readDelay = watchEventLoop();
   try {
     const load = await generator.run(workload, () => {
       finishActions = scheduleActions(scenario, site, workload.warmUpMs);
     });
+    const delayMs = readDelay();
     await finishActions();
     const records = await site.close();
-    return summariseRun(spec, scenario, workload, load, records);
+    return summariseRun(spec, scenario, workload, load, records, delayMs);
   } finally {
     await generator.close();
   }
--- a/test/measure/summary.test.ts
+++ b/test/measure/summary.test.ts
@@ -102,6 +102,7 @@
       daemonCrashes: 0,
       leavingSince: new Map([['engine-2', 1_000]]),
     },
+    0.5,
   );
 
 // Guards against a changed shape of the results, which other tools read.
