--- a/measure/quickstart.ts
+++ b/measure/quickstart.ts
@@ -1,3 +1,4 @@
+import { createParser } from 'eventsource-parser';
 import { createLogger } from '../src/base/logging.js';
 import { startEngine } from '../test/standins/engine.js';
 import { startService } from '../test/standins/service.js';
@@ -55,23 +56,22 @@
   let firstTokenMs = 0;
   let text = '';
   let usage: StreamChunk['usage'];
-  let rest = '';
   let done = false;
-  for await (const part of res.body.pipeThrough(new TextDecoderStream())) {
-    if (firstTokenMs === 0) firstTokenMs = performance.now() - started;
-    const lines = (rest + part).split('\n\n');
-    rest = lines.pop() ?? '';
-    for (const line of lines) {
-      const data = line.replace(/^data: /, '');
+  const parser = createParser({
+    onEvent({ data }) {
       if (data === '[DONE]') {
         done = true;
-        continue;
+        return;
       }
       const chunk = JSON.parse(data) as StreamChunk;
       if (chunk.error) throw new Error(chunk.error.message);
       text += chunk.choices[0]?.delta.content ?? '';
       usage = chunk.usage ?? usage;
-    }
+    },
+  });
+  for await (const part of res.body.pipeThrough(new TextDecoderStream())) {
+    if (firstTokenMs === 0) firstTokenMs = performance.now() - started;
+    parser.feed(part);
   }
   if (!done || !usage) throw new Error('the stream ended without its terminal event');
   return {
