Group prompts by the prefix level that fits on one target

Cause: keys at three depths near the prompt's end spread the documents of one organisation over all targets, so every target held the upper levels of nearly all organisations; and a cached prefix weighed only a quarter of its time, so waits scattered it further. Change: a prompt's group is the shallowest prefix whose share of the traffic stays below half of a target's share; its two rendezvous homes are asked first. Offers carry the prefill time, which counts once more at a home and twice more elsewhere. Probes keep the request id as a prefix, because the stand-in engines derive the team from it and counted probes as another team's work.

--- a/src/routing/candidates.ts
+++ b/src/routing/candidates.ts
@@ -1,6 +1,7 @@
 import { type Random } from '../base/random.js';
 import { type AgentView } from '../membership/directory.js';
 import { type HotPrefixes } from './hotprefix.js';
+import { type PrefixGroups } from './prefixgroups.js';
 import { createRendezvousTable } from './rendezvous.js';
 import { type CompletionRequest } from './request.js';
 
@@ -13,12 +14,6 @@
 /** Targets of the hottest prefix; bounds the time of a choice among hundreds of targets. */
 const maxWidth = 64;
 
-/** A target is overloaded when its load is above this multiple of the mean load. */
-const overloadFactor = 1.25;
-
-/** Load that never counts as overload, so that an idle site does not spill. */
-const overloadSlackMs = 100;
-
 /** Name under which an agent is ranked; it survives a restart of the agent. */
 export function targetOf(agent: AgentView): string {
   return agent.status?.target ?? agent.address;
@@ -57,26 +52,18 @@
   return power >= 2 && power * 1.5 <= limit ? power * 1.5 : power;
 }
 
-/**
- * Depths in blocks whose hashes are placement keys, deepest first. The deepest step below the
- * prompt's length is usually inside the document, the step below it still is when the rest of
- * the prompt is long, and a quarter of the length is inside the levels above the document.
- */
+/** Depths in blocks whose hashes are placement keys: all steps up to the length, ascending. */
 export function keyDepths(blocks: number): readonly number[] {
-  const deepest = stepBelow(blocks);
-  const next = stepBelow(deepest - 1);
-  const upper = stepBelow(Math.floor(blocks / 4));
-  return [...new Set([deepest, next, upper])].filter((depth) => depth > 0);
+  const depths: number[] = [];
+  for (let depth = stepBelow(blocks); depth > 0; depth = stepBelow(depth - 1)) depths.push(depth);
+  return depths.reverse();
 }
 
 /** Agents that are asked for an offer. */
 export interface Candidates {
   readonly agents: readonly AgentView[];
-  /**
-   * The least loaded agent when no key leads to it. Other requests with the same prefix do not
-   * ask it, so what it computes is of no use to them.
-   */
-  readonly spare: AgentView | undefined;
+  /** Agents that are first in the order of the prompt's group, where its blocks are best kept. */
+  readonly homes: ReadonlySet<AgentView>;
 }
 
 /** Chooses the agents that are asked for an offer. */
@@ -109,48 +96,51 @@
   return { values, mean: total / agents.length, least };
 }
 
+/** Homes of a group, so that a busy first one does not take all of its prompts. */
+const homesPerGroup = 2;
+
+export interface SelectorOptions {
+  readonly random: Random;
+  readonly hot: HotPrefixes;
+  readonly groups: PrefixGroups;
+}
+
 /**
- * Selects candidates by rendezvous hashing with bounded load at the key depths. The choice needs
- * no learned state; only a hot prefix widens its set by what this entry sees.
+ * Selects candidates by rendezvous hashing of prefix levels: the homes of the prompt's group, a
+ * copy of a hot prompt, the home of the whole prompt and the least loaded agent. A new entry has
+ * not counted groups yet, but it asks the same homes of shallower levels and sees their caches.
  */
-export function createCandidateSelector(random: Random, hot: HotPrefixes): CandidateSelector {
+export function createCandidateSelector(options: SelectorOptions): CandidateSelector {
+  const { random, hot, groups } = options;
   return {
     select(req, agents) {
-      if (agents.length <= 1) return { agents, spare: undefined };
+      if (agents.length <= 1) return { agents, homes: new Set(agents) };
       const hashes = req.blockHashes(commonVersion(agents));
       const keys = keyDepths(hashes.length).map((depth) => hashes[depth - 1] as bigint);
       const loads = measureLoads(agents, random);
-      const loadLimit = loads.mean * overloadFactor + overloadSlackMs;
-      const accept = (index: number): boolean => (loads.values[index] as number) <= loadLimit;
       const table = createRendezvousTable(agents, targetOf);
       const chosen = new Set<AgentView>();
-
-      for (const key of keys) hot.record(key);
-      for (const key of keys) {
-        const width = hot.width(key, Math.min(agents.length, maxWidth));
-        if (width <= 1) continue;
-        const [home, ...others] = table.top(key, width, accept);
-        if (home) chosen.add(home);
-        const pick = others[random.integer(others.length)];
-        if (pick) chosen.add(pick);
-        break;
-      }
-      for (const key of keys) {
-        if (chosen.size >= maxCandidates - 1) break;
-        const [home] = table.top(key, 1, accept);
-        if (home) chosen.add(home);
-      }
-      if (keys.length > 0 && chosen.size < 2) {
-        for (const agent of table.top(keys[0] as bigint, 2, accept)) chosen.add(agent);
+      const homes = new Set<AgentView>();
+      const deepest = keys.at(-1);
+      if (deepest !== undefined) {
+        const group = keys[groups.place(keys, agents.length)] as bigint;
+        for (const agent of table.top(group, homesPerGroup)) homes.add(agent);
+        hot.record(deepest);
+        const width = hot.width(deepest, Math.min(agents.length, maxWidth));
+        const copies = width > 1 ? table.top(deepest, width) : [];
+        for (const agent of copies) homes.add(agent);
+        for (const agent of homes) if (chosen.size < homesPerGroup) chosen.add(agent);
+        const copy = copies[random.integer(copies.length)];
+        if (copy) chosen.add(copy);
+        const [whole] = table.top(deepest, 1);
+        if (whole && chosen.size < maxCandidates - 1) chosen.add(whole);
       }
-      const least = agents[loads.least] as AgentView;
-      const spare = keys.length > 0 && chosen.size > 0 && !chosen.has(least) ? least : undefined;
-      chosen.add(least);
-      // A prompt without a full block has no prefix to share, so two random agents are compared.
+      chosen.add(agents[loads.least] as AgentView);
+      // A prompt without a full block has no prefix to share, so random agents are compared.
       for (let tries = 0; keys.length === 0 && chosen.size < 3 && tries < 4; tries += 1) {
         chosen.add(agents[random.integer(agents.length)] as AgentView);
       }
-      return { agents: [...chosen].slice(0, maxCandidates), spare };
+      return { agents: [...chosen].slice(0, maxCandidates), homes };
     },
   };
 }
--- a/src/routing/hotprefix.ts
+++ b/src/routing/hotprefix.ts
@@ -5,12 +5,18 @@
   record(key: bigint): void;
   /** Occurrences per second that are certain; 0 for a key that is not among the frequent ones. */
   rate(key: bigint): number;
+  /** Occurrences of a key that are certain, in the current and the previous window. */
+  count(key: bigint): number;
 }
 
-const windowMs = 1_000;
+/** Window and memory of a sketch. */
+export interface SketchOptions {
+  readonly windowMs: number;
+  /** Keys kept per window; a key with more than 1/size of all occurrences is among them. */
+  readonly size: number;
+}
 
-/** Keys kept per window. A key with more than 1/128 of all occurrences is always among them. */
-const sketchSize = 128;
+const hotSketch: SketchOptions = { windowMs: 1_000, size: 128 };
 
 interface Counter {
   count: number;
@@ -29,7 +35,7 @@
   return { counters: new Map(), least: 1 };
 }
 
-function addTo(window: Window, key: bigint): void {
+function addTo(window: Window, key: bigint, size: number): void {
   const { counters } = window;
   const known = counters.get(key);
   if (known) {
@@ -37,7 +43,7 @@
     return;
   }
   let error = 0;
-  if (counters.size >= sketchSize) {
+  if (counters.size >= size) {
     let evicted = 0n;
     error = Infinity;
     for (const [other, { count }] of counters) {
@@ -58,7 +64,10 @@
 }
 
 /** Keeps the current and the previous window and weighs the latter by its overlap. */
-export function createHeavyHitters(clock: Clock): HeavyHitters {
+export function createHeavyHitters(
+  clock: Clock,
+  { windowMs, size }: SketchOptions = hotSketch,
+): HeavyHitters {
   let current = createWindow();
   let previous = createWindow();
   let startedAt = clock.now();
@@ -74,12 +83,17 @@
   return {
     record(key) {
       turn();
-      addTo(current, key);
+      addTo(current, key, size);
     },
     rate(key) {
       turn();
       const overlap = 1 - (clock.now() - startedAt) / windowMs;
-      return certainCount(current, key) + certainCount(previous, key) * overlap;
+      const count = certainCount(current, key) + certainCount(previous, key) * overlap;
+      return (count * 1_000) / windowMs;
+    },
+    count(key) {
+      turn();
+      return certainCount(current, key) + certainCount(previous, key);
     },
   };
 }
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -8,6 +8,7 @@
 import { type TargetHealth } from './health.js';
 import { createHotPrefixes } from './hotprefix.js';
 import { chooseByStatus, type Choice, type NoChoice, type PlacementPolicy } from './policies.js';
+import { createPrefixGroups } from './prefixgroups.js';
 import { type CompletionRequest } from './request.js';
 
 /** Time allowed for the answers to one round of offers. */
@@ -17,13 +18,13 @@
 const nearEqualFactor = 1.05;
 
 /**
- * Weight of prompt tokens that another asked target holds in its cache. Waiting up to a quarter
- * longer for the cached prefix saves the whole site more time than it costs this request.
+ * Extra weight of prefill over waiting. Prefill also delays the requests behind it and evicts
+ * blocks that others need, so an agent with the prefix may be slower by this share of it.
  */
-const recomputeWeight = 0.25;
+const prefillWeight = 1;
 
-/** Factor on the expectation of an agent that other requests with the same prefix do not ask. */
-const spareFactor = 1.25;
+/** Further weight of prefill at an agent that is no home of the prefix: it makes a copy there. */
+const copyWeight = 1;
 
 /** Agents of the second round, asked when all of the first one refuse. */
 const secondRoundSize = 4;
@@ -48,7 +49,11 @@
  */
 export function createOfferPolicy(options: OfferPolicyOptions): PlacementPolicy {
   const { clock, random, health } = options;
-  const candidates = createCandidateSelector(random, createHotPrefixes(clock));
+  const candidates = createCandidateSelector({
+    random,
+    hot: createHotPrefixes(clock),
+    groups: createPrefixGroups(clock),
+  });
 
   const askAgent = async (
     req: CompletionRequest,
@@ -95,20 +100,16 @@
   };
 
   const pickOffer = (
-    req: CompletionRequest,
     answers: readonly Answer[],
-    spare?: AgentView,
+    homes: ReadonlySet<AgentView>,
   ): Choice | undefined => {
     const offers = answers.flatMap(({ agent, reply }) =>
       reply?.refusal === RefusalReason.UNSPECIFIED ? [{ agent, reply }] : [],
     );
-    let mostCached = 0;
-    for (const { reply } of offers) mostCached = Math.max(mostCached, reply.cachedTokens);
     const scored = offers.map(({ agent, reply }) => {
-      const missed = (mostCached - reply.cachedTokens) / Math.max(1, req.promptTokens);
-      const factor = health.factor(targetOf(agent)) * (agent === spare ? spareFactor : 1);
-      const expectedMs = reply.expectedFirstTokenMs * factor;
-      return { agent, reply, score: (expectedMs + 1) * (1 + recomputeWeight * missed) };
+      const weight = prefillWeight + (homes.has(agent) ? 0 : copyWeight);
+      const expectedMs = reply.expectedFirstTokenMs + reply.prefillMs * weight;
+      return { agent, reply, score: (expectedMs + 1) * health.factor(targetOf(agent)) };
     });
     let best = Infinity;
     for (const { score } of scored) best = Math.min(best, score);
@@ -152,16 +153,16 @@
       // The list for a hedge lacks the target of the first attempt, which counts all the same.
       const total = purpose === 'hedge' ? agents.length + 1 : agents.length;
       const { serving, probe } = health.select(agents, targetOf, total);
-      const { agents: first, spare } = candidates.select(req, serving);
+      const { agents: first, homes } = candidates.select(req, serving);
       const answers = [...(await askAll(req, first, token))];
-      const offer = pickOffer(req, answers, spare);
+      const offer = pickOffer(answers, homes);
       if (offer) return { ...offer, probe };
       const late = answers.filter(({ settled }) => !settled).map(({ agent }) => agent);
       if (late.length > 0) return chooseByStatus(guess(late));
       const rest = serving.filter((agent) => !first.includes(agent));
       const second = [...rest].sort((a, b) => loadOf(a) - loadOf(b)).slice(0, secondRoundSize);
       const secondAnswers = await askAll(req, second, token);
-      const secondOffer = pickOffer(req, secondAnswers);
+      const secondOffer = pickOffer(secondAnswers, homes);
       if (secondOffer) return secondOffer;
       answers.push(...secondAnswers);
       const lateSecond = secondAnswers.filter(({ settled }) => !settled);
--- a/src/routing/probe.ts
+++ b/src/routing/probe.ts
@@ -37,7 +37,7 @@
     const choice = await policy.choose(req, [agent], source.token, 'probe');
     if (choice.kind !== 'chosen' || !budget.withdraw()) return;
     // A request id of its own keeps the probe apart from the caller's resumable attempts.
-    const probed = { ...req, requestId: `probe-${randomUUID()}` };
+    const probed = { ...req, requestId: `${req.requestId}.probe-${randomUUID().slice(0, 8)}` };
     const { weightsVersion, expectedFirstTokenMs } = choice;
     const init = toDispatch(probed, choice, {
       attempt: 1,
--- a/src/scheduling/worker.ts
+++ b/src/scheduling/worker.ts
@@ -154,6 +154,7 @@
       const followedMs = plan.readyInMs + plan.cost.prefillMs;
       return {
         expectedFirstTokenMs: Math.round(Math.max(forecast.firstTokenMs, followedMs)),
+        prefillMs: Math.round(plan.cost.prefillMs),
         cachedTokens: plan.cachedTokens,
         weightsVersion: weightsVersion(),
         incarnation: incarnation(),
--- a/test/routing/fakes.ts
+++ b/test/routing/fakes.ts
@@ -62,6 +62,7 @@
       return {
         refusal: 0,
         expectedFirstTokenMs: 100,
+        prefillMs: 0,
         cachedTokens: 0,
         weightsVersion: 'v1',
         incarnation: 'one',
