Split prefix groups only on evidence, from a fixed starting depth

Cause: an entry with few samples grouped by the shallowest rare prefix, so entries with different samples disagreed on the homes of the same prompt. Change: a group starts at a quarter of the prompt's length and is split only while that prefix is hot; the home one step shallower is asked too, so that prompts of one organisation with other lengths meet. Conclusion: a new entry and an old one agree on all prefixes that are not hot.

--- a/src/routing/candidates.ts
+++ b/src/routing/candidates.ts
@@ -96,9 +96,6 @@
   return { values, mean: total / agents.length, least };
 }
 
-/** Homes of a group, so that a busy first one does not take all of its prompts. */
-const homesPerGroup = 2;
-
 export interface SelectorOptions {
   readonly random: Random;
   readonly hot: HotPrefixes;
@@ -106,9 +103,9 @@
 }
 
 /**
- * Selects candidates by rendezvous hashing of prefix levels: the homes of the prompt's group, a
- * copy of a hot prompt, the home of the whole prompt and the least loaded agent. A new entry has
- * not counted groups yet, but it asks the same homes of shallower levels and sees their caches.
+ * Selects candidates by rendezvous hashing of prefix levels: the homes of the prompt's group and of
+ * the next shallower level, a copy of a hot prompt, the home of the whole prompt and the least
+ * loaded agent.
  */
 export function createCandidateSelector(options: SelectorOptions): CandidateSelector {
   const { random, hot, groups } = options;
@@ -123,13 +120,17 @@
       const homes = new Set<AgentView>();
       const deepest = keys.at(-1);
       if (deepest !== undefined) {
-        const group = keys[groups.place(keys, agents.length)] as bigint;
-        for (const agent of table.top(group, homesPerGroup)) homes.add(agent);
+        const group = groups.place(keys, agents.length);
+        // Prompts of other lengths have their group one step away, so that home is asked too.
+        for (const key of [keys[group], keys[Math.max(0, group - 1)]]) {
+          const [home] = table.top(key as bigint, 1);
+          if (home) homes.add(home);
+        }
         hot.record(deepest);
         const width = hot.width(deepest, Math.min(agents.length, maxWidth));
         const copies = width > 1 ? table.top(deepest, width) : [];
         for (const agent of copies) homes.add(agent);
-        for (const agent of homes) if (chosen.size < homesPerGroup) chosen.add(agent);
+        for (const agent of homes) if (chosen.size < 2) chosen.add(agent);
         const copy = copies[random.integer(copies.length)];
         if (copy) chosen.add(copy);
         const [whole] = table.top(deepest, 1);
--- a/src/routing/prefixgroups.ts
+++ b/src/routing/prefixgroups.ts
@@ -5,7 +5,9 @@
 export interface PrefixGroups {
   /**
    * Records a prompt by its keys, shallowest first, and returns the index of the key of its
-   * group: the shallowest one whose share of the traffic is below that of a target.
+   * group: the one at a quarter of the length or, where that prefix has more of the traffic than
+   * a target should get, the first deeper one that has not. A new entry starts with the quarter,
+   * so it agrees with older ones on all prefixes that are not hot.
    */
   place(keys: readonly bigint[], targets: number): number;
 }
@@ -16,22 +18,30 @@
  */
 const groupShare = 0.5;
 
+/** Prompts of one prefix that are needed as evidence before its group is split. */
+const minEvidence = 4;
+
 const sketch = { windowMs: 5_000, size: 2_048 } as const;
 
 /** Key that every prompt is counted under, to know the total. */
 const totalKey = -1n;
 
+/** Index of the key at a quarter of the length; each second step doubles the depth. */
+function quarterIndex(keys: readonly bigint[]): number {
+  return Math.max(0, keys.length - 1 - 4);
+}
+
 export function createPrefixGroups(clock: Clock): PrefixGroups {
   const hitters = createHeavyHitters(clock, sketch);
   return {
     place(keys, targets) {
       hitters.record(totalKey);
       for (const key of keys) hitters.record(key);
-      const limit = (hitters.count(totalKey) / targets) * groupShare;
-      for (const [index, key] of keys.entries()) {
-        if (hitters.count(key) <= Math.max(1, limit)) return index;
-      }
-      return keys.length - 1;
+      const fairShare = (hitters.count(totalKey) / targets) * groupShare;
+      const limit = Math.max(minEvidence, fairShare);
+      let index = quarterIndex(keys);
+      while (index < keys.length - 1 && hitters.count(keys[index] as bigint) > limit) index += 1;
+      return index;
     },
   };
 }
