Execute orders at agents and show rollouts to operators

Cause: the executor of orders had no caller. Agents answered orders with "unimplemented", so no rollout changed an engine, and operators could not see the progress of one.

Change: an agent of an engine creates the executor with the table of its settings or of its adapters and registers the order call. While an order runs, the worker refuses new work with the reason LEAVING, on which entries try another target without loss of budget, and the status shows the target as down. Work resumes after the engine's state was read again. The agent stays ready for the platform meanwhile, since only the order pauses it. A rollout keeps the slot of a finished load until the target's status is newer, so that it does not order the same load twice. The worker gets team weights and the places of the target record from the replica. The status of operators and `cicadatide status` list rollouts from the orders row.

--- a/src/adapters/connect/agentservice.ts
+++ b/src/adapters/connect/agentservice.ts
@@ -5,6 +5,8 @@
 import { type Disposable } from '../../base/lifecycle.js';
 import { AgentService, RefusalReason } from '../../gen/cicadatide/v1/agent_pb.js';
 import { type ServiceWorker } from '../../idempotency/serviceworker.js';
+import { type OrderExecutor } from '../../orders/executor.js';
+import { type EngineOrder } from '../../ports/engine.js';
 import { type EngineWorker } from '../../scheduling/worker.js';
 
 /** Identity of the agent, as the status stream reports it. */
@@ -20,6 +22,8 @@
   readonly identity: AgentIdentity;
   readonly engine: EngineWorker | undefined;
   readonly service: ServiceWorker | undefined;
+  /** Executes orders; present for an engine target. */
+  readonly orders: OrderExecutor | undefined;
   /** Route that a service target serves, or an empty string. */
   readonly serviceRoute: string;
   readonly isLeaving: () => boolean;
@@ -28,6 +32,16 @@
   readonly configurationRevision: () => bigint;
 }
 
+const orderActions: readonly string[] = [
+  'load-weights',
+  'load-adapter',
+  'change-role',
+] satisfies readonly EngineOrder['action'][];
+
+function isOrderAction(action: string): action is EngineOrder['action'] {
+  return orderActions.includes(action);
+}
+
 const statusIntervalMs = 250;
 
 /** Bytes of one status message on the wire, with its frame and segment headers. */
@@ -44,7 +58,7 @@
 
 /** Registers the agent's service; requests for the other kind of target are refused. */
 export function agentRoutes(options: AgentServiceOptions): (router: ConnectRouter) => void {
-  const { clock, identity, engine, service, serviceRoute } = options;
+  const { clock, identity, engine, service, orders, serviceRoute } = options;
   const { isLeaving, onLeaving, configurationRevision } = options;
   let subscribers = 0;
   let sequence = 0n;
@@ -83,6 +97,11 @@
     return service;
   };
 
+  const requireOrders = (): OrderExecutor => {
+    if (!orders) throw new ConnectError('this target takes no orders', Code.FailedPrecondition);
+    return orders;
+  };
+
   return (router) => {
     router.service(AgentService, {
       offer(req) {
@@ -116,6 +135,17 @@
       result(req) {
         return requireService().result(req.attemptId, req.team);
       },
+      async order(req) {
+        const { fencingNumber, orderId, model, version, adapter, role } = req;
+        if (!isOrderAction(req.action)) {
+          throw new ConnectError(`unknown action "${req.action}"`, Code.InvalidArgument);
+        }
+        const { action } = req;
+        const outcome = await requireOrders().execute({
+          ...{ fencingNumber, orderId, action, model, version, adapter, role },
+        });
+        return { ...outcome, highestFencingNumber: BigInt(outcome.highestFencingNumber) };
+      },
       async *watch(_req, ctx) {
         const source = createCancellationSource();
         ctx.signal.addEventListener('abort', () => source.cancel('stream closed'));
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -17,6 +17,24 @@
     readonly places: number;
     readonly queueMs: number;
   }[];
+  /** Absent when the table gave no answer. */
+  readonly rollouts?: readonly {
+    readonly name: string;
+    readonly version: string;
+    readonly phase: string;
+    readonly message: string;
+    readonly loading: readonly string[];
+  }[];
+}
+
+function formatRollouts(rollouts: StatusReply['rollouts']): readonly string[] {
+  if (!rollouts) return ['', 'rollouts: no report, the table gave no answer'];
+  if (rollouts.length === 0) return [];
+  const rows = rollouts.map(({ name, version, phase, loading, message }) => [
+    ...[name, version, phase, loading.join(',') || '-', message],
+  ]);
+  const titles = ['ROLLOUT', 'VERSION', 'PHASE', 'LOADING', 'MESSAGE'];
+  return ['', formatTable([titles, ...rows])];
 }
 
 export const statusCommand: Command = {
@@ -45,7 +63,8 @@
         String(target.queueMs),
       ]);
       const titles = ['TARGET', 'KIND', 'DC', 'STATE', 'MODELS', 'WEIGHTS', 'RUNNING', 'QUEUE MS'];
-      return [...lines, '', formatTable([titles, ...rows])].join('\n');
+      const targets = formatTable([titles, ...rows]);
+      return [...lines, '', targets, ...formatRollouts(reply.rollouts)].join('\n');
     });
     return 'ok';
   },
--- a/src/daemon/agent.ts
+++ b/src/daemon/agent.ts
@@ -13,8 +13,10 @@
 import { type Random, systemRandom } from '../base/random.js';
 import { createConfigurationReplica } from '../configuration/replica.js';
 import { createServiceWorker } from '../idempotency/serviceworker.js';
+import { createOrderExecutor } from '../orders/executor.js';
 import { createEngineWorker } from '../scheduling/worker.js';
 import { type InstancesPort } from '../ports/instances.js';
+import { type TablePort } from '../ports/table.js';
 import { startConfiguration } from './configuration.js';
 import { listenHttp } from './listen.js';
 import { registerAgentMetrics } from './metrics.js';
@@ -28,6 +30,8 @@
   readonly clock?: Clock;
   readonly random?: Random;
   readonly instances?: InstancesPort;
+  /** Holds the lease row; without a table, orders are refused as not ready. */
+  readonly table?: TablePort;
 }
 
 /** Composes and starts the agent beside one target. */
@@ -40,7 +44,7 @@
   const { name: target, kind, url, service: serviceRoute = '', places } = settings.target;
   if (!target || !kind || !url) throw new SettingsError('[target] name, kind and url are missing');
   const resources = createDisposableStore();
-  const { instances } = { ...createPlatform(settings, resources), ...adapters };
+  const { instances, table } = { ...createPlatform(settings, resources), ...adapters };
   const registry = new Registry();
   collectDefaultMetrics({ register: registry });
   const replica = createConfigurationReplica();
@@ -68,14 +72,22 @@
   };
 
   const startEngineWorker = () => {
-    const engine = resources.add(createOpenaiEngine(url));
-    return resources.add(createEngineWorker({ clock, log, engine, target }));
+    const port = resources.add(createOpenaiEngine(url));
+    const teamWeight = (team: string): number => replica.get('team', team)?.weight ?? 1;
+    const configuredPlaces = () => replica.get('target', target)?.places;
+    const worker = resources.add(
+      createEngineWorker({ clock, log, engine: port, target, teamWeight, configuredPlaces }),
+    );
+    const orders = resources.add(
+      createOrderExecutor({ clock, log, engine: port, admission: worker, table }),
+    );
+    return { worker, orders };
   };
   const startServiceWorker = () => {
     const service = resources.add(createHttpService(url));
     return resources.add(createServiceWorker({ clock, log, service, places }));
   };
-  const engine = kind === 'engine' ? startEngineWorker() : undefined;
+  const { worker: engine, orders } = kind === 'engine' ? startEngineWorker() : {};
   const service = kind === 'service' ? startServiceWorker() : undefined;
   const activeCount = (): number => (engine?.active ?? 0) + (service?.running ?? 0);
 
@@ -89,6 +101,7 @@
     identity,
     engine,
     service,
+    orders,
     serviceRoute,
     isLeaving: () => leaving.token.isCancellationRequested,
     onLeaving: (listener) => leaving.token.onCancellationRequested(listener),
@@ -108,7 +121,7 @@
     isReady: () =>
       !leaving.token.isCancellationRequested &&
       isConfigured() &&
-      engine?.status.targetDown !== true,
+      (engine?.status.targetDown !== true || engine.status.paused),
     routes: [],
   });
   const addresses = {
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -119,9 +119,8 @@
   const metrics = createEntryMetrics(registry, directory, replica);
   const once = table && createOnceStack({ clock, log, table, objects, directory, replica });
   const { instance } = settings.process;
-  if (table) {
-    startOrders({ clock, random, log, table, instance, replica, directory }, resources);
-  }
+  const orders =
+    table && startOrders({ clock, random, log, table, instance, replica, directory }, resources);
   const callers = createCallerServer({
     clock,
     log,
@@ -152,6 +151,7 @@
         clock,
         configuration,
         directory,
+        orders,
         bootstrapTokenHash: settings.operators.bootstrap_token_hash,
         unknownCalls: adapters.unknownCalls ?? once?.unknownCalls,
       }),
--- a/src/daemon/operators/context.ts
+++ b/src/daemon/operators/context.ts
@@ -5,6 +5,7 @@
 import { type ConfigurationStore } from '../../configuration/store.js';
 import { type AgentDirectory } from '../../membership/directory.js';
 import { type ProcessConfiguration } from '../configuration.js';
+import { type OrdersView } from '../orders.js';
 import { type Operator, type OperatorRole } from './access.js';
 
 /** Outcome that an operator settles for a call whose outcome is unknown. */
@@ -31,6 +32,8 @@
   readonly clock: Clock;
   readonly configuration: ProcessConfiguration;
   readonly directory: AgentDirectory;
+  /** Absent without a table; no orders are given then. */
+  readonly orders: OrdersView | undefined;
   readonly bootstrapTokenHash: string | undefined;
   /** Absent while this entry keeps no claims. */
   readonly unknownCalls?: UnknownCalls;
--- a/src/daemon/operators/reports.ts
+++ b/src/daemon/operators/reports.ts
@@ -6,6 +6,7 @@
 import { readJson } from '../callers/body.js';
 import { describeMissingRole, hasRole, requireRole } from './access.js';
 import {
+  type OperatorApiOptions,
   type OperatorContext,
   type OperatorOperation,
   requireStore,
@@ -55,10 +56,24 @@
   return status.targetDown ? 'target-down' : 'silent';
 }
 
+/** Progress of each rollout and the targets that load for it now; undefined when not readable. */
+async function listRollouts({ orders }: OperatorApiOptions) {
+  const state = await orders?.readState();
+  if (!state) return undefined;
+  const rollouts = Object.values(state.rollouts).map(({ name, version, phase, message }) => {
+    const slots = state.slots.filter(({ rollout }) => rollout === name);
+    return { name, version, phase, message, loading: slots.map(({ target }) => target) };
+  });
+  return rollouts.sort((a, b) => a.name.localeCompare(b.name));
+}
+
 async function status({ api, res }: OperatorContext): Promise<void> {
   const { clock, configuration, directory } = api;
   const { replica, updater } = configuration;
-  await withTimeout(clock, askTimeoutMs, updater.askEntries());
+  const [rollouts] = await Promise.all([
+    listRollouts(api),
+    withTimeout(clock, askTimeoutMs, updater.askEntries()),
+  ]);
   const targets = directory.all().map((view) => ({
     target: view.status?.target ?? '',
     kind: view.status?.kind ?? '',
@@ -74,7 +89,7 @@
   }));
   targets.sort((a, b) => a.target.localeCompare(b.target));
   const coverage = measureCoverage(replica.revision, configuration.nodes());
-  sendJson(res, 200, { ready: replica.ready, configuration: coverage, targets });
+  sendJson(res, 200, { ready: replica.ready, configuration: coverage, targets, rollouts });
 }
 
 function requireUnknownCalls({ api }: OperatorContext): UnknownCalls {
--- a/src/orders/rollout.ts
+++ b/src/orders/rollout.ts
@@ -50,6 +50,15 @@
   return agent.status?.weightsVersion === version;
 }
 
+/**
+ * True when a target that finished its load still shows the version from before; without its slot
+ * it would be ordered to load again. A target whose engine is down shows no version.
+ */
+function isStatusOutdated(rollout: Rollout, agent: AgentView, slot: LoadSlot): boolean {
+  if (agent.usable || !agent.status?.weightsVersion) return false;
+  return !hasVersion(rollout, agent, slot.version);
+}
+
 export function createRolloutController(options: RolloutOptions): RolloutController {
   const { clock, log, lease, store, replica, directory } = options;
   const source = createCancellationSource();
@@ -88,6 +97,7 @@
       }
       const reply = await sendOrder(agent, slot, rollout, number).catch(() => undefined);
       if (!reply || reply.outcome === 'running' || reply.outcome === 'not-ready') continue;
+      if (reply.outcome === 'done' && isStatusOutdated(rollout, agent, slot)) continue;
       slots = slots.filter((other) => other !== slot);
       if (reply.outcome !== 'failed') continue;
       const message = `target ${slot.target} failed to load ${slot.version}: ${reply.message}`;
--- a/src/scheduling/worker.ts
+++ b/src/scheduling/worker.ts
@@ -4,7 +4,7 @@
 import { type CancellationToken } from '../base/cancellation.js';
 import { type Clock } from '../base/clock.js';
 import { errMessage } from '../base/errors.js';
-import { type Disposable } from '../base/lifecycle.js';
+import { type Disposable, toDisposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
 import {
   type Chunk,
@@ -37,7 +37,10 @@
   readonly queueMs: number;
   readonly running: number;
   readonly places: number;
+  /** True while the engine is not reachable or new work is paused. */
   readonly targetDown: boolean;
+  /** True while new work is paused for an order. */
+  readonly paused: boolean;
   readonly reportedLoad: number;
 }
 
@@ -53,6 +56,11 @@
   cancel(requestId: string, attempt: number, team: string): boolean;
   /** From now on new work is refused. */
   leave(): void;
+  /**
+   * Refuses new work until the result is disposed and the engine's state was read again. Work
+   * that was accepted before goes on.
+   */
+  pause(): Disposable;
 }
 
 export interface WorkerOptions {
@@ -62,6 +70,8 @@
   readonly target: string;
   /** Share of a team relative to the others; 1 by default. */
   readonly teamWeight?: (team: string) => number;
+  /** Requests to run at once; the engine's own number when undefined. */
+  readonly configuredPlaces?: () => number | undefined;
 }
 
 /** What must match before work is admitted; absent fields are not checked. */
@@ -72,7 +82,7 @@
 }
 
 export function createEngineWorker(options: WorkerOptions): EngineWorker {
-  const { clock, log, engine, target, teamWeight = () => 1 } = options;
+  const { clock, log, engine, target, teamWeight = () => 1, configuredPlaces } = options;
   const agentIncarnation = randomUUID().slice(0, 8);
   const pending = createPendingPrefixes(clock);
   const index = createCacheIndex({ onEvicted: pending.evict, onReplaced: pending.clear });
@@ -80,6 +90,7 @@
   const reservations = createReservations(clock);
   const queue = createWorkQueue({ clock, places: 1, teamWeight });
   let leaving = false;
+  let pauses = 0;
 
   const monitor = createEngineMonitor({
     clock,
@@ -87,7 +98,7 @@
     engine,
     index,
     onChange: (state) => {
-      if (state) queue.setPlaces(state.places);
+      if (state) queue.setPlaces(configuredPlaces?.() ?? state.places);
       else pending.clear();
     },
   });
@@ -99,7 +110,8 @@
 
   const refusalFor = (req: AdmissionCheck): RefusalReason => {
     const { state } = monitor;
-    if (leaving) return RefusalReason.LEAVING;
+    // Entries treat this reason as a stale view and try another target at once.
+    if (leaving || pauses > 0) return RefusalReason.LEAVING;
     if (!state) return RefusalReason.TARGET_DOWN;
     if (!state.models.includes(req.model)) return RefusalReason.MODEL;
     if (req.incarnation && req.incarnation !== incarnation()) return RefusalReason.INCARNATION;
@@ -135,7 +147,8 @@
         queueMs: Math.round(queue.backlogMs),
         running: queue.running,
         places: queue.places,
-        targetDown: state === undefined,
+        targetDown: state === undefined || pauses > 0,
+        paused: pauses > 0,
         reportedLoad: load.running + load.waiting,
       };
     },
@@ -171,6 +184,16 @@
     leave() {
       leaving = true;
     },
+    pause() {
+      pauses += 1;
+      const resume = (): void => {
+        pauses -= 1;
+      };
+      // Without the fresh state, work would be accepted for the weights before the order.
+      return toDisposable(() => {
+        monitor.refresh().then(resume, resume);
+      });
+    },
     dispose() {
       attempts.dispose();
       monitor.dispose();
--- a/test/standins/engine.ts
+++ b/test/standins/engine.ts
@@ -29,6 +29,8 @@
   readonly checksFencing?: boolean;
   /** Time of one load of weights or an adapter when at most two run at once. */
   readonly loadMs?: number;
+  /** Weights version whose load fails. */
+  readonly failingVersion?: string;
   /** Shared by the engines of one site. */
   readonly loadGate?: LoadGate;
   readonly tickMs?: number;
@@ -196,6 +198,7 @@
     checksFencing: options.checksFencing ?? false,
     loadMs: options.loadMs ?? 500,
     gate: options.loadGate ?? { active: 0 },
+    failingVersion: options.failingVersion,
     apply(order) {
       if (order.action === 'change-role') role = order.role;
       if (order.action === 'load-adapter') adapters = [...adapters, order.adapter];
--- a/test/standins/engine/orders.ts
+++ b/test/standins/engine/orders.ts
@@ -3,6 +3,8 @@
 /** Loads that run at once on the stand-ins of one site. */
 export interface LoadGate {
   active: number;
+  /** Most loads that ran at once. */
+  most?: number;
 }
 
 /** Loads beyond this number slow each other down. */
@@ -23,6 +25,8 @@
   readonly checksFencing: boolean;
   readonly loadMs: number;
   readonly gate: LoadGate;
+  /** Weights version whose load fails. */
+  readonly failingVersion?: string | undefined;
   readonly apply: (order: OrderBody) => void;
 }
 
@@ -33,7 +37,7 @@
 
 /** Carries out orders; a load takes longer when more than two run at once on the site. */
 export function createOrderHandler(options: OrderOptions) {
-  const { checksFencing, loadMs, gate, apply } = options;
+  const { checksFencing, loadMs, gate, failingVersion, apply } = options;
   let highest = 0n;
 
   return async (order: OrderBody): Promise<OrderOutcome> => {
@@ -44,12 +48,14 @@
     if (number > highest) highest = number;
     if (order.action !== 'change-role') {
       gate.active += 1;
+      gate.most = Math.max(gate.most ?? 0, gate.active);
       try {
         await delay(loadMs * Math.max(1, gate.active / freeLoads));
       } finally {
         gate.active -= 1;
       }
     }
+    if (order.version === failingVersion) return { outcome: 'failed', message: 'disk error' };
     apply(order);
     return { outcome: 'done', message: '' };
   };
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -3,7 +3,7 @@
 import { createNullLogger, type Logger } from '../../src/base/logging.js';
 import { type ConfigurationSnapshot, type StoredRecord } from '../../src/configuration/records.js';
 import { createConfigurationReplica, hashKey } from '../../src/configuration/replica.js';
-import { startAgent } from '../../src/daemon/agent.js';
+import { type AgentAdapters, startAgent } from '../../src/daemon/agent.js';
 import { type EntryAdapters, startEntry } from '../../src/daemon/entry.js';
 import { type DaemonProcess } from '../../src/daemon/process.js';
 import { parseSettings } from '../../src/daemon/settings/read.js';
@@ -65,6 +65,7 @@
   readonly internal?: string;
   /** Internal addresses of entries. */
   readonly entries?: readonly string[];
+  readonly adapters?: AgentAdapters;
 }
 
 /** Starts an agent in this process. */
@@ -89,7 +90,7 @@
     },
     shutdown: { balancer_wait: '100ms', drain: '10s' },
   });
-  return startAgent(parseSettings(text, `agent-${spec.name}`), log);
+  return startAgent(parseSettings(text, `agent-${spec.name}`), log, spec.adapters);
 }
 
 export interface EntrySpec {
