Write the operators' pages and the README

Cause: operators had only the settings reference, and the README named two commands.

Change: pages for installation, records, outcomes, failures, metrics, planned stops and limits, with one example of settings per role. The outcomes page is made from the table of refusals by `npm run reference`; each refusal now says whether it carries Retry-After. Tests compare outcomes and metrics with the code and check the examples of settings and records.

--- a/src/base/refusals.ts
+++ b/src/base/refusals.ts
@@ -8,6 +8,8 @@
   readonly type: string;
   readonly work: WorkState;
   readonly remedy: string;
+  /** True when responses may carry Retry-After. */
+  readonly retryAfter: boolean;
 }
 
 /** Every refusal that a caller can see, with its HTTP status and remedy. */
@@ -28,13 +30,19 @@
   methodNotAllowed: kind(405, 'invalid_request_error', 'use the documented method'),
   conflict: kind(409, 'conflict_error', 'read the current revision and submit again'),
   keyReused: kind(422, 'invalid_request_error', 'use a new Idempotency-Key for a new request'),
-  teamLimit: kind(429, 'rate_limit_error', 'wait for Retry-After or ask for a higher limit'),
-  overloaded: kind(503, 'overloaded_error', 'wait for Retry-After and send the request again'),
-  noTarget: kind(503, 'overloaded_error', 'wait until a target of this route is ready'),
+  teamLimit: retryLater(
+    kind(429, 'rate_limit_error', 'wait for Retry-After or ask for a higher limit'),
+  ),
+  overloaded: retryLater(
+    kind(503, 'overloaded_error', 'wait for Retry-After and send the request again'),
+  ),
+  noTarget: retryLater(kind(503, 'overloaded_error', 'wait until a target of this route is ready')),
   draining: kind(503, 'overloaded_error', 'send the request again on a new connection'),
   notReady: kind(503, 'overloaded_error', 'wait until the instance reports ready'),
   storeDown: kind(503, 'overloaded_error', 'send the request again when the store is back'),
-  deadline: kind(504, 'timeout_error', 'allow more time or send the request at lower load'),
+  deadline: retryLater(
+    kind(504, 'timeout_error', 'allow more time or send the request at lower load'),
+  ),
   deadlineRunning: kind(504, 'timeout_error', 'ask for the result by request id', 'unknown'),
   inProgress: kind(409, 'conflict_error', 'wait and repeat with the same key', 'unknown'),
   outcomeUnknown: kind(
@@ -94,5 +102,9 @@
   remedy: string,
   work: WorkState = 'not-run',
 ): RefusalKind {
-  return { status, type, work, remedy };
+  return { status, type, work, remedy, retryAfter: false };
+}
+
+function retryLater(given: RefusalKind): RefusalKind {
+  return { ...given, retryAfter: true };
 }
--- /dev/null
+++ b/src/daemon/reference.ts
@@ -0,0 +1,40 @@
+import { refusalKinds } from '../base/refusals.js';
+
+const intro = `# Outcomes
+
+A refused or failed request gets a JSON body \`{"error": {"message", "type", "code", "param", "work",
+"request_id"}}\` and the headers \`x-request-id\` and \`x-cicadatide-work\`. An error after the first chunk of a
+stream is sent as an event of the stream with the same body. This page is made from \`src/base/refusals.ts\` by
+\`npm run reference\`; CI compares the two.
+
+The work state says what is known about the work of this request:
+
+- \`not-run\`: it did not run and will not run; sending it again is safe;
+- \`completed\`: it ran to its end, but its result is not available;
+- \`unknown\`: it may have run. Repeat a non-idempotent call only with the same \`Idempotency-Key\`.
+
+The table shows the usual work state of each code. The state in a response takes precedence: \`deadline\` is
+\`unknown\` once a target may have begun, \`noTarget\` is \`unknown\` for a resumed request whose agent does not
+answer, and \`storeDown\` and \`outcomeUnknown\` are \`completed\` when only the kept result is missing.
+\`not-run\` speaks of the request it answers: an earlier request with the same key may have run.
+
+Retry-After is a whole number of seconds, at least 1. Where the table says no, wait with a growing, random
+delay before a repeat that the last column asks for.
+`;
+
+/** Returns the page of refusal codes in Markdown, made from the table of refusals. */
+export function outcomesReference(): string {
+  const rows = Object.entries(refusalKinds).map(
+    ([code, { status, work, retryAfter, remedy }]) =>
+      `| \`${code}\` | ${status} | \`${work}\` | ${retryAfter ? 'yes' : 'no'} | ${remedy} |`,
+  );
+  return [
+    intro,
+    '| code | HTTP status | work state | Retry-After | what the caller does |',
+    '|---|---|---|---|---|',
+    ...rows,
+    '',
+    'A request that is not valid HTTP gets the code `invalidHttp`, the work state `not-run` and a closed connection.',
+    '',
+  ].join('\n');
+}
--- /dev/null
+++ b/test/docs/operators.test.ts
@@ -0,0 +1,68 @@
+import { readdirSync, readFileSync } from 'node:fs';
+import { Registry } from 'prom-client';
+import { expect, test } from 'vitest';
+import { recordSchemas, schemaVersions } from '../../src/configuration/records.js';
+import { createConfigurationReplica } from '../../src/configuration/replica.js';
+import { type Submission, validateSubmission } from '../../src/configuration/validation.js';
+import { createEntryMetrics, registerAgentMetrics } from '../../src/daemon/metrics.js';
+import { outcomesReference } from '../../src/daemon/reference.js';
+import { readSettings } from '../../src/daemon/settings/read.js';
+import { type AgentDirectory } from '../../src/membership/directory.js';
+
+const folder = 'docs/operators';
+const page = (name: string): string => readFileSync(`${folder}/${name}`, 'utf8');
+
+// Guards against example settings that the daemon refuses.
+test.each(readdirSync(`${folder}/examples`))('the example %s is valid', (name) => {
+  const settings = readSettings(`${folder}/examples/${name}`);
+  expect(name).toMatch(settings.process.role === 'entry' ? /^entry/ : /Agent/);
+});
+
+// Guards against a page of refusals that lags behind the table; `npm run reference` writes it.
+test('the outcomes page matches the refusals', () => {
+  expect(page('outcomes.md')).toBe(outcomesReference());
+});
+
+function registered(register: (registry: Registry) => void): readonly string[] {
+  const registry = new Registry();
+  register(registry);
+  return registry.getMetricsAsArray().map((metric) => {
+    const { name, labelNames, type } = metric as unknown as {
+      readonly name: string;
+      readonly labelNames: readonly string[];
+      readonly type: string;
+    };
+    const labels = labelNames.map((label) => `\`${label}\``).join(', ') || 'none';
+    return `| \`${name}\` | ${type} | ${labels} |`;
+  });
+}
+
+// Guards against metrics that are missing on the page, renamed, or listed but not registered.
+test('the metrics page lists what each role registers', () => {
+  const replica = createConfigurationReplica();
+  const directory = { all: () => [] } as unknown as AgentDirectory;
+  const load = () => ({ running: 0, places: 0, queueMs: 0 });
+  const roles = [
+    registered((registry) => createEntryMetrics(registry, directory, replica)),
+    registered((registry) => registerAgentMetrics(registry, replica, load)),
+  ];
+  const tables = page('metrics.md')
+    .split(/^## /m)
+    .slice(1)
+    .map((part) => part.match(/^\| `\w+` \| \w+ \| [^|]+ \|/gm) ?? []);
+  expect(tables).toEqual(roles);
+});
+
+// Guards against record examples that a submission refuses, and kinds without an example.
+test('the records page has a valid example of each kind', () => {
+  const blocks = [...page('records.md').matchAll(/```json\n([\s\S]*?)```/g)];
+  const examples = blocks.map(([, json]) => JSON.parse(json as string) as Submission);
+  const problems = examples.flatMap((example) =>
+    validateSubmission({ ...example, submissionId: 'example-1', baseRevision: 0 }),
+  );
+  expect(problems).toEqual([]);
+  expect(new Set(examples.map(({ kind }) => kind))).toEqual(new Set(Object.keys(recordSchemas)));
+  for (const { kind, schemaVersion } of examples) {
+    expect(schemaVersion).toBe(schemaVersions[kind as keyof typeof schemaVersions]);
+  }
+});
