Let the command-line tool work against the quickstart

Its configuration was put into the entry directly, so `cicadatide submit` had no table.

Change: the quickstart reads streams with eventsource-parser, submits its records through the operators' listener to an embedded table, starts the agents with the entry's address, so that `status` shows the configuration in force on all nodes, and prints commands for `cicadatide`.

--- a/measure/quickstart.ts
+++ b/measure/quickstart.ts
@@ -1,4 +1,10 @@
+import { randomUUID } from 'node:crypto';
+import { EventSourceParserStream } from 'eventsource-parser/stream';
+import { createMemoryObjects } from '../src/adapters/memory/objects.js';
+import { createMemoryTable } from '../src/adapters/memory/table.js';
 import { createLogger } from '../src/base/logging.js';
+import { hashKey } from '../src/configuration/replica.js';
+import { type ListedInstance } from '../src/ports/instances.js';
 import { startEngine } from '../test/standins/engine.js';
 import { startService } from '../test/standins/service.js';
 import {
@@ -13,6 +19,7 @@
 const once = process.argv.includes('--once');
 const team = 'demo';
 const model = 'demo-model';
+const operatorToken = 'demo-operator-token';
 
 const write = (line = ''): void => {
   process.stdout.write(`${line}\n`);
@@ -55,23 +62,20 @@
   let firstTokenMs = 0;
   let text = '';
   let usage: StreamChunk['usage'];
-  let rest = '';
   let done = false;
-  for await (const part of res.body.pipeThrough(new TextDecoderStream())) {
+  const events = res.body
+    .pipeThrough(new TextDecoderStream())
+    .pipeThrough(new EventSourceParserStream());
+  for await (const { data } of events) {
     if (firstTokenMs === 0) firstTokenMs = performance.now() - started;
-    const lines = (rest + part).split('\n\n');
-    rest = lines.pop() ?? '';
-    for (const line of lines) {
-      const data = line.replace(/^data: /, '');
-      if (data === '[DONE]') {
-        done = true;
-        continue;
-      }
-      const chunk = JSON.parse(data) as StreamChunk;
-      if (chunk.error) throw new Error(chunk.error.message);
-      text += chunk.choices[0]?.delta.content ?? '';
-      usage = chunk.usage ?? usage;
+    if (data === '[DONE]') {
+      done = true;
+      continue;
     }
+    const chunk = JSON.parse(data) as StreamChunk;
+    if (chunk.error) throw new Error(chunk.error.message);
+    text += chunk.choices[0]?.delta.content ?? '';
+    usage = chunk.usage ?? usage;
   }
   if (!done || !usage) throw new Error('the stream ended without its terminal event');
   return {
@@ -83,6 +87,44 @@
   };
 }
 
+/** Submits the demonstration records as an operator would. */
+async function submitRecords(operators: string): Promise<void> {
+  for (const { kind, name, value } of siteRecords([team], [model], ['booking']).records) {
+    const res = await fetch(`${operators}/v1/records`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${operatorToken}`, 'content-type': 'application/json' },
+      body: JSON.stringify({ kind, name, value, baseRevision: 0, submissionId: randomUUID() }),
+    });
+    if (!res.ok) throw new Error(`${kind} ${name} was not accepted: ${await res.text()}`);
+  }
+}
+
+function printCommands(callers: string, operators: string): void {
+  const key = `-H 'Authorization: Bearer ${teamKey(team)}'`;
+  const prompt = `{"model":"${model}","stream":true,"messages":[{"role":"user","content":"hello"}]}`;
+  const record = '{"kind":"priority","name":"urgent","value":{"name":"urgent","level":9}}';
+  const cli = 'npx tsx src/cli/main.ts';
+  const lines = [
+    '',
+    'Send requests:',
+    `  curl -N ${callers}/v1/chat/completions ${key} -d '${prompt}'`,
+    `  curl ${callers}/v1/models ${key}`,
+    `  curl ${callers}/services/booking/reservations ${key} -H 'Idempotency-Key: mine-1' -d '{"reels":4}'`,
+    `  curl ${operators}/metrics`,
+    '',
+    'Operate it from this folder (`cicadatide` when the package is installed):',
+    `  export CICADATIDE_URL=${operators} CICADATIDE_TOKEN=${operatorToken}`,
+    `  ${cli} list`,
+    `  ${cli} status`,
+    `  echo '${record}' | ${cli} submit -`,
+    `  ${cli} show priority urgent --json`,
+    `  ${cli} audit`,
+    '',
+    'Stop with Ctrl+C.',
+  ];
+  for (const line of lines) write(line);
+}
+
 async function main(): Promise<void> {
   const log = createLogger('quickstart', 'warn', process.stderr);
   const engines = await Promise.all(
@@ -92,22 +134,44 @@
     })),
   );
   const booking = await startService();
-  const agents = await Promise.all([
-    ...engines.map(({ name, standIn }) => startSiteAgent({ name, url: standIn.url }, log)),
-    startSiteAgent(
-      { name: 'booking-1', kind: 'service', url: booking.url, service: 'booking' },
-      log,
-    ),
-  ]);
+  // The entry starts before the agents, which need its address; the instance list names them later.
+  let announceAgents: (listed: readonly ListedInstance[]) => void = () => undefined;
+  const listed = new Promise<readonly ListedInstance[]>((resolve) => {
+    announceAgents = resolve;
+  });
   const entry = await startSiteEntry(
     {
       name: 'entry-1',
-      agents: agents.map(({ addresses }) => addresses.internal),
-      configuration: siteRecords([team], [model], ['booking']),
+      agents: [],
+      sections: { operators: { bootstrap_token_hash: hashKey(operatorToken) } },
+      adapters: {
+        table: createMemoryTable(),
+        objects: createMemoryObjects(),
+        instances: { list: () => listed },
+      },
     },
     log,
   );
   const callers = entry.addresses.callers ?? '';
+  await submitRecords(entry.addresses.operators);
+  const entries = [entry.addresses.internal];
+  const agents = await Promise.all([
+    ...engines.map(({ name, standIn }) => startSiteAgent({ name, url: standIn.url, entries }, log)),
+    startSiteAgent(
+      { name: 'booking-1', kind: 'service', url: booking.url, service: 'booking', entries },
+      log,
+    ),
+  ]);
+  const names = [...engines.map(({ name }) => name), 'booking-1'];
+  announceAgents(
+    agents.map(({ addresses }, index) => ({
+      instance: `agent-${names[index]}`,
+      role: 'agent',
+      address: addresses.internal,
+      dataCentre: 'dc1',
+      leaving: false,
+    })),
+  );
   const isReady = async (): Promise<boolean> => {
     const res = await fetch(`${callers}/services/booking/ready`, {
       headers: { authorization: `Bearer ${teamKey(team)}` },
@@ -142,14 +206,7 @@
   if (!res.ok) throw new Error('the booking failed');
 
   if (!once) {
-    write();
-    write('Try:');
-    write(
-      `  curl -N ${callers}/v1/chat/completions -H 'Authorization: Bearer ${teamKey(team)}' ` +
-        `-d '{"model":"${model}","stream":true,"messages":[{"role":"user","content":"hello"}]}'`,
-    );
-    write(`  curl ${callers}/v1/models -H 'Authorization: Bearer ${teamKey(team)}'`);
-    write('Stop with Ctrl+C.');
+    printCommands(callers, entry.addresses.operators);
     await new Promise<void>((resolve) => {
       process.once('SIGINT', () => resolve());
       process.once('SIGTERM', () => resolve());
