Share the drain wait and the proof of a refused connection

Cause: both roles had the same drain loop, and two adapters decided on their own which errors prove that a target was not reached. Change: waitUntilIdle in the daemon, toTargetError in base. Conclusion: tests in test/daemon and test/idempotency pass.

--- a/src/adapters/http/service.ts
+++ b/src/adapters/http/service.ts
@@ -1,13 +1,11 @@
 import { Readable } from 'node:stream';
 import { Agent, request } from 'undici';
-import { errMessage, TargetFailedError, TargetRefusedError } from '../../base/errors.js';
+import { toTargetError } from '../../base/connections.js';
 import { type Disposable } from '../../base/lifecycle.js';
 import { type HeaderList, type ServicePort } from '../../ports/service.js';
 
 const connectTimeoutMs = 1_000;
 
-const refusedCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
-
 function toHeaderList(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): HeaderList {
@@ -38,11 +36,7 @@
           body: res.body as AsyncIterable<Uint8Array>,
         };
       } catch (err) {
-        const code = (err as { code?: string } | null)?.code ?? '';
-        if (refusedCodes.has(code)) {
-          throw new TargetRefusedError('service refused the connection');
-        }
-        throw new TargetFailedError(`service connection failed: ${errMessage(err)}`);
+        throw toTargetError(err, 'service');
       }
     },
     dispose() {
--- a/src/base/connections.ts
+++ b/src/base/connections.ts
@@ -1,4 +1,5 @@
 import { ConnectError } from '@connectrpc/connect';
+import { errMessage, TargetFailedError, TargetRefusedError } from './errors.js';
 
 const refusedCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 
@@ -16,3 +17,15 @@
   }
   return false;
 }
+
+/** Code of undici for a connection that was never established. */
+const connectTimeoutCode = 'UND_ERR_CONNECT_TIMEOUT';
+
+/** Converts an error of a call to a target; only a connection that never existed is a refusal. */
+export function toTargetError(err: unknown, target: string): Error {
+  const timedOut = (err as { code?: string } | null)?.code === connectTimeoutCode;
+  if (timedOut || isConnectionRefused(err)) {
+    return new TargetRefusedError(`${target} refused the connection`);
+  }
+  return new TargetFailedError(`${target} connection failed: ${errMessage(err)}`);
+}
--- a/src/daemon/agent.ts
+++ b/src/daemon/agent.ts
@@ -22,7 +22,7 @@
 import { registerAgentMetrics } from './metrics.js';
 import { createOperatorServer } from './operators/server.js';
 import { createPlatform } from './platform.js';
-import { type DaemonProcess, drainPollMs } from './process.js';
+import { type DaemonProcess, waitUntilIdle } from './process.js';
 import { type Settings } from './settings/schema.js';
 
 /** Outside systems of an agent; tests pass their own. */
@@ -147,11 +147,7 @@
       engine?.leave();
       service?.leave();
       await sleep(clock, settings.shutdown.balancer_wait, noCancellation);
-      const end = clock.now() + settings.shutdown.drain;
-      while (activeCount() > 0 && clock.now() < end) {
-        await sleep(clock, drainPollMs, noCancellation);
-      }
-      if (activeCount() > 0) log.warn({ cut: activeCount() }, 'drain time is over');
+      await waitUntilIdle(clock, log, activeCount, settings.shutdown.drain);
       closeAll();
     },
     stop() {
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -39,7 +39,7 @@
 import { createOnceStack } from './once.js';
 import { startOrders } from './orders.js';
 import { createPlatform } from './platform.js';
-import { type DaemonProcess, drainPollMs } from './process.js';
+import { type DaemonProcess, waitUntilIdle } from './process.js';
 import { type Settings } from './settings/schema.js';
 
 /** Outside systems of an entry; tests and the quickstart pass their own. */
@@ -186,11 +186,7 @@
       await sleep(clock, settings.shutdown.balancer_wait, noCancellation);
       callers.stopAccepting();
       const closed = closeHttp(callers.server);
-      const end = clock.now() + settings.shutdown.drain;
-      while (callers.active > 0 && clock.now() < end) {
-        await sleep(clock, drainPollMs, noCancellation);
-      }
-      if (callers.active > 0) log.warn({ cut: callers.active }, 'drain time is over');
+      await waitUntilIdle(clock, log, () => callers.active, settings.shutdown.drain);
       callers.server.closeAllConnections();
       await closed;
       closeAll();
