--- /dev/null
+++ b/measure/recovery.ts
@@ -0,0 +1,234 @@
+/**
+ * Measures how fast changes and failures become known: `npm run recovery`.
+ *
+ * Three entries and nine agents run the daemon's code in this process over loopback, with a
+ * DynamoDB stand-in of 2 ms latency.
+ */
+import { randomUUID } from 'node:crypto';
+import { setTimeout as delay } from 'node:timers/promises';
+import { createPeerConnector } from '../src/adapters/connect/connector.js';
+import { statusIntervalFor } from '../src/adapters/connect/agentservice.js';
+import { createDynamodbTable } from '../src/adapters/dynamodb/table.js';
+import { hashKey } from '../src/configuration/replica.js';
+import { type DaemonProcess } from '../src/daemon/process.js';
+import { type PeerClient } from '../src/ports/agents.js';
+import { type InstancesPort, type ListedInstance } from '../src/ports/instances.js';
+import { type TablePort } from '../src/ports/table.js';
+import { startDynamodb } from '../test/standins/dynamodb.js';
+import { startEngine } from '../test/standins/engine.js';
+import { startProxy } from '../test/standins/proxy.js';
+import { siteCredential, startSiteAgent, startSiteEntry, teamKey } from '../test/standins/site.js';
+
+const model = 'test-model';
+const token = 'recovery-operator-token';
+const submissions = 20;
+const pollMs = 10;
+const giveUpMs = 20_000;
+/** Period over which the calls to the table are counted. */
+const countMs = 5_000;
+
+const results: [string, string][] = [];
+const report = (name: string, value: string): void => {
+  results.push([name, value]);
+  process.stdout.write(`${name}: ${value}\n`);
+};
+const round = (value: number): number => Math.round(value);
+
+const store = await startDynamodb();
+store.latencyMs = 2;
+const keys = { region: 'local', accessKey: 'x', secretKey: 'x' };
+const inner = createDynamodbTable({ ...keys, endpoint: store.url, tableName: 'cicadatide' });
+const calls = { reads: 0, writes: 0 };
+const table: TablePort = {
+  get(...args) {
+    calls.reads += 1;
+    return inner.get(...args);
+  },
+  query(...args) {
+    calls.reads += 1;
+    return inner.query(...args);
+  },
+  transact(...args) {
+    calls.writes += 1;
+    return inner.transact(...args);
+  },
+};
+
+const names = Array.from({ length: 9 }, (_, index) => `engine-${index + 1}`);
+const engines = await Promise.all(names.map(() => startEngine({ model })));
+const sections = { operators: { bootstrap_token_hash: hashKey(token) } };
+let entries: DaemonProcess[] = [];
+let agents: DaemonProcess[] = [];
+let proxies: Awaited<ReturnType<typeof startProxy>>[] = [];
+const listed = new Map<string, ListedInstance>();
+const instances: InstancesPort = { list: async () => [...listed.values()] };
+const adapters = { table, instances };
+
+function list(instance: string, role: 'entry' | 'agent', address: string): void {
+  listed.set(instance, { instance, role, address, dataCentre: 'dc1', leaving: false });
+}
+
+async function startEntryAt(name: string): Promise<DaemonProcess> {
+  const entry = await startSiteEntry({ name, agents: [], sections, adapters });
+  list(name, 'entry', entry.addresses.internal);
+  return entry;
+}
+
+/** Starts agent and proxy; entries reach the agent only through the proxy. */
+async function startAgentAt(index: number): Promise<void> {
+  const name = names[index] ?? '';
+  const agent = await startSiteAgent({ name, url: engines[index]?.url ?? '', adapters });
+  const proxy = await startProxy(agent.addresses.internal);
+  list(`agent-${name}`, 'agent', proxy.url);
+  agents[index] = agent;
+  proxies[index] = proxy;
+}
+
+async function startAll(): Promise<void> {
+  await Promise.all(names.map((_name, index) => startAgentAt(index)));
+  entries = await Promise.all(['entry-1', 'entry-2', 'entry-3'].map(startEntryAt));
+}
+
+async function operator(entry: DaemonProcess, path: string, body?: unknown) {
+  const res = await fetch(`${entry.addresses.operators}/v1/${path}`, {
+    method: body ? 'POST' : 'GET',
+    headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json' },
+    ...(body !== undefined && { body: JSON.stringify(body) }),
+  });
+  return (await res.json()) as Record<string, unknown>;
+}
+
+async function waitFor(check: () => Promise<boolean>): Promise<number> {
+  const startedAt = performance.now();
+  while (!(await check())) {
+    if (performance.now() - startedAt > giveUpMs) return Infinity;
+    await delay(pollMs);
+  }
+  return performance.now() - startedAt;
+}
+
+const isServing = async (entry: DaemonProcess, target: string): Promise<boolean> => {
+  const { targets } = await operator(entry, 'status');
+  const views = targets as { readonly target: string; readonly state: string }[];
+  return views.some((view) => view.target === target && view.state === 'serving');
+};
+
+const allServing = async (): Promise<boolean> => {
+  for (const entry of entries) {
+    for (const name of names) if (!(await isServing(entry, name))) return false;
+  }
+  return true;
+};
+
+const answers = async (entry: DaemonProcess): Promise<boolean> => {
+  const res = await fetch(`${entry.addresses.callers}/v1/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${teamKey('red')}`, 'content-type': 'application/json' },
+    body: JSON.stringify({ model, prompt: 'x', max_tokens: 1 }),
+  });
+  await res.arrayBuffer();
+  return res.ok;
+};
+
+async function submit(kind: string, value: { readonly name: string }): Promise<number> {
+  const change = { submissionId: randomUUID(), kind, name: value.name, baseRevision: 0, value };
+  const reply = await operator(entries[0] as DaemonProcess, 'records', change);
+  if (reply['state'] !== 'accepted') throw new Error(`refused: ${JSON.stringify(reply)}`);
+  return Number(reply['revision']);
+}
+
+/** Revision in force at a node; -1 while it has none. */
+async function revisionOf(client: PeerClient): Promise<number> {
+  const known = { knownRevision: BigInt(Number.MAX_SAFE_INTEGER) };
+  const reply = await client.getConfiguration(known).catch(() => undefined);
+  return reply ? Number(reply.revision) : -1;
+}
+
+/** Time from sending each submission until every process reports its revision. */
+async function measureInForce(): Promise<void> {
+  const connector = createPeerConnector(siteCredential);
+  const nodes = [...entries, ...agents].map(({ addresses }) => connector.entry(addresses.internal));
+  const allReady = async (): Promise<boolean> =>
+    (await Promise.all(nodes.map(({ client }) => revisionOf(client)))).every((held) => held >= 0);
+  const readyMs = await waitFor(allReady);
+  if (readyMs === Infinity) throw new Error('some nodes have no configuration');
+  process.stdout.write(`all nodes have a configuration after a further ${round(readyMs)} ms\n`);
+  const times: number[] = [];
+  for (let at = 0; at < submissions; at += 1) {
+    const startedAt = performance.now();
+    const accepted = submit('team', { name: `team-${at}` });
+    const inForce = nodes.map(async ({ client }) => {
+      const wanted = await accepted;
+      const waitedMs = await waitFor(async () => (await revisionOf(client)) >= wanted);
+      if (waitedMs === Infinity) throw new Error('a node did not get the revision');
+    });
+    await Promise.all(inForce);
+    times.push(performance.now() - startedAt);
+    await delay(100);
+  }
+  for (const node of nodes) node.dispose();
+  times.sort((a, b) => a - b);
+  const p50 = round(times[Math.ceil(times.length / 2) - 1] ?? NaN);
+  report('record in force on all 12 nodes, p50', `${p50} ms`);
+  report('record in force on all 12 nodes, max', `${round(times.at(-1) ?? NaN)} ms`);
+}
+
+/** Time until no entry chooses the target any more. */
+async function measureDetection(name: string, index: number, fail: () => unknown): Promise<void> {
+  const target = names[index] ?? '';
+  fail();
+  const times = entries.map((entry) => waitFor(async () => !(await isServing(entry, target))));
+  const detectedMs = Math.max(...(await Promise.all(times)));
+  report(`no entry chooses a target after ${name}`, `${round(detectedMs)} ms`);
+}
+
+async function measureTable(name: string): Promise<void> {
+  const before = { ...calls };
+  await delay(countMs);
+  const perSecond = (now: number, then: number) => (((now - then) * 1_000) / countMs).toFixed(1);
+  const reads = perSecond(calls.reads, before.reads);
+  const writes = perSecond(calls.writes, before.writes);
+  report(`table calls ${name}`, `${reads} reads/s, ${writes} writes/s`);
+}
+
+await startAll();
+await waitFor(
+  async () => (await operator(entries[0] as DaemonProcess, 'status'))['ready'] === true,
+);
+await submit('route', { name: model, kind: 'model' } as never);
+await submit('team', { name: 'red', keyHashes: [hashKey(teamKey('red'))] } as never);
+if ((await waitFor(allServing)) === Infinity) throw new Error('the site is not complete');
+await measureTable('at rest');
+await measureInForce();
+const rounds = 3;
+for (let at = 0; at < rounds; at += 1) {
+  const suffix = `(run ${at + 1} of ${rounds})`;
+  await measureDetection(`its planned leaving ${suffix}`, at * 3, () => agents[at * 3]?.drain());
+  await measureDetection(`its crash ${suffix}`, at * 3 + 1, () => {
+    agents[at * 3 + 1]?.stop();
+  });
+  await measureDetection(`silence ${suffix}`, at * 3 + 2, () => proxies[at * 3 + 2]?.silence());
+}
+const intervalMs = statusIntervalFor(entries.length);
+report('three missed status intervals, computed', `${3 * intervalMs} ms`);
+
+await store.stop();
+entries[0]?.stop();
+const restartedAt = performance.now();
+entries[0] = await startEntryAt('entry-1');
+await waitFor(() => answers(entries[0] as DaemonProcess));
+const restartMs = round(performance.now() - restartedAt);
+report('first answer of an entry restarted while the table is down', `${restartMs} ms`);
+await store.resume();
+
+for (const daemon of [...entries, ...agents]) daemon.stop();
+await startAll();
+await measureTable('when all processes restart together');
+for (const daemon of [...entries, ...agents]) daemon.stop();
+for (const proxy of proxies) await proxy.close();
+await Promise.all([...engines.map((engine) => engine.close()), store.stop()]);
+inner.dispose();
+const width = Math.max(...results.map(([name]) => name.length));
+const rows = results.map(([name, value]) => `| ${name.padEnd(width)} | ${value} |`);
+process.stdout.write(`\n${rows.join('\n')}\n`);
+process.exit(0);
