--- a/measure/main.ts
+++ b/measure/main.ts
@@ -1,4 +1,5 @@
-import { writeFileSync } from 'node:fs';
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { dirname } from 'node:path';
 import { parseArgs } from 'node:util';
 import { policyNames } from '../src/routing/policies.js';
 import { writePage } from './output/plots.js';
@@ -82,7 +83,10 @@
   }
   const report = { seed: options.seed, runs };
   if (options.report) writePage(options.report, report);
-  if (options.json) writeFileSync(options.json, `${JSON.stringify(report, undefined, 2)}\n`);
+  if (options.json) {
+    mkdirSync(dirname(options.json), { recursive: true });
+    writeFileSync(options.json, `${JSON.stringify(report, undefined, 2)}\n`);
+  }
 }
 
 try {
