--- a/measure/load/stream.ts
+++ b/measure/load/stream.ts
@@ -58,6 +58,8 @@
     lastMs = nowMs;
   };
 
+  const parser = createParser({ onEvent: ({ data }) => readEvent(data) });
+
   try {
     const parser = createParser({ onEvent: ({ data }) => readEvent(data) });
     for await (const bytes of body) {
