Measure the control cost of an entry and an agent

Cause: the bounds of 1.7% of a core, 128 MB and 18 KB/s per node had no measurement behind them. Change: npm run capacity starts the daemon over loopback against agents, watching entries, cache events, offers and usage reports of several sizes and prints the cost of each size and the fitted slopes. It stops every process that it started and ends within 3 minutes.

--- /dev/null
+++ b/measure/capacity.ts
@@ -0,0 +1,42 @@
+/** Measures what control costs each process, for docs/CAPACITY.md: `npm run capacity`. */
+import { cpus, loadavg } from 'node:os';
+import { agentPart, entryPart, eventsPart } from './capacity/nodes.js';
+import { exchangePart, offersPart } from './capacity/calls.js';
+import { stopAll } from './capacity/daemons.js';
+import { windowMs } from './capacity/figures.js';
+import { createTrafficCounter } from './capacity/traffic.js';
+
+/** The tool ends with an error when it has not finished by then. */
+const limitMs = 175_000;
+
+const start = performance.now();
+const finish = async (code: number): Promise<never> => {
+  await stopAll();
+  process.exit(code);
+};
+setTimeout(() => {
+  console.error('capacity: not finished within the time limit; stopping all processes');
+  finish(1).catch(() => process.exit(1));
+}, limitMs).unref();
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => {
+    finish(1).catch(() => process.exit(1));
+  });
+}
+
+const processors = cpus();
+const load = loadavg().map((value) => value.toFixed(1));
+console.log(`${processors.length} × ${processors[0]?.model ?? 'unknown'}, Node ${process.version}`);
+console.log(`load average before: ${load.join(', ')}; windows of ${windowMs / 1_000} s`);
+
+const traffic = createTrafficCounter();
+try {
+  for (const part of [entryPart, agentPart, eventsPart, offersPart, exchangePart]) {
+    await part(traffic);
+  }
+  console.log(`\nfinished after ${((performance.now() - start) / 1_000).toFixed(0)} s`);
+  await finish(0);
+} catch (err) {
+  console.error(err);
+  await finish(1);
+}
--- /dev/null
+++ b/measure/capacity/engine.ts
@@ -0,0 +1,102 @@
+/** Minimal engine over loopback that sends cache events at a set rate. */
+import { createServer, type ServerResponse } from 'node:http';
+import { type AddressInfo } from 'node:net';
+
+/** Engine that only reports state, load and cache events. */
+export interface EventEngine {
+  readonly url: string;
+  /** Events sent so far. */
+  readonly sent: number;
+  /** Sends events with one stored block each until the index holds the number of blocks. */
+  fill(blocks: number): void;
+  /** From now on sends this many events a second, each storing one block and evicting one. */
+  setRate(eventsPerSecond: number): void;
+  close(): void;
+}
+
+/** Time between batches; below it timers of Node are not accurate. */
+const batchMs = 20;
+
+/** Blocks in one event while the index is filled. */
+const fillBatch = 100;
+
+/** Spreads the counter over 64 bits, as real block hashes are. */
+function hashOf(block: number): string {
+  return BigInt.asUintN(64, BigInt(block + 1) * 0x9e3779b97f4a7c15n).toString(16);
+}
+
+/** Starts the engine. */
+export async function startEventEngine(): Promise<EventEngine> {
+  let stream: ServerResponse | undefined;
+  let seq = 0;
+  let next = 0;
+  let oldest = 0;
+  let timer: NodeJS.Timeout | undefined;
+  const state = {
+    incarnation: 'engine-1',
+    models: ['model'],
+    weightsVersion: 'v1',
+    adapters: [],
+    role: 'mixed',
+    places: 8,
+    prefillTokensPerSecond: 20_000,
+    decodeTokensPerSecond: 800,
+  };
+  const send = (stored: readonly string[], evicted: readonly string[]): void => {
+    seq += 1;
+    const { incarnation, weightsVersion } = state;
+    const event = { incarnation, seq, weightsVersion, stored, evicted, cleared: false };
+    stream?.write(`data: ${JSON.stringify(event)}\n\n`);
+  };
+  const replies: Readonly<Record<string, object>> = {
+    '/engine/state': state,
+    '/engine/load': { running: 0, waiting: 0 },
+  };
+  const server = createServer((req, res) => {
+    if (req.url === '/engine/cache-events') {
+      res.writeHead(200, { 'content-type': 'text/event-stream' });
+      res.flushHeaders();
+      stream = res;
+      return;
+    }
+    res.setHeader('content-type', 'application/json');
+    res.end(JSON.stringify(replies[req.url ?? ''] ?? {}));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return {
+    url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    get sent() {
+      return seq;
+    },
+    fill(blocks) {
+      while (next < blocks) {
+        const count = Math.min(fillBatch, blocks - next);
+        send(
+          Array.from({ length: count }, (_item, index) => hashOf(next + index)),
+          [],
+        );
+        next += count;
+      }
+    },
+    setRate(eventsPerSecond) {
+      clearInterval(timer);
+      const start = performance.now();
+      let count = 0;
+      timer = setInterval(() => {
+        const due = Math.floor(((performance.now() - start) * eventsPerSecond) / 1_000);
+        for (; count < due; count += 1) {
+          send([hashOf(next)], [hashOf(oldest)]);
+          next += 1;
+          oldest += 1;
+        }
+      }, batchMs);
+    },
+    close() {
+      clearInterval(timer);
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/measure/capacity/traffic.ts
@@ -0,0 +1,43 @@
+/** Counts the bytes on this process's TCP sockets, by the port of the other process. */
+import { subscribe } from 'node:diagnostics_channel';
+import { type Socket } from 'node:net';
+
+/** Bytes that this process has exchanged over its sockets. */
+export interface TrafficCounter {
+  /** Bytes in both directions on sockets that use one of the ports, at either end. */
+  bytes(ports: ReadonlySet<number>): number;
+}
+
+interface CountedSocket {
+  readonly socket: Socket;
+  ports: readonly number[];
+  last: number;
+}
+
+/** Starts to count; sockets that exist already are not seen. */
+export function createTrafficCounter(): TrafficCounter {
+  const sockets: CountedSocket[] = [];
+  const add = (message: unknown): void => {
+    sockets.push({ socket: (message as { readonly socket: Socket }).socket, ports: [], last: 0 });
+  };
+  subscribe('net.client.socket', add);
+  subscribe('net.server.socket', add);
+  return {
+    bytes(ports) {
+      let sum = 0;
+      for (const item of sockets) {
+        const { socket } = item;
+        // A closed socket no longer tells its ports or its counts.
+        if (socket.localPort !== undefined) item.ports = [socket.localPort, socket.remotePort ?? 0];
+        item.last = Math.max(item.last, socket.bytesRead + socket.bytesWritten);
+        if (item.ports.some((port) => ports.has(port))) sum += item.last;
+      }
+      return sum;
+    },
+  };
+}
+
+/** Port of an address such as `http://127.0.0.1:8080`. */
+export function portOf(address: string): number {
+  return Number(new URL(address).port);
+}
