Read event ids in the measurement tool and attribute probes

Cause: callers' events carry an id line since the resume feature.

Change: the generator reads streams with eventsource-parser. The id of a probe starts with the id of the request that it copies. The test of probe ids checks the new, longer form.

--- a/measure/load/stream.ts
+++ b/measure/load/stream.ts
@@ -1,3 +1,5 @@
+import { createParser } from 'eventsource-parser';
+
 /** What a caller read from one streamed answer. */
 export interface StreamReading {
   readonly text: string;
@@ -28,7 +30,6 @@
 ): Promise<StreamReading> {
   const decoder = new TextDecoder();
   const gapsMs: number[] = [];
-  let rest = '';
   let text = '';
   let tokens = 0;
   let firstTokenMs: number | undefined;
@@ -38,8 +39,7 @@
   let cachedTokens = 0;
   let endedCleanly = true;
 
-  const readEvent = (event: string, nowMs: number): void => {
-    const data = event.slice('data: '.length);
+  const readEvent = (data: string, nowMs: number): void => {
     if (data === '[DONE]') {
       done = true;
       return;
@@ -56,12 +56,12 @@
     lastMs = nowMs;
   };
 
+  let nowMs = 0;
+  const parser = createParser({ onEvent: ({ data }) => readEvent(data, nowMs) });
   try {
     for await (const bytes of body) {
-      const nowMs = sinceStartMs();
-      const events = (rest + decoder.decode(bytes, { stream: true })).split('\n\n');
-      rest = events.pop() ?? '';
-      for (const event of events) if (event.startsWith('data: ')) readEvent(event, nowMs);
+      nowMs = sinceStartMs();
+      parser.feed(decoder.decode(bytes, { stream: true }));
     }
   } catch {
     endedCleanly = false;
--- a/src/routing/probe.ts
+++ b/src/routing/probe.ts
@@ -36,8 +36,9 @@
     const source = createCancellationSource();
     const choice = await policy.choose(req, [agent], source.token, 'probe');
     if (choice.kind !== 'chosen' || !budget.withdraw()) return;
-    // A request id of its own keeps the probe apart from the caller's resumable attempts.
-    const probed = { ...req, requestId: `probe-${randomUUID()}` };
+    // A request id of its own keeps the probe apart from the caller's resumable attempts. It starts
+    // with the caller's id, so that logs and records attribute the work to the right team.
+    const probed = { ...req, requestId: `${req.requestId}.probe-${randomUUID()}` };
     const { weightsVersion, expectedFirstTokenMs } = choice;
     const init = toDispatch(probed, choice, {
       attempt: 1,
--- a/test/routing/dispatcher.test.ts
+++ b/test/routing/dispatcher.test.ts
@@ -3,7 +3,7 @@
 import { createCancellationSource } from '../../src/base/cancellation.js';
 import { createNullLogger } from '../../src/base/logging.js';
 import { createSeededRandom } from '../../src/base/random.js';
-import { RefusalReason } from '../../src/gen/cicadatide/v1/agent_pb.js';
+import { type DispatchRequest, RefusalReason } from '../../src/gen/cicadatide/v1/agent_pb.js';
 import { createRetryBudget } from '../../src/limits/retrybudget.js';
 import { type CompletionEvent, createDispatcher } from '../../src/routing/dispatcher.js';
 import { createTargetHealth } from '../../src/routing/health.js';
@@ -74,7 +74,7 @@
   await clock.advance(0);
   // Guards against calls that are held open after their last chunk.
   for (const { dispatched, closed } of agents) {
-    const isProbed = dispatched.some(({ requestId }) => requestId.startsWith('probe-'));
+    const isProbed = dispatched.some(({ requestId }) => requestId.includes('.probe-'));
     if (!isProbed) expect(closed).toHaveLength(dispatched.length);
   }
   const answer = events.map((event) => (event.kind === 'text' ? event.text : '')).join('');
@@ -264,7 +264,9 @@
   await clock.advance(3_000);
   const [probed] = agents;
   expect(probed?.dispatched).toHaveLength(probes);
-  expect(probed?.dispatched.every(({ requestId }) => requestId.startsWith('probe-'))).toBe(true);
+  // The caller's id first: records then attribute the probe's cached blocks to the right team.
+  const isProbe = ({ requestId }: DispatchRequest) => /^request-1\.probe-.+/.test(requestId);
+  expect(probed?.dispatched.every(isProbe)).toBe(true);
   expect(probed?.cancelled).toHaveLength(probes);
   expect(probed?.closed).toHaveLength(probes);
 });
