--- a/src/ports/engine.ts
+++ b/src/ports/engine.ts
@@ -44,7 +44,11 @@
   readonly decodeTokensPerSecond: number;
 }
 
-/** Change of the engine's cache. `seq` increases by 1; a jump is a gap. */
+/**
+ * Change of the engine's cache. `seq` increases by 1; a jump is a gap. Each event stream begins with
+ * a snapshot in parts of bounded size. The parts carry the `seq` that the snapshot includes, only
+ * the first one has `cleared`, and no other event comes between them.
+ */
 export interface CacheEvent {
   readonly incarnation: string;
   readonly seq: number;
@@ -52,6 +56,8 @@
   readonly stored: readonly bigint[];
   readonly evicted: readonly bigint[];
   readonly cleared: boolean;
+  /** True for the parts of a snapshot. */
+  readonly snapshot?: boolean;
 }
 
 /** Load as the engine reports it, with its lag. */
@@ -82,6 +88,7 @@
   state(token: CancellationToken): Promise<EngineState>;
   /** Runs a completion; cancelling the token cancels the work in the engine. */
   complete(req: EngineRequest, token: CancellationToken): AsyncIterable<EngineEvent>;
+  /** Opens a stream of cache events that begins with a snapshot. */
   cacheEvents(token: CancellationToken): AsyncIterable<CacheEvent>;
   load(token: CancellationToken): Promise<LoadReport>;
   order(order: EngineOrder, token: CancellationToken): Promise<OrderResult>;
--- a/src/scheduling/cacheindex.ts
+++ b/src/scheduling/cacheindex.ts
@@ -7,9 +7,10 @@
   readonly size: number;
   /**
    * Applies an event. A gap, a new incarnation or new weights clear the index first; events of an
-   * earlier incarnation or of replaced weights change nothing.
+   * earlier incarnation or of replaced weights change nothing, nor does a snapshot that is older
+   * than the index. Returns true after a gap: the index then lacks blocks until a snapshot comes.
    */
-  apply(event: CacheEvent): void;
+  apply(event: CacheEvent): boolean;
   /** Records what the engine's state says; a change clears the index. */
   expect(incarnation: string, weightsVersion: string): void;
   /** Forgets all blocks, for example when the event stream was interrupted. */
@@ -63,13 +64,19 @@
       return blocks.size;
     },
     apply(event) {
-      if (retired.has(event.incarnation)) return;
+      if (retired.has(event.incarnation)) return false;
+      const { snapshot = false } = event;
+      let gap = false;
       if (event.incarnation !== incarnation) adopt(event.incarnation, event.weightsVersion);
-      else if (event.seq <= lastSeq) return;
-      else if (lastSeq !== unknownSeq && event.seq !== lastSeq + 1) blocks.clear();
+      else if (snapshot ? event.seq < lastSeq : event.seq <= lastSeq) return false;
+      else if (snapshot && !event.cleared && event.seq !== lastSeq) return false;
+      else if (!snapshot && lastSeq !== unknownSeq && event.seq !== lastSeq + 1) {
+        gap = true;
+        blocks.clear();
+      }
       lastSeq = event.seq;
       // The state can name new weights before the events of the old ones have all arrived.
-      if (event.weightsVersion === replacedVersion) return;
+      if (event.weightsVersion === replacedVersion) return gap;
       if (event.weightsVersion !== weightsVersion) adopt(incarnation, event.weightsVersion);
       if (event.cleared) blocks.clear();
       for (const hash of event.evicted) {
@@ -77,6 +84,7 @@
         onEvicted?.(hash);
       }
       for (const hash of event.stored) blocks.add(hash);
+      return gap;
     },
     expect(nextIncarnation, nextVersion) {
       if (retired.has(nextIncarnation)) return;
--- a/src/scheduling/monitor.ts
+++ b/src/scheduling/monitor.ts
@@ -56,7 +56,11 @@
   const updateState = (next: EngineState | undefined): void => {
     const restarted = next?.incarnation !== state?.incarnation;
     if (next) index.expect(next.incarnation, next.weightsVersion);
-    else index.clear();
+    else {
+      index.clear();
+      // The engine may only have been slow to answer; a new stream brings its blocks back.
+      eventStream?.cancel('engine is not reachable');
+    }
     if (restarted)
       log.info({ incarnation: next?.incarnation ?? null }, 'engine incarnation changed');
     state = next;
@@ -91,7 +95,9 @@
       try {
         for await (const event of engine.cacheEvents(eventStream.token)) {
           eventsSeen += 1;
-          index.apply(event);
+          if (!index.apply(event)) continue;
+          log.info('gap in the cache events; opening a new stream for a snapshot');
+          break;
         }
       } catch (err) {
         log.debug({ err: errMessage(err) }, 'cache event stream ended');
--- a/test/standins/engine/blockcache.ts
+++ b/test/standins/engine/blockcache.ts
@@ -1,6 +1,7 @@
 /** Limited prefix cache of a stand-in engine: LRU eviction, but never of blocks in use. */
 export interface BlockCache {
   readonly size: number;
+  readonly hashes: readonly bigint[];
   has(hash: bigint): boolean;
   /** Name given when the block was stored. */
   ownerOf(hash: bigint): string | undefined;
@@ -40,6 +41,9 @@
     get size() {
       return blocks.size;
     },
+    get hashes() {
+      return [...blocks.keys()];
+    },
     has: (hash) => blocks.has(hash),
     ownerOf: (hash) => blocks.get(hash)?.owner,
     cachedDepth(hashes) {
--- a/test/standins/enginemodel.ts
+++ b/test/standins/enginemodel.ts
@@ -17,6 +17,8 @@
   readonly mostRunning: number;
   /** Lets the open event stream go silent without closing it. */
   silenceEvents(): void;
+  /** Drops the next cache event, which leaves a gap. */
+  loseEvent(): void;
 }
 
 const blockTokens = 128;
@@ -32,9 +34,12 @@
     ...state,
   };
   const cache = new Set<string>();
+  /** Blocks in the events so far, lost ones included. */
+  const reported = new Set<string>();
   const prefills = new Set<{ left: number }>();
   let events = createAsyncQueue<CacheEvent>();
   let seq = 0;
+  let losesNext = false;
   let prefilledTokens = 0;
   let running = 0;
   let mostRunning = 0;
@@ -45,6 +50,11 @@
     const { incarnation, weightsVersion } = full;
     clock.setTimer(eventLagMs, () => {
       seq += 1;
+      for (const block of added) reported.add(block);
+      if (losesNext) {
+        losesNext = false;
+        return;
+      }
       const names = { incarnation, weightsVersion, seq, evicted: [], cleared: false };
       events.push({ ...names, stored: added.map(BigInt) });
     });
@@ -62,9 +72,22 @@
     silenceEvents() {
       events = createAsyncQueue();
     },
+    loseEvent() {
+      losesNext = true;
+    },
     cacheEvents(token) {
       const stream = createAsyncQueue<CacheEvent>();
       events = stream;
+      const { incarnation, weightsVersion } = full;
+      const names = {
+        incarnation,
+        weightsVersion,
+        seq,
+        evicted: [],
+        cleared: true,
+        snapshot: true,
+      };
+      stream.push({ ...names, stored: [...reported].map(BigInt) });
       token.onCancellationRequested((reason) => stream.fail(new TargetFailedError(reason)));
       return stream;
     },
