--- a/measure/capacity/nodes.ts
+++ b/measure/capacity/nodes.ts
@@ -63,6 +63,7 @@
     identity: { instance: name, target: name, kind: 'engine', dataCentre: 'dc-1' },
     engine: idleWorker,
     service: undefined,
+    orders: undefined,
     serviceRoute: '',
     isLeaving: () => false,
     onLeaving: () => ({ dispose: () => undefined }),
--- a/measure/load/stream.ts
+++ b/measure/load/stream.ts
@@ -58,8 +58,6 @@
     lastMs = nowMs;
   };
 
-  const parser = createParser({ onEvent: ({ data }) => readEvent(data) });
-
   try {
     const parser = createParser({ onEvent: ({ data }) => readEvent(data) });
     for await (const bytes of body) {
