Keep one home per prompt group and weigh copies of a prefix more

Ruled out: offers that time out (15 of 1224) and refusals (after the caches had filled, 4 of 396 placements). Change: only the first agent of the group and copies of a hot prompt are homes; prefill elsewhere counts three times more instead of twice.

--- a/src/routing/candidates.ts
+++ b/src/routing/candidates.ts
@@ -62,7 +62,7 @@
 /** Agents that are asked for an offer. */
 export interface Candidates {
   readonly agents: readonly AgentView[];
-  /** Agents that are first in the order of the prompt's group, where its blocks are best kept. */
+  /** First agent in the order of the prompt's group and copies of a hot prompt. */
   readonly homes: ReadonlySet<AgentView>;
 }
 
@@ -103,9 +103,9 @@
 }
 
 /**
- * Selects candidates by rendezvous hashing of prefix levels: the homes of the prompt's group and of
+ * Selects candidates by rendezvous hashing of prefix levels: the home of the prompt's group, that of
  * the next shallower level, a copy of a hot prompt, the home of the whole prompt and the least
- * loaded agent.
+ * loaded agent. Only the first one and hot copies count as homes, so that a prompt is not kept twice.
  */
 export function createCandidateSelector(options: SelectorOptions): CandidateSelector {
   const { random, hot, groups } = options;
@@ -123,14 +123,15 @@
         const group = groups.place(keys, agents.length);
         // Prompts of other lengths have their group one step away, so that home is asked too.
         for (const key of [keys[group], keys[Math.max(0, group - 1)]]) {
-          const [home] = table.top(key as bigint, 1);
-          if (home) homes.add(home);
+          const [near] = table.top(key as bigint, 1);
+          if (!near) continue;
+          if (homes.size === 0) homes.add(near);
+          chosen.add(near);
         }
         hot.record(deepest);
         const width = hot.width(deepest, Math.min(agents.length, maxWidth));
         const copies = width > 1 ? table.top(deepest, width) : [];
         for (const agent of copies) homes.add(agent);
-        for (const agent of homes) if (chosen.size < 2) chosen.add(agent);
         const copy = copies[random.integer(copies.length)];
         if (copy) chosen.add(copy);
         const [whole] = table.top(deepest, 1);
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -23,8 +23,11 @@
  */
 const prefillWeight = 1;
 
-/** Further weight of prefill at an agent that is no home of the prefix: it makes a copy there. */
-const copyWeight = 1;
+/**
+ * Further weight of prefill at an agent that is no home of the prefix, because it makes a copy
+ * there. With 1, copies evicted prefixes that were needed; with 5, short waits at a home grew.
+ */
+const copyWeight = 2;
 
 /** Agents of the second round, asked when all of the first one refuse. */
 const secondRoundSize = 4;
