--- a/src/base/refusals.ts
+++ b/src/base/refusals.ts
@@ -43,7 +43,6 @@
   deadline: retryLater(
     kind(504, 'timeout_error', 'allow more time or send the request at lower load'),
   ),
-  deadlineRunning: kind(504, 'timeout_error', 'ask for the result by request id', 'unknown'),
   inProgress: kind(409, 'conflict_error', 'wait and repeat with the same key', 'unknown'),
   outcomeUnknown: kind(
     502,
--- a/src/scheduling/lane.ts
+++ b/src/scheduling/fairqueue.ts
@@ -1,7 +1,7 @@
 /** Start-time fair queueing over teams for one kind of job. */
 
-/** What the order of a lane depends on. */
-export interface LaneJob {
+/** What the order of a queue depends on. */
+export interface FairJob {
   readonly team: string;
   readonly costMs: number;
   readonly arrivedAt: number;
@@ -19,7 +19,7 @@
  * Waiting jobs of one kind. Teams share by weight: the team with the lowest virtual start time is
  * next. Inside a team the lowest priority class goes first, then the earliest deadline.
  */
-export interface Lane<J extends LaneJob> extends Iterable<J> {
+export interface FairQueue<J extends FairJob> extends Iterable<J> {
   readonly size: number;
   /** Arrival time of the job that waits longest, or Infinity. */
   readonly oldest: number;
@@ -30,8 +30,8 @@
   next(mayStart: (job: J) => boolean): J | undefined;
   /** Removes a job that starts and charges its cost to its team. */
   take(job: J): void;
-  /** Returns an independent lane with the same jobs and charges, for a forecast. */
-  copy(): Lane<J>;
+  /** Returns an independent queue with the same jobs and charges, for a forecast. */
+  copy(): FairQueue<J>;
 }
 
 /** Waiting time that raises a job by one priority level. */
@@ -39,7 +39,7 @@
 
 /**
  * Priority class with linear aging. The arrival period stands in for the time waited, so the
- * order of two jobs never changes and a lane can stay sorted.
+ * order of two jobs never changes and a queue can stay sorted.
  */
 export function priorityClass(priority: number, arrivedAt: number): number {
   return Math.floor(arrivedAt / agingMs) - priority;
@@ -53,13 +53,13 @@
 /** A weight of 0 would starve a team, so weights are at least this. */
 const minWeight = 0.01;
 
-function goesBefore(left: LaneJob, right: LaneJob): boolean {
+function goesBefore(left: FairJob, right: FairJob): boolean {
   if (left.priorityClass !== right.priorityClass) return left.priorityClass < right.priorityClass;
   if (left.deadline !== right.deadline) return left.deadline < right.deadline;
   return left.order < right.order;
 }
 
-function insertSorted<J extends LaneJob>(jobs: J[], job: J): void {
+function insertSorted<J extends FairJob>(jobs: J[], job: J): void {
   let low = 0;
   let high = jobs.length;
   while (low < high) {
@@ -70,15 +70,17 @@
   jobs.splice(low, 0, job);
 }
 
-export function createLane<J extends LaneJob>(teamWeight: (team: string) => number): Lane<J> {
-  return laneOf(teamWeight, new Map(), 0);
+export function createFairQueue<J extends FairJob>(
+  teamWeight: (team: string) => number,
+): FairQueue<J> {
+  return queueOf(teamWeight, new Map(), 0);
 }
 
-function laneOf<J extends LaneJob>(
+function queueOf<J extends FairJob>(
   teamWeight: (team: string) => number,
   flows: Map<string, Flow<J>>,
   initialTime: number,
-): Lane<J> {
+): FairQueue<J> {
   let virtualTime = initialTime;
   let size = 0;
   for (const { jobs } of flows.values()) size += jobs.length;
@@ -143,7 +145,7 @@
     copy() {
       const copies = new Map<string, Flow<J>>();
       for (const [team, { start, jobs }] of flows) copies.set(team, { start, jobs: [...jobs] });
-      return laneOf(teamWeight, copies, virtualTime);
+      return queueOf(teamWeight, copies, virtualTime);
     },
     *[Symbol.iterator]() {
       for (const { jobs } of flows.values()) yield* jobs;
--- a/src/scheduling/forecast.ts
+++ b/src/scheduling/forecast.ts
@@ -1,18 +1,18 @@
 /** Choice of the next job, and the forecast that replays it into the future. */
-import { type Lane, type LaneJob } from './lane.js';
+import { type FairQueue, type FairJob } from './fairqueue.js';
 import { advancePrefill, nextPrefillEnd, type PrefillWork, sharedPrefillMs } from './prefill.js';
 
 /** A job in the queue with its class and timing. */
-export interface ScheduledJob extends LaneJob {
+export interface ScheduledJob extends FairJob {
   readonly long: boolean;
   /** Part of the cost that concurrent requests share. */
   readonly prefillMs: number;
 }
 
 /** Waiting jobs of a queue by kind. */
-export interface Lanes<J extends ScheduledJob> {
-  readonly short: Lane<J>;
-  readonly long: Lane<J>;
+export interface QueuesByKind<J extends ScheduledJob> {
+  readonly short: FairQueue<J>;
+  readonly long: FairQueue<J>;
   /** True when the prefill of every waiting job is limited, which saves a search. */
   readonly allLimited?: boolean;
 }
@@ -36,7 +36,7 @@
 export interface QueueSnapshot {
   readonly now: number;
   readonly places: number;
-  readonly lanes: Lanes<ScheduledJob>;
+  readonly queues: QueuesByKind<ScheduledJob>;
   readonly running: RunningJob[];
   /** Time kept before a deadline, from how late jobs ended recently. */
   readonly reserveMs: number;
@@ -75,7 +75,7 @@
  * up to their limit, and one place at least once one of them has waited for its patience.
  */
 export function nextJob<J extends ScheduledJob>(
-  lanes: Lanes<J>,
+  queues: QueuesByKind<J>,
   places: number,
   busy: Occupancy,
   now: number,
@@ -87,14 +87,14 @@
     if ((job.long ? longClosed : shortClosed) && isLimited(job)) return false;
     return !skipHeld || !job.isHeld?.();
   };
-  const nextOf = (lane: Lane<J>, closed: boolean): J | undefined =>
-    closed && lanes.allLimited ? undefined : lane.next(mayStart);
-  const mayRunLong = lanes.long.size > 0 && busy.longRunning < longLimit(places);
+  const nextOf = (queue: FairQueue<J>, closed: boolean): J | undefined =>
+    closed && queues.allLimited ? undefined : queue.next(mayStart);
+  const mayRunLong = queues.long.size > 0 && busy.longRunning < longLimit(places);
   const isOverdue =
-    mayRunLong && busy.longRunning === 0 && now - lanes.long.oldest >= longPatienceMs;
-  const first = isOverdue ? nextOf(lanes.long, longClosed) : undefined;
-  const next = first ?? nextOf(lanes.short, shortClosed);
-  return next ?? (mayRunLong ? nextOf(lanes.long, longClosed) : undefined);
+    mayRunLong && busy.longRunning === 0 && now - queues.long.oldest >= longPatienceMs;
+  const first = isOverdue ? nextOf(queues.long, longClosed) : undefined;
+  const next = first ?? nextOf(queues.short, shortClosed);
+  return next ?? (mayRunLong ? nextOf(queues.long, longClosed) : undefined);
 }
 
 /** Tells whether the prefill of a job counts towards the limit. */
@@ -133,12 +133,12 @@
   return times.endAt + Math.min(most, Math.max(least, reserveMs)) <= job.deadline;
 }
 
-/** Returns the expected times of a job, which must be in the snapshot's lanes. */
+/** Returns the expected times of a job, which must be in the snapshot's queues. */
 export function forecastJob(snapshot: QueueSnapshot, job: ScheduledJob): JobTimes {
   const { places, running } = snapshot;
-  const { short, long } = snapshot.lanes;
+  const { short, long } = snapshot.queues;
   const allLimited = [...short, ...long].every(isLimited);
-  const lanes = { short, long, allLimited };
+  const queues = { short, long, allLimited };
   let { now } = snapshot;
 
   /** Moves time to the next expected end of a prefill or of a job. */
@@ -159,7 +159,7 @@
 
   for (;;) {
     const hasPlace = running.length < places;
-    const next = hasPlace ? nextJob(lanes, places, occupancyOf(running), now, false) : undefined;
+    const next = hasPlace ? nextJob(queues, places, occupancyOf(running), now, false) : undefined;
     if (!next) {
       if (running.length === 0) return timesFrom(job, now, running);
       advance();
@@ -167,12 +167,12 @@
     }
     const times = timesFrom(next, now, running);
     if (next === job) return times;
-    const lane = next.long ? lanes.long : lanes.short;
+    const queue = next.long ? queues.long : queues.short;
     if (!meetsDeadline(next, times, snapshot.reserveMs)) {
-      lane.remove(next);
+      queue.remove(next);
       continue;
     }
-    lane.take(next);
+    queue.take(next);
     const decodeMs = next.costMs - next.prefillMs;
     const endAt = next.prefillMs > 0 ? Infinity : times.endAt;
     running.push({ leftMs: next.prefillMs, decodeMs, endAt, long: next.long });
--- a/src/scheduling/queue.ts
+++ b/src/scheduling/queue.ts
@@ -13,7 +13,7 @@
   timesFrom,
 } from './forecast.js';
 import { type JobCost, type QueuedJob, queueRefusal } from './job.js';
-import { createLane, priorityClass } from './lane.js';
+import { createFairQueue, priorityClass } from './fairqueue.js';
 import { createLongJobDetector } from './longjobs.js';
 import { createRunningJobs, type Place } from './runningjobs.js';
 
@@ -71,15 +71,18 @@
 
 export function createWorkQueue(options: WorkQueueOptions): WorkQueue {
   const { clock, maxWaiting = defaultMaxWaiting, teamWeight = () => 1 } = options;
-  const lanes = { short: createLane<Waiter>(teamWeight), long: createLane<Waiter>(teamWeight) };
+  const queues = {
+    short: createFairQueue<Waiter>(teamWeight),
+    long: createFairQueue<Waiter>(teamWeight),
+  };
   const detector = createLongJobDetector();
   const running = createRunningJobs(clock);
   let { places } = options;
   let arrivals = 0;
 
-  const waitingCount = (): number => lanes.short.size + lanes.long.size;
+  const waitingCount = (): number => queues.short.size + queues.long.size;
 
-  const laneOf = (job: ScheduledJob) => (job.long ? lanes.long : lanes.short);
+  const queueOf = (job: ScheduledJob) => (job.long ? queues.long : queues.short);
 
   const schedule = (job: QueuedJob): ScheduledJob => {
     const now = clock.now();
@@ -98,14 +101,14 @@
   };
 
   const timesOf = (job: ScheduledJob, promised: readonly ScheduledJob[]): JobTimes => {
-    const copies = { short: lanes.short.copy(), long: lanes.long.copy() };
+    const copies = { short: queues.short.copy(), long: queues.long.copy() };
     for (const other of [...promised, job]) {
       (other.long ? copies.long : copies.short).add(other as Waiter);
     }
     const snapshot = {
       now: clock.now(),
       places,
-      lanes: copies,
+      queues: copies,
       running: running.snapshot(),
       reserveMs: running.reserveMs,
     };
@@ -121,15 +124,15 @@
 
   const startNext = (): void => {
     while (running.size < places) {
-      const next = nextJob(lanes, places, running.occupancy, clock.now(), true);
+      const next = nextJob(queues, places, running.occupancy, clock.now(), true);
       if (!next) return;
       updateCost(next);
       const times = timesFrom(next, clock.now(), running.snapshot());
       if (meetsDeadline(next, times, running.reserveMs)) {
-        laneOf(next).take(next);
+        queueOf(next).take(next);
         next.start(times);
       } else {
-        laneOf(next).remove(next);
+        queueOf(next).remove(next);
         next.refuse(RefusalReason.DEADLINE, times.endAt - next.deadline);
       }
     }
@@ -154,11 +157,11 @@
   /** Refuses waiting jobs that can't meet their deadline even when they start now. */
   const dropHopeless = (): void => {
     const now = clock.now();
-    for (const lane of Object.values(lanes)) {
-      for (const job of [...lane]) {
+    for (const queue of Object.values(queues)) {
+      for (const job of [...queue]) {
         const times = timesFrom(job, now, []);
         if (meetsDeadline(job, times, running.reserveMs)) continue;
-        lane.remove(job);
+        queue.remove(job);
         job.refuse(RefusalReason.DEADLINE, times.endAt - job.deadline);
       }
     }
@@ -184,9 +187,9 @@
           reject(queueRefusal(reason, retryAfterMs));
         },
       };
-      laneOf(waiter).add(waiter);
+      queueOf(waiter).add(waiter);
       state.link = token.onCancellationRequested((reason) => {
-        if (!laneOf(waiter).remove(waiter)) return;
+        if (!queueOf(waiter).remove(waiter)) return;
         reject(new CancelledError(reason));
         startNext();
       });
@@ -226,7 +229,7 @@
       for (const { leftMs, decodeMs, endAt } of running.snapshot()) {
         totalMs += endAt === Infinity ? leftMs + decodeMs : endAt - clock.now();
       }
-      for (const { costMs } of [...lanes.short, ...lanes.long]) totalMs += costMs;
+      for (const { costMs } of [...queues.short, ...queues.long]) totalMs += costMs;
       return totalMs / places;
     },
     setPlaces(count) {
--- a/test/scheduling/queue.test.ts
+++ b/test/scheduling/queue.test.ts
@@ -5,7 +5,7 @@
 import { RefusalReason } from '../../src/gen/cicadatide/v1/agent_pb.js';
 import { longLimit, longPatienceMs } from '../../src/scheduling/forecast.js';
 import { type QueuedJob, type QueueRefusedError } from '../../src/scheduling/job.js';
-import { agingMs } from '../../src/scheduling/lane.js';
+import { agingMs } from '../../src/scheduling/fairqueue.js';
 import { createWorkQueue, type WorkQueueOptions } from '../../src/scheduling/queue.js';
 import { createManualClock } from '../standins/clock.js';
 
