Let a finished stream close by itself instead of cancelling its call

Cause: a CPU profile of sequential requests showed error construction (ConnectError, AbortError, stack traces) among the largest single entries; each finished stream cancelled its HTTP/2 call. Change: after the terminal chunk the end of the call is awaited for at most 1 s.

--- a/src/streams/attempt.ts
+++ b/src/streams/attempt.ts
@@ -3,7 +3,11 @@
  * resumed on a new connection where it stood before the attempt counts as failed.
  */
 import { Code, ConnectError } from '@connectrpc/connect';
-import { type CancellationToken, createCancellationSource } from '../base/cancellation.js';
+import {
+  type CancellationSource,
+  type CancellationToken,
+  createCancellationSource,
+} from '../base/cancellation.js';
 import { type Clock, sleep, systemClock, withTimeout } from '../base/clock.js';
 import { isConnectionRefused } from '../base/connections.js';
 import { type Chunk, type DispatchRequest } from '../gen/cicadatide/v1/agent_pb.js';
@@ -57,6 +61,36 @@
 
 const silent = (): ConnectError => new ConnectError('no progress on the stream', Code.Unavailable);
 
+/** Time for a stream to close by itself after its terminal chunk. */
+const closeTimeoutMs = 1_000;
+
+/**
+ * Ends the call of a stream. After the terminal chunk the sender closes it, so the end is awaited:
+ * cancelling a finished call creates and discards several errors with their stack traces.
+ */
+function closeStream(
+  iterator: AsyncIterator<Chunk>,
+  source: CancellationSource,
+  ended: boolean,
+  clock: Clock,
+): void {
+  const abort = (): void => {
+    source.cancel('stream closed');
+    iterator.return?.(undefined)?.catch(() => undefined);
+  };
+  const close = async (): Promise<void> => {
+    const last = await withTimeout(clock, closeTimeoutMs, iterator.next());
+    if (!last?.done) abort();
+    source.dispose();
+  };
+  if (ended) {
+    close().catch(() => undefined);
+    return;
+  }
+  abort();
+  source.dispose();
+}
+
 async function* follow(
   connection: AgentConnection,
   init: ResumeInit,
@@ -79,6 +113,7 @@
     const openedAt = clock.now();
     let progressAt = openedAt;
     let failure: unknown;
+    let ended = false;
     let iterator: AsyncIterator<Chunk> | undefined;
     try {
       iterator = open(source.token.signal)[Symbol.asyncIterator]();
@@ -99,7 +134,10 @@
         for (const chunk of released) {
           idleResumes = 0;
           yield chunk;
-          if (chunk.part.case === 'end' || chunk.part.case === 'failure') return;
+          if (chunk.part.case === 'end' || chunk.part.case === 'failure') {
+            ended = true;
+            return;
+          }
         }
         // The time that the consumer took is not silence of the agent.
         if (released.length > 0) progressAt = clock.now();
@@ -108,9 +146,7 @@
       token.throwIfCancelled();
       failure = err;
     } finally {
-      source.cancel('stream closed');
-      source.dispose();
-      iterator?.return?.(undefined)?.catch(() => undefined);
+      if (iterator) closeStream(iterator, source, ended, clock);
     }
     const isFinal = finalCodes.has(ConnectError.from(failure).code);
     if (isConnectionRefused(failure) && open !== dispatch) {
