Use the shared proof of a refused connection in the engine adapter too

The engine adapter still took an error code for proof without looking at the system call that failed. Conclusion: one rule decides what proves that a target was not reached.

--- a/src/adapters/openai/engine.ts
+++ b/src/adapters/openai/engine.ts
@@ -1,7 +1,8 @@
 import { createParser, type EventSourceMessage } from 'eventsource-parser';
 import { Agent, request } from 'undici';
 import { type CancellationToken } from '../../base/cancellation.js';
-import { errMessage, TargetFailedError, TargetRefusedError } from '../../base/errors.js';
+import { toTargetError } from '../../base/connections.js';
+import { TargetFailedError, TargetRefusedError } from '../../base/errors.js';
 import { type Disposable } from '../../base/lifecycle.js';
 import {
   type CacheEvent,
@@ -41,14 +42,6 @@
   readonly evicted: readonly string[];
 }
 
-const refusedCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
-
-function toTargetError(err: unknown): Error {
-  const code = (err as { code?: string } | null)?.code ?? '';
-  if (refusedCodes.has(code)) return new TargetRefusedError('engine refused the connection');
-  return new TargetFailedError(`engine connection failed: ${errMessage(err)}`);
-}
-
 function parseHash(hex: string): bigint {
   return BigInt(`0x${hex}`);
 }
@@ -94,7 +87,7 @@
     } catch (err) {
       token.throwIfCancelled();
       if (err instanceof TargetFailedError || err instanceof TargetRefusedError) throw err;
-      throw toTargetError(err);
+      throw toTargetError(err, 'engine');
     }
   };
 
@@ -146,7 +139,7 @@
       }
     } catch (err) {
       token.throwIfCancelled();
-      throw toTargetError(err);
+      throw toTargetError(err, 'engine');
     }
   }
 
--- a/src/base/async.ts
+++ b/src/base/async.ts
@@ -1,6 +1,3 @@
-import { type CancellationToken } from './cancellation.js';
-import { errMessage } from './errors.js';
-
 /** Single-consumer queue that turns pushed values into an async iterable. */
 export interface AsyncQueue<T> extends AsyncIterable<T> {
   readonly size: number;
@@ -53,14 +50,3 @@
     [Symbol.asyncIterator]: iterate,
   };
 }
-
-/** Runs a background task and reports its failure unless it was cancelled. */
-export function runTask(
-  task: Promise<unknown>,
-  token: CancellationToken,
-  onError: (message: string) => void,
-): void {
-  task.catch((err: unknown) => {
-    if (!token.isCancellationRequested) onError(errMessage(err));
-  });
-}
