--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,9 +15,12 @@
     'src/membership',
     'src/configuration',
     'src/orders',
+    'src/gateway',
   ],
   ['src/adapters'],
   ['src/daemon', 'src/cli'],
+  // Speaks the platform's protocols; nothing else knows their names.
+  ['platform'],
 ];
 
 const zones = layers.flatMap((lower, index) =>
@@ -30,7 +33,9 @@
 );
 
 export default [
-  { ignores: ['dist/**', 'src/gen/**', 'node_modules/**', 'coverage/**'] },
+  {
+    ignores: ['dist/**', 'target/**', 'journal/**', 'src/gen/**', 'node_modules/**', 'coverage/**'],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -62,8 +67,10 @@
     // The binaries read their settings before anything else runs, and end on purpose.
     files: [
       'src/base/version.ts',
+      'src/daemon/exit.ts',
       'src/daemon/main.ts',
       'src/daemon/settings/read.ts',
+      'platform/main.ts',
       'src/cli/**/*.ts',
     ],
     rules: { 'n/hashbang': 'off', 'n/no-sync': 'off', 'n/no-process-exit': 'off' },
--- /dev/null
+++ b/src/configuration/watch.ts
@@ -0,0 +1,110 @@
+import { type CancellationToken, createCancellationSource } from '../base/cancellation.js';
+import { type Clock, sleep } from '../base/clock.js';
+import { CancelledError, errMessage } from '../base/errors.js';
+import { type Disposable } from '../base/lifecycle.js';
+import { type Logger } from '../base/logging.js';
+import { fullJitter, type Random } from '../base/random.js';
+import { type Row, type RowFeedPort } from '../ports/rows.js';
+
+/** Rows that a watched table sends to its listener. */
+export interface RowChange {
+  readonly rows: readonly Row[];
+  /** All rows of the table; keys that are missing no longer exist. */
+  readonly isSnapshot: boolean;
+}
+
+/** Follows one table. */
+export interface TableWatch extends Disposable {
+  /** True once the table was read. */
+  readonly isSynced: boolean;
+  /** Time since the store last confirmed the state, in milliseconds; Infinity before the first read. */
+  ageMs(): number;
+  /** Time since a call last failed, in milliseconds; Infinity when none has. */
+  sinceFailureMs(): number;
+}
+
+export interface TableWatchOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly feed: RowFeedPort;
+  readonly table: string;
+  /** How long one call waits for changes. */
+  readonly waitMs: number;
+  /** Pause after a change, so that changes that come together are read together. */
+  readonly pauseMs?: number;
+  onChange(change: RowChange): void;
+}
+
+/** First and longest delay before a failed call is repeated; the store is back within seconds. */
+const minRetryMs = 100;
+
+const maxRetryMs = 1_000;
+
+/** Reads a table and follows its changes for as long as the watch is not disposed. */
+export function watchTable(options: TableWatchOptions): TableWatch {
+  const { clock, random, log, feed, table, waitMs, pauseMs = 0, onChange } = options;
+  const source = createCancellationSource();
+  let position: number | undefined;
+  let confirmedAt = -Infinity;
+  let failedAt = -Infinity;
+  let failures = 0;
+
+  const confirm = (): void => {
+    confirmedAt = clock.now();
+    if (failures > 0) log.info({ table, failures }, 'store answers again');
+    failures = 0;
+  };
+
+  const step = async (token: CancellationToken): Promise<void> => {
+    if (position === undefined) {
+      const { rows, version } = await feed.list(table, token);
+      confirm();
+      position = version;
+      onChange({ rows, isSnapshot: true });
+      return;
+    }
+    const result = await feed.changes(table, position, waitMs, token);
+    confirm();
+    if (result === 'history-lost') {
+      log.warn({ table, position }, 'store dropped its history; the table is read again');
+      position = undefined;
+      return;
+    }
+    position = Math.max(position, result.version);
+    if (result.rows.length === 0) return;
+    onChange({ rows: result.rows, isSnapshot: false });
+    if (pauseMs > 0) await sleep(clock, pauseMs, token);
+  };
+
+  const run = async (token: CancellationToken): Promise<void> => {
+    while (!token.isCancellationRequested) {
+      try {
+        await step(token);
+      } catch (err) {
+        if (err instanceof CancelledError || token.isCancellationRequested) return;
+        failedAt = clock.now();
+        failures += 1;
+        if (failures === 1) {
+          const ageMs = Math.round(clock.now() - confirmedAt);
+          log.warn({ table, ageMs, err: errMessage(err) }, 'store does not answer; retrying');
+        }
+        const delayMs = minRetryMs + fullJitter(random, minRetryMs, maxRetryMs, failures);
+        await sleep(clock, delayMs, token).catch(() => undefined);
+      }
+    }
+  };
+
+  run(source.token).catch((err: unknown) => {
+    log.error({ table, err: errMessage(err) }, 'table watch ended; restart the process');
+  });
+
+  return {
+    get isSynced() {
+      return confirmedAt !== -Infinity;
+    },
+    ageMs: () => clock.now() - confirmedAt,
+    sinceFailureMs: () => clock.now() - failedAt,
+    dispose: () => source.cancel('watch closed'),
+  };
+}
--- /dev/null
+++ b/src/daemon/gateway.ts
@@ -0,0 +1,287 @@
+import { randomUUID } from 'node:crypto';
+import { Registry } from 'prom-client';
+import { createCancellationSource, noCancellation } from '../base/cancellation.js';
+import { type Clock, sleep, systemClock } from '../base/clock.js';
+import { errMessage } from '../base/errors.js';
+import { createDisposableStore } from '../base/lifecycle.js';
+import { type Logger } from '../base/logging.js';
+import { systemRandom } from '../base/random.js';
+import { type RowChange, type TableWatch, watchTable } from '../configuration/watch.js';
+import { createCacheIndex } from '../gateway/cacheindex.js';
+import { createDispatcher } from '../gateway/dispatcher.js';
+import { createTargetReliability } from '../gateway/health.js';
+import { createPeers } from '../gateway/peers.js';
+import { createPlacer } from '../gateway/placement.js';
+import { createRepeatBudget } from '../gateway/repeats.js';
+import { createRouteTable, type RouteTable } from '../gateway/routes.js';
+import { createGatewayServer } from '../gateway/server.js';
+import { createTargetDirectory } from '../gateway/targets.js';
+import { createOrderClaim } from '../orders/claim.js';
+import { createWeightsRollout } from '../orders/weightsrollout.js';
+import { type RowFeedPort } from '../ports/rows.js';
+import { type SiteDecoder } from '../ports/site.js';
+import { type TablePort } from '../ports/table.js';
+import { type EngineControl, type WireProtocol } from '../ports/wire.js';
+import { createGatewayMetrics } from './gatewaymetrics.js';
+import { registerEntry } from './gatewaypeers.js';
+import { closeHttp, listenHttp } from './listen.js';
+import { createOperatorServer, sendJson } from './operators/server.js';
+import { type DaemonProcess, waitUntilIdle } from './process.js';
+import { type GatewaySettings } from './settings/read.js';
+
+/** The platform that a gateway runs on. */
+export interface GatewayPlatform {
+  readonly decoder: SiteDecoder;
+  readonly protocol: WireProtocol;
+  readonly store: TablePort & RowFeedPort & { readonly ownTable: string };
+  readonly control: EngineControl;
+  /** Path at which the platform asks whether this process takes new connections. */
+  readonly readyPath: string;
+}
+
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly platform: GatewayPlatform;
+  readonly log: Logger;
+  droppedLogLines(): number;
+}
+
+/**
+ * Wait of one call for changes of configuration and targets. A connection that goes silent is
+ * noticed after this and a second, before a change that follows has to be in force.
+ */
+const siteWaitMs = 3_000;
+
+/** Wait for changes of the system's own rows; a missed one only delays a takeover. */
+const ownWaitMs = 25_000;
+
+/** Targets change together, so their changes are read together; it delays one by this much. */
+const targetPauseMs = 200;
+
+/** Part of the grace time that is kept for closing. */
+const closeMs = 600;
+
+/** Starts a gateway: an entry that forwards to targets itself, without an agent beside them. */
+export async function startGateway(options: GatewayOptions): Promise<DaemonProcess> {
+  const { settings, platform, log } = options;
+  const { decoder, protocol, store } = platform;
+  const clock: Clock = systemClock;
+  const random = systemRandom;
+  const resources = createDisposableStore();
+  const lifetime = createCancellationSource();
+  const { instance, data_centre: dataCentre } = settings.process;
+
+  let routes: RouteTable | undefined;
+  const wanted = new Map<string, number>();
+  const watches: { operator?: TableWatch; targets?: TableWatch } = {};
+  const directory = createTargetDirectory({
+    clock,
+    log,
+    decoder,
+    sinceStoreFailureMs: () => watches.targets?.sinceFailureMs() ?? Infinity,
+  });
+  const reliability = createTargetReliability({ clock, log, token: lifetime.token });
+  const cache = createCacheIndex(clock);
+
+  const peers = resources.add(
+    createPeers({
+      clock,
+      log,
+      instance,
+      bind: settings.listen.peers,
+      own: () => directory.all.map(({ id, outstanding }) => [id, outstanding] as const),
+      onUse: ({ salt, partIds, targetId }) => cache.record(salt, partIds, targetId),
+      onWeights: ({ targetId, model, version }) => {
+        directory.find(targetId)?.observeWeights(model, version);
+      },
+    }),
+  );
+
+  const changing = new Set<string>();
+  const claim = createOrderClaim({
+    clock,
+    log,
+    table: store,
+    holder: `${instance}/${randomUUID()}`,
+    leaseMs: settings.orders.lease,
+  });
+  const rollout = resources.add(
+    createWeightsRollout({
+      clock,
+      random,
+      log,
+      claim,
+      control: platform.control,
+      holder: instance,
+      site: {
+        wanted: () => wanted,
+        engines: (model) =>
+          directory.all
+            .filter(({ entry }) => !entry.isLeaving && entry.weights.has(model))
+            .map((target) => ({
+              id: target.id,
+              address: target.entry.address,
+              runs: target.outstanding.runs + peers.outstanding(target.id).runs,
+              isDown: reliability.isDown(target),
+              version: target.weightsVersion(model),
+            })),
+        sincePeerChangeMs: () => peers.sinceChangeMs(),
+        setChanging: (ids) => {
+          changing.clear();
+          for (const id of ids) changing.add(id);
+          peers.setChanging(ids);
+        },
+        onWeights: (id, model, version) => {
+          directory.find(id)?.observeWeights(model, version);
+          peers.tellWeights({ targetId: id, model, version });
+        },
+      },
+    }),
+  );
+
+  const placer = createPlacer({
+    random,
+    directory,
+    reliability,
+    cache,
+    peers,
+    dataCentre,
+    service: (name) => routes?.configuration.services.find((spec) => spec.name === name),
+    wanted: (model) => wanted.get(model),
+    isChanging: ({ id }) => changing.has(id) || peers.isChanging(id),
+    onUse: (use) => peers.tellUse(use),
+  });
+  const budget = createRepeatBudget(
+    clock,
+    {
+      share: settings.repeats.share,
+      slack: settings.repeats.slack,
+      windowMs: settings.repeats.window,
+    },
+    () => peers.count,
+  );
+  const dispatcher = createDispatcher({
+    clock,
+    log,
+    protocol,
+    placer,
+    reliability,
+    budget,
+    onLoadChange: () => peers.touch(),
+  });
+
+  const registry = new Registry();
+  const metrics = createGatewayMetrics(registry, {
+    directory,
+    configurationVersion: () => routes?.configuration.version ?? 0,
+    configurationAgeMs: () => watches.operator?.ageMs() ?? Infinity,
+    droppedLogLines: options.droppedLogLines,
+  });
+  const callers = createGatewayServer({
+    clock,
+    random,
+    log,
+    protocol,
+    dispatcher,
+    routes: () => routes,
+    onResult: metrics,
+  });
+  const entryRows = registerEntry({
+    clock,
+    random,
+    log,
+    table: store,
+    instance,
+    address: settings.listen.peers,
+    token: lifetime.token,
+  });
+
+  const onOperatorRows = ({ rows }: RowChange): void => {
+    for (const { key, value } of rows) {
+      if (value === undefined) continue;
+      const configuration = decoder.configuration(key, value);
+      const weights = decoder.weights(key, value);
+      if (configuration && configuration.version > (routes?.configuration.version ?? -1)) {
+        routes = createRouteTable(configuration);
+        callers.setIdleTimeout(configuration.limits.idleTimeoutMs);
+        log.info(
+          { version: configuration.version, routes: configuration.routes.length },
+          'configuration is in force',
+        );
+      } else if (weights && weights.version > (wanted.get(weights.model) ?? -1)) {
+        wanted.set(weights.model, weights.version);
+        log.info({ ...weights }, 'weights are wanted');
+        rollout.wake();
+      } else if (!configuration && !weights) {
+        log.warn({ key }, 'row of the operator is not readable and is ignored');
+      }
+    }
+  };
+
+  const onOwnRows = ({ rows }: RowChange): void => {
+    for (const { key, value, version } of rows) {
+      if (value !== undefined) entryRows.observe(key, value, version);
+      if (value !== undefined && key === claim.key) claim.observe(value, version);
+    }
+    peers.setPeers(entryRows.peers());
+    rollout.wake();
+  };
+
+  let isDraining = false;
+  const isReady = (): boolean =>
+    !isDraining && routes !== undefined && (watches.targets?.isSynced ?? false);
+  const operators = createOperatorServer({
+    log,
+    registry,
+    isReady,
+    routes: [
+      {
+        path: platform.readyPath,
+        handler: async (_req, res) => sendJson(res, isReady() ? 200 : 503, { ready: isReady() }),
+      },
+    ],
+  });
+  const watch = (table: string, waitMs: number, pauseMs: number, onChange: typeof onOwnRows) =>
+    resources.add(
+      watchTable({ clock, random, log, feed: store, table, waitMs, pauseMs, onChange }),
+    );
+  watches.operator = watch(decoder.configurationTable, siteWaitMs, 0, onOperatorRows);
+  resources.add(directory.onChange(() => rollout.wake()));
+  watches.targets = watch(decoder.targetTable, siteWaitMs, targetPauseMs, directory.apply);
+  watch(store.ownTable, ownWaitMs, 0, onOwnRows);
+
+  const callersAddress = await listenHttp(callers.server, settings.listen.callers);
+  const operatorsAddress = await listenHttp(operators, settings.listen.operators);
+  log.info({ callersAddress, operatorsAddress, dataCentre }, 'gateway started');
+
+  const stop = (): number => {
+    const cut = callers.active;
+    lifetime.cancel('gateway stopped');
+    resources.dispose();
+    callers.server.closeAllConnections();
+    operators.closeAllConnections();
+    return cut;
+  };
+
+  return {
+    addresses: { callers: callersAddress, operators: operatorsAddress, internal: '' },
+    get active() {
+      return callers.active;
+    },
+    async drain() {
+      const startedAt = clock.now();
+      isDraining = true;
+      callers.closeAfterAnswers();
+      await sleep(clock, settings.shutdown.balancer_wait, noCancellation);
+      callers.closeIdle();
+      const leftMs = settings.shutdown.grace - closeMs - (clock.now() - startedAt);
+      await waitUntilIdle(clock, log, () => callers.active, leftMs);
+      closeHttp(callers.server).catch((err: unknown) => {
+        log.debug({ err: errMessage(err) }, 'listener was closed before');
+      });
+      const cut = stop();
+      log.info({ cut, tookMs: Math.round(clock.now() - startedAt) }, 'gateway stopped');
+    },
+    stop,
+  };
+}
--- /dev/null
+++ b/src/daemon/gatewaymetrics.ts
@@ -0,0 +1,75 @@
+import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
+import { type CallResult } from '../gateway/dispatcher.js';
+import { type TargetDirectory } from '../gateway/targets.js';
+
+/** One finished request of a caller. */
+export interface GatewayResult extends CallResult {
+  readonly route: string;
+  readonly durationMs: number;
+}
+
+/** Figures of a gateway that are read when the metrics are. */
+export interface GatewayGauges {
+  readonly directory: TargetDirectory;
+  configurationVersion(): number;
+  configurationAgeMs(): number;
+  droppedLogLines(): number;
+}
+
+/** Upper bounds in seconds, around the objectives of 0.2 to 0.8 s and the timeouts of 0.8 to 12 s. */
+const secondsBuckets = [0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 4, 12];
+
+/** Registers the metrics of a gateway; returns the recorder of finished requests. */
+export function createGatewayMetrics(
+  registry: Registry,
+  gauges: GatewayGauges,
+): (result: GatewayResult) => void {
+  const registers = [registry];
+  const requests = new Counter({
+    name: 'cicadatide_requests_total',
+    help: 'Requests of callers by route and outcome.',
+    labelNames: ['route', 'outcome'],
+    registers,
+  });
+  const attempts = new Counter({
+    name: 'cicadatide_attempts_total',
+    help: 'Attempts at targets by route.',
+    labelNames: ['route'],
+    registers,
+  });
+  const firstByte = new Histogram({
+    name: 'cicadatide_first_byte_seconds',
+    help: 'Time from arrival to the first byte of the answer.',
+    labelNames: ['route'],
+    buckets: secondsBuckets,
+    registers,
+  });
+  const duration = new Histogram({
+    name: 'cicadatide_request_duration_seconds',
+    help: 'Time from arrival to the end of the answer.',
+    labelNames: ['route'],
+    buckets: secondsBuckets,
+    registers,
+  });
+  const gauge = (name: string, help: string, read: () => number): void => {
+    const metric: Gauge = new Gauge({ name, help, registers, collect: () => metric.set(read()) });
+  };
+  gauge('cicadatide_targets', 'Targets listed.', () => gauges.directory.all.length);
+  gauge(
+    'cicadatide_configuration_version',
+    'Version of the configuration in force.',
+    gauges.configurationVersion,
+  );
+  gauge(
+    'cicadatide_configuration_age_seconds',
+    'Time since the store confirmed the configuration.',
+    () => gauges.configurationAgeMs() / 1_000,
+  );
+  gauge('cicadatide_log_lines_dropped', 'Log lines dropped.', gauges.droppedLogLines);
+  return ({ route, outcome, attempts: count, firstByteMs, durationMs }) => {
+    requests.inc({ route, outcome });
+    if (count > 0) attempts.inc({ route }, count);
+    if (firstByteMs !== undefined) firstByte.observe({ route }, firstByteMs / 1_000);
+    duration.observe({ route }, durationMs / 1_000);
+  };
+}
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -5,13 +5,11 @@
 import { readVersion } from '../base/version.js';
 import { startAgent } from './agent.js';
 import { startEntry } from './entry.js';
+import { exitCodes, handleSignals } from './exit.js';
 import { type DaemonProcess } from './process.js';
 import { readSettings } from './settings/read.js';
 import { type Role, type Settings } from './settings/schema.js';
 
-/** Exit codes of the daemon. */
-const exitCodes = { ok: 0, failed: 1, usage: 2, settings: 3, interrupted: 4 } as const;
-
 const usage = `usage: cicadatided --config FILE [--check-config]
 
 Starts one process of cicadatide. The settings file names its role.
@@ -40,29 +38,6 @@
   }).values;
 }
 
-/** First signal: finish running requests. Second signal: end at once. */
-function handleSignals(daemon: DaemonProcess, log: Logger): void {
-  let signals = 0;
-  const onSignal = (signal: string): void => {
-    signals += 1;
-    if (signals > 1) {
-      const cut = daemon.stop();
-      log.warn({ signal, cut }, 'second signal; ended at once');
-      process.exit(exitCodes.interrupted);
-    }
-    log.info({ signal, active: daemon.active }, 'shutting down; a second signal ends at once');
-    daemon.drain().then(
-      () => process.exit(exitCodes.ok),
-      (err: unknown) => {
-        log.error({ err: errMessage(err) }, 'shutdown failed');
-        process.exit(exitCodes.failed);
-      },
-    );
-  };
-  process.on('SIGTERM', onSignal);
-  process.on('SIGINT', onSignal);
-}
-
 async function main(): Promise<number | undefined> {
   let args: ReturnType<typeof readArguments>;
   try {
--- a/src/daemon/settings/read.ts
+++ b/src/daemon/settings/read.ts
@@ -2,7 +2,15 @@
 import { parse } from 'ini';
 import { type HostPort } from '../../base/address.js';
 import { errMessage, SettingsError } from '../../base/errors.js';
-import { type KeySpec, type Role, type Settings, settingsSchema } from './schema.js';
+import { gatewaySchema } from './gateway.js';
+import {
+  type KeySpec,
+  type Role,
+  type Settings,
+  type SettingsOf,
+  type SettingsSchema,
+  settingsSchema,
+} from './schema.js';
 
 /** One mistake in a settings file. */
 export interface SettingsProblem {
@@ -67,8 +75,7 @@
   return undefined;
 }
 
-function checkUnknown(ini: Section, problems: SettingsProblem[]): void {
-  const schema: Readonly<Record<string, Section>> = settingsSchema;
+function checkUnknown(schema: SettingsSchema, ini: Section, problems: SettingsProblem[]): void {
   for (const [section, value] of Object.entries(ini)) {
     const known = Object.hasOwn(schema, section) ? schema[section] : undefined;
     if (typeof value !== 'object' || value === null) {
@@ -122,9 +129,12 @@
   return a.host === b.host || wildcardHosts.has(a.host) || wildcardHosts.has(b.host);
 }
 
-function checkPorts(listen: Settings['listen'], problems: SettingsProblem[]): void {
+function checkPorts(
+  listen: Readonly<Record<string, HostPort | undefined>>,
+  problems: SettingsProblem[],
+): void {
   const seen: { readonly name: string; readonly address: HostPort }[] = [];
-  for (const [name, address] of Object.entries(listen) as [string, HostPort | undefined][]) {
+  for (const [name, address] of Object.entries(listen)) {
     if (!address) continue;
     const other = seen.find((item) => overlaps(item.address, address));
     if (other) {
@@ -151,29 +161,56 @@
 }
 
 /** Checks settings given as text; throws SettingsError that lists every problem. */
-export function parseSettings(text: string, file: string): Settings {
+function parseSections<S extends SettingsSchema>(
+  schema: S,
+  text: string,
+  file: string,
+  checkAll: (settings: SettingsOf<S>, problems: SettingsProblem[]) => void,
+): SettingsOf<S> {
   const ini = parse(text) as Section;
   const problems: SettingsProblem[] = [];
   checkLines(text, problems);
-  checkUnknown(ini, problems);
+  checkUnknown(schema, ini, problems);
   const settings: Record<string, Record<string, unknown>> = {};
-  for (const [section, keys] of Object.entries(settingsSchema)) {
+  for (const [section, keys] of Object.entries(schema)) {
     const given = ini[section];
     const values = (typeof given === 'object' && given !== null ? given : {}) as Section;
     const checked: Record<string, unknown> = {};
-    for (const [name, spec] of Object.entries(keys) as [string, KeySpec][]) {
+    for (const [name, spec] of Object.entries(keys)) {
       checked[name] = checkKey(section, name, spec, values[name], problems);
     }
     settings[section] = checked;
   }
-  const result = settings as unknown as Settings;
-  checkPorts(result.listen, problems);
-  checkRole(result, problems);
+  const result = settings as unknown as SettingsOf<S>;
+  checkAll(result, problems);
   if (problems.length === 0) return result;
   throw new SettingsError(problems.map((problem) => describeProblem(file, problem)).join('\n'));
 }
 
-/** Reads and checks a settings file. */
+/** Checks settings of an entry or an agent. */
+export function parseSettings(text: string, file: string): Settings {
+  return parseSections(settingsSchema, text, file, (settings, problems) => {
+    checkPorts(settings.listen, problems);
+    checkRole(settings, problems);
+  });
+}
+
+/** Reads and checks a settings file of an entry or an agent. */
 export function readSettings(file: string): Settings {
   return parseSettings(readText(file), file);
 }
+
+/** Checked settings of a gateway. */
+export type GatewaySettings = SettingsOf<typeof gatewaySchema>;
+
+/** Checks settings of a gateway. */
+export function parseGatewaySettings(text: string, file: string): GatewaySettings {
+  return parseSections(gatewaySchema, text, file, ({ listen }, problems) => {
+    checkPorts({ callers: listen.callers, operators: listen.operators }, problems);
+  });
+}
+
+/** Reads and checks a settings file of a gateway. */
+export function readGatewaySettings(file: string): GatewaySettings {
+  return parseGatewaySettings(readText(file), file);
+}
--- a/src/daemon/settings/schema.ts
+++ b/src/daemon/settings/schema.ts
@@ -88,7 +88,8 @@
   },
 } as const satisfies Readonly<Record<string, Readonly<Record<string, KeySpec>>>>;
 
-type Schema = typeof settingsSchema;
+/** Sections and keys of one kind of settings file. */
+export type SettingsSchema = Readonly<Record<string, Readonly<Record<string, KeySpec>>>>;
 
 type ValueOf<S> = S extends { readonly type: ValueType<infer T> }
   ? S extends { readonly required: true } | { readonly fallback: string }
@@ -96,7 +97,10 @@
     : T | undefined
   : never;
 
-/** Checked settings of one process. */
-export type Settings = {
-  readonly [S in keyof Schema]: { readonly [K in keyof Schema[S]]: ValueOf<Schema[S][K]> };
+/** Checked settings that follow a schema. */
+export type SettingsOf<S extends SettingsSchema> = {
+  readonly [Name in keyof S]: { readonly [K in keyof S[Name]]: ValueOf<S[Name][K]> };
 };
+
+/** Checked settings of one process. */
+export type Settings = SettingsOf<typeof settingsSchema>;
--- a/src/daemon/settings/types.ts
+++ b/src/daemon/settings/types.ts
@@ -78,6 +78,12 @@
   count: valueType('a whole number above 0', (text) =>
     /^[1-9]\d{0,8}$/.test(text) ? Number(text) : undefined,
   ),
+  share: valueType('a number from 0 to 1', (text) =>
+    /^(0|1|0?\.\d+|1\.0+|0\.\d+)$/.test(text) ? Number(text) : undefined,
+  ),
+  amount: valueType('a number that is not negative', (text) =>
+    /^\d{1,9}(\.\d+)?$/.test(text) ? Number(text) : undefined,
+  ),
   role: oneOf(['entry', 'agent'] as const),
   targetKind: oneOf(['engine', 'service'] as const),
   logLevel: oneOf(logLevels),
--- /dev/null
+++ b/src/gateway/answer.ts
@@ -0,0 +1,106 @@
+import { type IncomingMessage, type ServerResponse } from 'node:http';
+import { type WireProtocol } from '../ports/wire.js';
+
+/**
+ * Answers that the gateway makes itself. Only `refused` and `invalid` ones say that the request has
+ * not run and never will.
+ */
+export type OwnAnswer =
+  | 'not-ready'
+  | 'no-target'
+  | 'overloaded'
+  | 'body-timeout'
+  | 'unknown-key'
+  | 'unknown-route'
+  | 'too-large'
+  | 'failed'
+  | 'timed-out';
+
+interface OwnAnswerSpec {
+  readonly status: number;
+  /** Callers may come back, after the time that the answer names. */
+  readonly isRetryable: boolean;
+  readonly remedy: string;
+}
+
+/** Status and remedy of each answer of the gateway's own. */
+export const ownAnswers: Readonly<Record<OwnAnswer, OwnAnswerSpec>> = {
+  'not-ready': { status: 503, isRetryable: true, remedy: 'no configuration yet; retry elsewhere' },
+  'no-target': { status: 503, isRetryable: true, remedy: 'no target is usable; retry later' },
+  overloaded: { status: 503, isRetryable: true, remedy: 'the service is full; retry later' },
+  'body-timeout': { status: 408, isRetryable: false, remedy: 'send the body without pauses' },
+  'unknown-key': { status: 401, isRetryable: false, remedy: 'send a valid key' },
+  'unknown-route': { status: 404, isRetryable: false, remedy: 'use a path of the configuration' },
+  'too-large': { status: 413, isRetryable: false, remedy: 'send a smaller body' },
+  failed: { status: 502, isRetryable: false, remedy: 'the request may have run' },
+  'timed-out': { status: 504, isRetryable: false, remedy: 'the request may have run' },
+};
+
+/** The answer to one caller. */
+export interface Answer {
+  readonly isBegun: boolean;
+  readonly isOver: boolean;
+  /** Status that the caller got, 0 before the head. */
+  readonly status: number;
+  /** Sends the head of a target's answer. */
+  begin(res: IncomingMessage): void;
+  /** Returns false when the caller does not read; `onDrain` tells when it does again. */
+  write(chunk: Buffer): boolean;
+  onDrain(listener: () => void): void;
+  end(): void;
+  /** Ends an answer that has begun so that it does not look complete. */
+  breakOff(): void;
+  /** Sends an answer of the gateway's own. */
+  own(kind: OwnAnswer, retryAfterMs?: number): void;
+}
+
+export function createAnswer(
+  res: ServerResponse,
+  protocol: WireProtocol,
+  requestId: string,
+): Answer {
+  let isBegun = false;
+  let isOver = false;
+  return {
+    get isBegun() {
+      return isBegun;
+    },
+    get isOver() {
+      return isOver || res.destroyed;
+    },
+    get status() {
+      return isBegun ? res.statusCode : 0;
+    },
+    begin(from) {
+      isBegun = true;
+      const headers = protocol.toCaller(from.rawHeaders);
+      const length = from.headers['content-length'];
+      // Without a length the answer goes on in chunks, so that its end stays recognisable.
+      if (length !== undefined) headers.push('Content-Length', length);
+      res.writeHead(from.statusCode ?? 502, headers);
+    },
+    write: (chunk) => res.write(chunk),
+    onDrain: (listener) => res.once('drain', listener),
+    end() {
+      if (isOver) return;
+      isOver = true;
+      res.end();
+    },
+    breakOff() {
+      if (isOver) return;
+      isOver = true;
+      res.destroy();
+    },
+    own(kind, retryAfterMs) {
+      if (isBegun || isOver) return;
+      isBegun = true;
+      isOver = true;
+      const { status, isRetryable, remedy } = ownAnswers[kind];
+      const body = Buffer.from(`${JSON.stringify({ error: kind, remedy })}\n`);
+      const headers = protocol.ownAnswer(requestId, isRetryable ? retryAfterMs : undefined);
+      headers.push('Content-Type', 'application/json', 'Content-Length', String(body.length));
+      res.writeHead(status, headers);
+      res.end(body);
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/dispatcher.ts
@@ -0,0 +1,257 @@
+import { type IncomingMessage } from 'node:http';
+import { type Clock, sleep } from '../base/clock.js';
+import { type CancellationToken } from '../base/cancellation.js';
+import { type Deadline } from '../base/deadline.js';
+import { type Logger } from '../base/logging.js';
+import { type Route, type TeamSpec } from '../ports/site.js';
+import { type CallerHead, type WireProtocol } from '../ports/wire.js';
+import { type Answer, type OwnAnswer } from './answer.js';
+import {
+  type Attempt,
+  type AttemptEnd,
+  type KeptAnswer,
+  type NotRunCause,
+  type Progress,
+  startAttempt,
+} from './attempt.js';
+import { type TargetReliability } from './health.js';
+import { type Placement, type Placer } from './placement.js';
+import { type RepeatBudget } from './repeats.js';
+import { type Target } from './targets.js';
+
+/** One request of a caller that may be forwarded. */
+export interface GatewayCall {
+  readonly head: CallerHead;
+  readonly method: string;
+  readonly path: string;
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer | undefined;
+  readonly route: Route;
+  readonly team: TeamSpec | undefined;
+  readonly service: string;
+  /** The caller's deadline. */
+  readonly deadline: Deadline;
+  /** The route's timeout. */
+  readonly timeout: Deadline;
+  readonly answer: Answer;
+  /** Cancelled when the caller leaves. */
+  readonly token: CancellationToken;
+}
+
+/** Result of one request, for log and metrics. */
+export interface CallResult {
+  readonly outcome: 'ok' | 'passed-failure' | 'broken' | 'left' | OwnAnswer;
+  readonly attempts: number;
+  readonly target: string | undefined;
+  /** Time from the arrival to the first byte of the answer. */
+  readonly firstByteMs: number | undefined;
+}
+
+export interface Dispatcher {
+  dispatch(call: GatewayCall): Promise<CallResult>;
+}
+
+export interface DispatcherOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly protocol: WireProtocol;
+  readonly placer: Placer;
+  readonly reliability: TargetReliability;
+  readonly budget: RepeatBudget;
+  /** Called when this process's counts at targets change. */
+  onLoadChange(): void;
+}
+
+/** With less time left, no target can answer: a request takes 40 ms on an idle one. */
+const minUsefulMs = 20;
+
+/** Attempts of one request, those included that targets did not run. */
+const maxAttempts = 6;
+
+/** Pause before a request looks again for a target that is not full or changing. */
+const retryPauseMs = 40;
+
+/** Share of the route's objective for which a request waits for a usable target. */
+const waitShare = 0.5;
+
+/**
+ * Silence after which a repeatable request moves on, as a share of the objective: the rest is left
+ * for the other target.
+ */
+const silenceShare = 0.6;
+
+/** Pauses in a stream are several times the usual time between events before they mean a fault. */
+const minSilenceMs = 250;
+
+/** Time that callers are told to wait; spread, so that they do not return together. */
+const minRetryAfterMs = 150;
+
+const retryAfterSpreadMs = 350;
+
+export function createDispatcher(options: DispatcherOptions): Dispatcher {
+  const { clock, log, protocol, placer, reliability, budget } = options;
+
+  const retryAfterMs = (): number => minRetryAfterMs + Math.random() * retryAfterSpreadMs;
+
+  const remainingMs = ({ deadline, timeout }: GatewayCall): number =>
+    Math.min(deadline.remainingMs(), timeout.remainingMs());
+
+  const isRepeatable = ({ route }: GatewayCall): boolean =>
+    route.kind === 'safe' || (route.kind === 'stream' && route.isResumable);
+
+  const start = (
+    call: GatewayCall,
+    placement: Placement,
+    progress: Progress,
+    onFirstByte: () => void,
+  ): Attempt => {
+    const { head, route, team } = call;
+    const { target } = placement;
+    const isStream = route.kind === 'stream';
+    const headers = protocol.toTarget(
+      call.rawHeaders,
+      {
+        waitMs: remainingMs(call),
+        targetId: target.id,
+        team: team?.name,
+        salt: placement.salt,
+        priority: isStream ? (team?.priority ?? route.priority) : undefined,
+        weightsVersion: placement.weightsVersion,
+        fetchFrom: placement.fetchFrom,
+        resumeAfter: progress.lastEventId,
+      },
+      call.body?.length ?? 0,
+    );
+    return startAttempt({
+      clock,
+      protocol,
+      target,
+      request: { method: call.method, path: call.path, headers, body: call.body },
+      requestId: head.requestId,
+      isStream,
+      isRepeatable: isRepeatable(call),
+      answer: call.answer,
+      progress,
+      remainingMs: remainingMs(call),
+      silenceMs: Math.max(minSilenceMs, route.objectiveMs * silenceShare, route.maxPauseMs),
+      tokens: placement.tokensToRead,
+      onHead({ load, weightsVersion }) {
+        if (load) target.observeLoad(load);
+        if (weightsVersion === undefined || head.model === undefined) return;
+        target.observeWeights(head.model, weightsVersion);
+      },
+      onFirstByte,
+    });
+  };
+
+  /** Sends a failure that a target answered on to the caller. */
+  const passKept = (answer: Answer, { res, body }: KeptAnswer): void => {
+    answer.begin(res as IncomingMessage);
+    if (body.length > 0) answer.write(body);
+    answer.end();
+  };
+
+  const learn = (target: Target, end: AttemptEnd): void => {
+    if (end.kind === 'done') reliability.observe(target, 'ok');
+    if (end.kind === 'failed' || end.kind === 'broken') reliability.observe(target, 'failed');
+    if (end.kind === 'not-run' && end.cause === 'unreachable') {
+      reliability.observe(target, 'unreachable');
+    }
+  };
+
+  return {
+    async dispatch(call) {
+      const { answer, route, head, token } = call;
+      const progress: Progress = { lastEventId: undefined, hasEvents: false };
+      const excluded = new Set<Target>();
+      const ranOn = new Set<Target>();
+      const arrivedAt = clock.now();
+      let attempts = 0;
+      let firstByteMs: number | undefined;
+      let kept: KeptAnswer | undefined;
+      let last: Target | undefined;
+      let cause: NotRunCause | string | undefined;
+      budget.deposit();
+
+      const result = (outcome: CallResult['outcome']): CallResult => ({
+        outcome,
+        attempts,
+        target: last?.id,
+        firstByteMs,
+      });
+
+      /** Ends a request that no further attempt can save. */
+      const giveUp = (): CallResult => {
+        if (token.isCancellationRequested) return result('left');
+        if (answer.isBegun) {
+          answer.breakOff();
+          return result('broken');
+        }
+        if (kept) {
+          passKept(answer, kept);
+          return result('passed-failure');
+        }
+        const isOver = remainingMs(call) < minUsefulMs;
+        const mayHaveRun = ranOn.size > 0;
+        const notRun: OwnAnswer = attempts > 0 ? 'overloaded' : 'no-target';
+        const own: OwnAnswer = mayHaveRun ? (isOver ? 'timed-out' : 'failed') : notRun;
+        answer.own(own, retryAfterMs());
+        return result(own);
+      };
+
+      for (;;) {
+        if (token.isCancellationRequested || remainingMs(call) < minUsefulMs) return giveUp();
+        const placement = placer.place({ service: call.service, head, team: call.team }, excluded);
+        if (!placement) {
+          const waitedMs = clock.now() - arrivedAt;
+          if (waitedMs > route.objectiveMs * waitShare || attempts >= maxAttempts) return giveUp();
+          // Targets that were full or changing may take the request a moment later.
+          excluded.clear();
+          for (const target of ranOn) excluded.add(target);
+          await sleep(clock, retryPauseMs, token).catch(() => undefined);
+          continue;
+        }
+        const { target } = placement;
+        last = target;
+        attempts += 1;
+        const attempt = start(call, placement, progress, () => {
+          firstByteMs ??= clock.now() - arrivedAt;
+        });
+        options.onLoadChange();
+        const link = token.onCancellationRequested(() => attempt.leave());
+        const end = await attempt.ended;
+        link.dispose();
+        options.onLoadChange();
+        learn(target, end);
+        if (end.kind === 'done') {
+          firstByteMs ??= clock.now() - arrivedAt;
+          return result('ok');
+        }
+        if (end.kind === 'left') return result('left');
+        cause = end.cause;
+        excluded.add(target);
+        log.info(
+          {
+            requestId: head.requestId,
+            target: target.id,
+            attempt: attempts,
+            end: end.kind,
+            cause,
+            remainingMs: Math.round(remainingMs(call)),
+          },
+          'attempt failed',
+        );
+        if (end.kind === 'not-run') {
+          // A refused connection reached no target, so it costs nothing of the budget.
+          if (end.cause !== 'unreachable' && !budget.withdraw()) return giveUp();
+          if (attempts >= maxAttempts) return giveUp();
+          continue;
+        }
+        ranOn.add(target);
+        if (end.kind === 'failed' && end.kept) kept = end.kept;
+        if (!isRepeatable(call) || ranOn.size >= route.maxTargets) return giveUp();
+        if (!budget.withdraw()) return giveUp();
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/events.ts
@@ -0,0 +1,62 @@
+/** Complete events of a stream, and the id of the last of them. */
+export interface EventBatch {
+  readonly bytes: Buffer;
+  readonly lastId: string | undefined;
+}
+
+/**
+ * Cuts a stream of server-sent events at the ends of events, so that a stream which breaks off in
+ * the middle of an event can go on with the next one.
+ */
+export interface EventSplitter {
+  /** Bytes of an event that is not complete yet. */
+  readonly pendingBytes: number;
+  /** Returns the events that this chunk completes. */
+  push(chunk: Buffer): EventBatch | undefined;
+  /** Forgets the incomplete event. */
+  reset(): void;
+}
+
+const lineFeed = 0x0a;
+
+const carriageReturn = 0x0d;
+
+/** Index behind the last blank line, or 0. */
+function endOfEvents(bytes: Buffer): number {
+  for (let index = bytes.length - 1; index > 0; index -= 1) {
+    if (bytes[index] !== lineFeed) continue;
+    const before = bytes[index - 1];
+    if (before === lineFeed) return index + 1;
+    if (before === carriageReturn && index > 1 && bytes[index - 2] === lineFeed) return index + 1;
+  }
+  return 0;
+}
+
+/** Id of the last event that has one. */
+function lastIdOf(bytes: Buffer): string | undefined {
+  let at = bytes.lastIndexOf('id:');
+  while (at > 0 && bytes[at - 1] !== lineFeed) at = bytes.lastIndexOf('id:', at - 1);
+  if (at < 0) return undefined;
+  const end = bytes.indexOf('\n', at);
+  return bytes.toString('latin1', at + 3, end < 0 ? bytes.length : end).trim();
+}
+
+export function createEventSplitter(): EventSplitter {
+  let rest: Buffer | undefined;
+  return {
+    get pendingBytes() {
+      return rest?.length ?? 0;
+    },
+    push(chunk) {
+      const bytes = rest ? Buffer.concat([rest, chunk]) : chunk;
+      const end = endOfEvents(bytes);
+      rest = end < bytes.length ? bytes.subarray(end) : undefined;
+      if (end === 0) return undefined;
+      const complete = bytes.subarray(0, end);
+      return { bytes: complete, lastId: lastIdOf(complete) };
+    },
+    reset() {
+      rest = undefined;
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/peers.ts
@@ -0,0 +1,229 @@
+import { createSocket } from 'node:dgram';
+import { type HostPort } from '../base/address.js';
+import { type Clock } from '../base/clock.js';
+import { errMessage } from '../base/errors.js';
+import { type Disposable } from '../base/lifecycle.js';
+import { type Logger } from '../base/logging.js';
+import { type Outstanding } from './targets.js';
+
+/** One placement, told so that peers know which engine keeps the parts. */
+export interface CacheUse {
+  readonly salt: string;
+  readonly partIds: readonly string[];
+  readonly targetId: string;
+}
+
+/** New weights that a peer saw at a target. */
+export interface WeightsSeen {
+  readonly targetId: string;
+  readonly model: string;
+  readonly version: number;
+}
+
+/**
+ * Exchanges hints between the entries over datagrams: requests at each target, targets that change
+ * their weights, and which engine read which parts. A lost hint costs a worse placement and nothing
+ * else, so nothing is sent again and nothing is confirmed.
+ */
+export interface Peers extends Disposable {
+  /** Number of entries, this one included. */
+  readonly count: number;
+  /** Requests of the other entries at a target. */
+  outstanding(targetId: string): Outstanding;
+  /** True while a peer says that the target changes its weights. */
+  isChanging(targetId: string): boolean;
+  /** Time since a peer last said that any target changes its weights. */
+  sinceChangeMs(): number;
+  setPeers(addresses: readonly HostPort[]): void;
+  /** Tells that this process's own counts changed. */
+  touch(): void;
+  setChanging(targetIds: readonly string[]): void;
+  tellUse(use: CacheUse): void;
+  tellWeights(seen: WeightsSeen): void;
+}
+
+export interface PeersOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly instance: string;
+  readonly bind: HostPort;
+  /** This process's own requests by target. */
+  own(): readonly (readonly [targetId: string, outstanding: Outstanding])[];
+  onUse(use: CacheUse): void;
+  onWeights(seen: WeightsSeen): void;
+}
+
+/** Hints that come together are sent together; a request takes tens of milliseconds. */
+const gatherMs = 8;
+
+/** Counts are sent again this often while there are any, in case a datagram was lost. */
+const repeatMs = 500;
+
+/** Counts of a peer that is silent for longer are dropped: it has none or is gone. */
+const staleMs = 1_600;
+
+/** A weights change lasts about a second; a holder says so with each datagram until it is over. */
+const changeStaleMs = 1_200;
+
+/** Placements in one datagram; the rest waits for the next one, so that it stays below 8 KB. */
+const maxUses = 24;
+
+const maxDatagramBytes = 16_384;
+
+/** Body of a datagram. Short names keep it within one packet. */
+interface Hint {
+  /** Sender. */
+  readonly n: string;
+  /** Grows with each datagram of one run of the sender. */
+  readonly q: number;
+  /** Start of that run. */
+  readonly b: number;
+  /** Target, runs and waiting tokens. */
+  readonly o: readonly (readonly [string, number, number])[];
+  /** Targets that change their weights. */
+  readonly c: readonly string[];
+  /** Salt, target, parts. */
+  readonly u: readonly (readonly [string, string, readonly string[]])[];
+  /** Target, model, version. */
+  readonly w: readonly (readonly [string, string, number])[];
+}
+
+interface PeerState {
+  run: number;
+  sequence: number;
+  heardAt: number;
+  outstanding: Map<string, Outstanding>;
+  changing: ReadonlySet<string>;
+  changingAt: number;
+}
+
+const isHint = (value: unknown): value is Hint => {
+  const hint = value as Partial<Hint> | null;
+  if (typeof hint !== 'object' || hint === null || typeof hint.n !== 'string') return false;
+  if (typeof hint.q !== 'number' || typeof hint.b !== 'number') return false;
+  return [hint.o, hint.c, hint.u, hint.w].every((list) => Array.isArray(list));
+};
+
+export function createPeers(options: PeersOptions): Peers {
+  const { clock, log, instance, bind, own, onUse, onWeights } = options;
+  const run = clock.wallTime();
+  const states = new Map<string, PeerState>();
+  let addresses: readonly HostPort[] = [];
+  let sequence = 0;
+  let changing: readonly string[] = [];
+  let uses: CacheUse[] = [];
+  let weights: WeightsSeen[] = [];
+  let timer: Disposable | undefined;
+  let repeatTimer: Disposable | undefined;
+
+  const socket = createSocket('udp4');
+  socket.on('error', (err) => log.warn({ err: errMessage(err) }, 'peer hints are not exchanged'));
+
+  const send = (): void => {
+    timer = undefined;
+    sequence += 1;
+    const counts = own().filter(([, { runs }]) => runs > 0);
+    const hint: Hint = {
+      n: instance,
+      q: sequence,
+      b: run,
+      o: counts.map(([id, { runs, tokens }]) => [id, runs, tokens]),
+      c: changing,
+      u: uses.slice(0, maxUses).map(({ salt, targetId, partIds }) => [salt, targetId, partIds]),
+      w: weights.map(({ targetId, model, version }) => [targetId, model, version]),
+    };
+    uses = uses.slice(maxUses, 4 * maxUses);
+    weights = [];
+    const bytes = Buffer.from(JSON.stringify(hint));
+    for (const { host, port } of addresses) {
+      socket.send(bytes, port, host, (err) => {
+        if (err) log.debug({ host, err: errMessage(err) }, 'hint was not sent');
+      });
+    }
+    repeatTimer?.dispose();
+    repeatTimer = undefined;
+    if (counts.length > 0 || changing.length > 0) repeatTimer = clock.setTimer(repeatMs, send);
+  };
+
+  const touch = (): void => {
+    if (addresses.length > 0) timer ??= clock.setTimer(gatherMs, send);
+  };
+
+  const accept = (hint: Hint): void => {
+    if (hint.n === instance) return;
+    const known = states.get(hint.n);
+    const isOlder =
+      known && (hint.b < known.run || (hint.b === known.run && hint.q <= known.sequence));
+    if (isOlder) return;
+    states.set(hint.n, {
+      run: hint.b,
+      sequence: hint.q,
+      heardAt: clock.now(),
+      outstanding: new Map(hint.o.map(([id, runs, tokens]) => [id, { runs, tokens }])),
+      changing: new Set(hint.c),
+      changingAt: hint.c.length > 0 ? clock.now() : (known?.changingAt ?? -Infinity),
+    });
+    for (const [salt, targetId, partIds] of hint.u) onUse({ salt, targetId, partIds });
+    for (const [targetId, model, version] of hint.w) onWeights({ targetId, model, version });
+  };
+
+  socket.on('message', (bytes) => {
+    if (bytes.length > maxDatagramBytes) return;
+    try {
+      const value: unknown = JSON.parse(bytes.toString('utf8'));
+      if (isHint(value)) accept(value);
+    } catch (err) {
+      log.debug({ err: errMessage(err) }, 'hint is not readable');
+    }
+  });
+  socket.bind(bind.port, bind.host);
+
+  return {
+    get count() {
+      return addresses.length + 1;
+    },
+    outstanding(targetId) {
+      let runs = 0;
+      let tokens = 0;
+      for (const state of states.values()) {
+        if (clock.now() - state.heardAt > staleMs) continue;
+        const counts = state.outstanding.get(targetId);
+        runs += counts?.runs ?? 0;
+        tokens += counts?.tokens ?? 0;
+      }
+      return { runs, tokens };
+    },
+    isChanging(targetId) {
+      for (const { heardAt, changing: ids } of states.values()) {
+        if (ids.has(targetId) && clock.now() - heardAt < changeStaleMs) return true;
+      }
+      return false;
+    },
+    sinceChangeMs() {
+      let newest = -Infinity;
+      for (const { changingAt } of states.values()) newest = Math.max(newest, changingAt);
+      return clock.now() - newest;
+    },
+    setPeers(next) {
+      addresses = next;
+    },
+    touch,
+    setChanging(targetIds) {
+      changing = targetIds;
+      touch();
+    },
+    tellUse(use) {
+      uses.push(use);
+      touch();
+    },
+    tellWeights(seen) {
+      weights.push(seen);
+      touch();
+    },
+    dispose() {
+      timer?.dispose();
+      repeatTimer?.dispose();
+      socket.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/scoring.ts
@@ -0,0 +1,94 @@
+import { type Random } from '../base/random.js';
+
+/** What is known of one target when a request is placed. */
+export interface Candidate {
+  /** Requests of all entries that have not finished there. */
+  readonly runs: number;
+  /** Prompt tokens of all entries that the target has not read yet. */
+  readonly waitingTokens: number;
+  readonly slots: number;
+  /** Tokens of this prompt that the target has to read itself. */
+  readonly tokensToRead: number;
+  /** Tokens of this prompt that the target fetches from another engine. */
+  readonly tokensToFetch: number;
+  readonly isNear: boolean;
+  /** Recent share of failed requests, from 0 to 1. */
+  readonly failureShare: number;
+  /** Time that work takes relative to the usual. */
+  readonly slowness: number;
+  /** Serves an older version than the operator wants. */
+  readonly isOutdated: boolean;
+  /** Is about to change its weights, or does so now. */
+  readonly isChanging: boolean;
+}
+
+/** Speeds of a kind of target. */
+export interface TargetSpeeds {
+  /** Time of a request without its prompt, in milliseconds. */
+  readonly baseMs: number;
+  /** Prompt tokens that are read in a millisecond; Infinity for plain services. */
+  readonly tokensPerMs: number;
+}
+
+/** Speeds of model engines, from the operators' sheet of the site. */
+export const engineSpeeds: TargetSpeeds = { baseMs: 41, tokensPerMs: 81.9 };
+
+/** Time of a call of a plain service, from the operators' sheet of the site. */
+export const serviceSpeeds: TargetSpeeds = { baseMs: 43, tokensPerMs: Infinity };
+
+/** Tokens that an engine fetches in a millisecond: 130 Gbit/s at 18 KB a token, and some latency. */
+const fetchedTokensPerMs = 600;
+
+/** A transfer takes the link of both engines, so a slightly longer wait at a holder is preferred. */
+const fetchMs = 10;
+
+/** Two more crossings of the network, and the price of bytes between data centres. */
+const farMs = 3;
+
+/** A step of an engine takes this much longer with each further run, over some 20 steps. */
+const perRunMs = 1.6;
+
+/**
+ * An answer on older weights loses a fifth of its worth and a late one most of it, so a wait of
+ * about a third of the usual objective is accepted for newer weights.
+ */
+const outdatedMs = 120;
+
+/** A failed first try costs about the time of another one. */
+const failureMs = 600;
+
+/** Candidates within this time of the best one count as equal, so that entries do not all agree. */
+const nearEqualMs = 4;
+
+/** Expected time to the first byte and the cost of what else speaks against a target. */
+export function expectMs(candidate: Candidate, speeds: TargetSpeeds): number {
+  const { runs, slots, slowness, tokensToFetch } = candidate;
+  const tokens = candidate.waitingTokens + candidate.tokensToRead;
+  const readMs = tokens / speeds.tokensPerMs;
+  const queued = Math.max(0, runs + 1 - slots) / Math.max(1, slots);
+  const crowdMs = speeds.tokensPerMs === Infinity ? runs * farMs : runs * perRunMs;
+  const workMs = (speeds.baseMs * (1 + queued) + readMs + crowdMs) * Math.max(1, slowness);
+  const moveMs = tokensToFetch > 0 ? fetchMs + tokensToFetch / fetchedTokensPerMs : 0;
+  const otherMs =
+    (candidate.isNear ? 0 : farMs) +
+    (candidate.isOutdated ? outdatedMs : 0) +
+    candidate.failureShare * failureMs;
+  return workMs + moveMs + otherMs;
+}
+
+/** Index of the best candidate; those that change their weights only when there is no other. */
+export function pickCandidate(
+  candidates: readonly Candidate[],
+  speeds: TargetSpeeds,
+  random: Random,
+): number | undefined {
+  const settled = candidates.some(({ isChanging }) => !isChanging);
+  const scores = candidates.map((candidate) =>
+    candidate.isChanging && settled ? Infinity : expectMs(candidate, speeds),
+  );
+  const best = Math.min(...scores);
+  if (best === Infinity) return undefined;
+  const near: number[] = [];
+  for (const [index, score] of scores.entries()) if (score <= best + nearEqualMs) near.push(index);
+  return near[random.integer(near.length)];
+}
--- /dev/null
+++ b/src/gateway/server.ts
@@ -0,0 +1,198 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type Socket } from 'node:net';
+import { createCancellationSource } from '../base/cancellation.js';
+import { type Clock } from '../base/clock.js';
+import { createDeadline } from '../base/deadline.js';
+import { errMessage } from '../base/errors.js';
+import { type Logger } from '../base/logging.js';
+import { type Random } from '../base/random.js';
+import { type CallerHead, type WireProtocol } from '../ports/wire.js';
+import { type Answer, createAnswer, type OwnAnswer, ownAnswers } from './answer.js';
+import { type CallResult, type Dispatcher } from './dispatcher.js';
+import { pickService, type RouteTable } from './routes.js';
+
+/** Listener for callers. */
+export interface GatewayServer {
+  readonly server: Server;
+  /** Requests that are being answered. */
+  readonly active: number;
+  /** From now on every answer asks its caller to open a new connection. */
+  closeAfterAnswers(): void;
+  /** Closes connections on which no request is being answered. */
+  closeIdle(): void;
+  /** Applies the limits of the newest configuration to connections. */
+  setIdleTimeout(idleMs: number): void;
+}
+
+export interface GatewayServerOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly protocol: WireProtocol;
+  readonly dispatcher: Dispatcher;
+  /** The newest configuration; undefined before the first one. */
+  routes(): RouteTable | undefined;
+  onResult(result: CallResult & { readonly route: string; readonly durationMs: number }): void;
+}
+
+/** Bound of Node's parser; the configured limit is checked after it. */
+const maxHeaderBytes = 65_536;
+
+/** Idle time of a connection before the first configuration names one. */
+const defaultIdleMs = 15_000;
+
+/** Wait that callers are told while this process has no configuration yet. */
+const notReadyRetryMs = 300;
+
+const parseErrors: Readonly<Record<string, readonly [number, string]>> = {
+  HPE_HEADER_OVERFLOW: [431, 'Request Header Fields Too Large'],
+  ERR_HTTP_REQUEST_TIMEOUT: [408, 'Request Timeout'],
+};
+
+function onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
+  if (err.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const [status, text] = parseErrors[err.code ?? ''] ?? [400, 'Bad Request'];
+  socket.end(`HTTP/1.1 ${status} ${text}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+}
+
+/** Reads a body whole, so that it can be sent again; undefined when it is too large or cut off. */
+function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) resolve(undefined);
+      else chunks.push(chunk);
+    });
+    req.on('end', () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
+    req.on('error', () => resolve(undefined));
+  });
+}
+
+const hasNoBody = (req: IncomingMessage): boolean =>
+  req.headers['transfer-encoding'] === undefined && (req.headers['content-length'] ?? '0') === '0';
+
+export function createGatewayServer(options: GatewayServerOptions): GatewayServer {
+  const { clock, random, log, protocol, dispatcher, routes, onResult } = options;
+  let active = 0;
+  let isClosing = false;
+
+  const refuse = (answer: Answer, kind: OwnAnswer, retryAfterMs?: number): CallResult => {
+    answer.own(kind, retryAfterMs);
+    return { outcome: kind, attempts: 0, target: undefined, firstByteMs: undefined };
+  };
+
+  const serve = async (
+    req: IncomingMessage,
+    res: ServerResponse,
+    head: CallerHead,
+    answer: Answer,
+    note: { route: string; team: string; version: number },
+  ): Promise<CallResult> => {
+    const arrivedAt = clock.now();
+    const table = routes();
+    if (!table) return refuse(answer, 'not-ready', notReadyRetryMs);
+    const { configuration } = table;
+    note.version = configuration.version;
+    const admission = table.admit(req.headers.host ?? '', req.url ?? '/', head.credential);
+    if (typeof admission === 'string') return refuse(answer, admission);
+    const { route, team } = admission;
+    note.route = route.name;
+    note.team = team?.name ?? '';
+    const timeout = createDeadline(clock, route.timeoutMs);
+    const deadline = createDeadline(clock, head.waitMs ?? route.timeoutMs);
+    const source = createCancellationSource();
+    res.on('close', () => {
+      if (!res.writableFinished && !answer.isOver) source.cancel('the caller left');
+    });
+    let body: Buffer | undefined;
+    if (!hasNoBody(req)) {
+      body = await readBody(req, configuration.limits.maxBodyBytes);
+      if (!body && !req.destroyed) return refuse(answer, 'too-large');
+      if (!body) source.cancel('the caller left');
+    }
+    const service = pickService(route, random);
+    if (service === undefined) return refuse(answer, 'no-target', notReadyRetryMs);
+    const waitedMs = clock.now() - arrivedAt;
+    if (waitedMs > route.timeoutMs) return refuse(answer, 'body-timeout');
+    return dispatcher.dispatch({
+      head,
+      method: req.method ?? 'GET',
+      path: req.url ?? '/',
+      rawHeaders: req.rawHeaders,
+      body,
+      route,
+      team,
+      service,
+      deadline,
+      timeout,
+      answer,
+      token: source.token,
+    });
+  };
+
+  const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
+    const arrivedAt = clock.now();
+    active += 1;
+    const head = protocol.readCaller(req.headers);
+    const answer = createAnswer(res, protocol, head.requestId);
+    const note = { route: '', team: '', version: -1 };
+    if (isClosing) res.shouldKeepAlive = false;
+    res.on('error', (err) => {
+      log.debug({ requestId: head.requestId, err: errMessage(err) }, 'answer was not written');
+    });
+    serve(req, res, head, answer, note)
+      .catch((err: unknown) => {
+        log.error({ requestId: head.requestId, err }, 'request failed inside the gateway');
+        if (answer.isBegun) answer.breakOff();
+        else answer.own('failed');
+        return refuse(answer, 'failed');
+      })
+      .then((result) => {
+        active -= 1;
+        const durationMs = clock.now() - arrivedAt;
+        const status = answer.status || (ownAnswers[result.outcome as OwnAnswer]?.status ?? 0);
+        log.info(
+          {
+            requestId: head.requestId,
+            route: note.route,
+            team: note.team,
+            configuration: note.version,
+            outcome: result.outcome,
+            status,
+            target: result.target,
+            attempts: result.attempts,
+            firstByteMs: result.firstByteMs && Math.round(result.firstByteMs),
+            durationMs: Math.round(durationMs),
+          },
+          'request ended',
+        );
+        onResult({ ...result, route: note.route, durationMs });
+      })
+      .catch((err: unknown) => log.error({ err: errMessage(err) }, 'request was not counted'));
+  };
+
+  const server = createServer(
+    { maxHeaderSize: maxHeaderBytes, keepAliveTimeout: defaultIdleMs, noDelay: true },
+    onRequest,
+  );
+  server.on('clientError', (err, socket) => onClientError(err, socket as Socket));
+
+  return {
+    server,
+    get active() {
+      return active;
+    },
+    closeAfterAnswers() {
+      isClosing = true;
+    },
+    closeIdle: () => server.closeIdleConnections(),
+    setIdleTimeout(idleMs) {
+      server.keepAliveTimeout = idleMs;
+    },
+  };
+}
--- /dev/null
+++ b/src/orders/weightsplan.ts
@@ -0,0 +1,84 @@
+import { type RunPolicy } from '../ports/wire.js';
+
+/** What the plan knows of one engine. */
+export interface PlannedEngine {
+  readonly id: string;
+  /** Version by the engine's newest word; undefined when it never said one. */
+  readonly version: number | undefined;
+  /** Requests of all entries there. */
+  readonly runs: number;
+  readonly isDown: boolean;
+  readonly step: EngineStep;
+}
+
+/**
+ * Where an engine is on its way to new weights: `draining` gets no new requests, `loading` has
+ * accepted the order.
+ */
+export type EngineStep =
+  | { readonly kind: 'serving' }
+  | { readonly kind: 'draining'; readonly sinceMs: number }
+  | { readonly kind: 'loading'; readonly sinceMs: number };
+
+/** One thing to do now. */
+export type PlanAction =
+  | { readonly kind: 'drain'; readonly id: string }
+  | { readonly kind: 'order'; readonly id: string; readonly runs: RunPolicy }
+  | { readonly kind: 'check'; readonly id: string };
+
+/** Loads at once; more slow each other down, as the site's sheet says. */
+export const maxLoads = 2;
+
+/** Engines that drain while the loads before them still run, so that no load slot stands idle. */
+const maxDrainsAhead = 2;
+
+/** Time into a load from which the next engines drain; loads take 760 ms, most runs under 400 ms. */
+const drainAheadMs = 350;
+
+/**
+ * Longest drain. Runs of a site's short streams end within it; the few longer ones go on, and only
+ * what they make after the change is lost.
+ */
+const maxDrainMs = 450;
+
+/** Runs that may still be going when the order is given without waiting for them. */
+const fewRuns = 0;
+
+/** Time into a load before its end is asked for. */
+const checkAfterMs = 600;
+
+/** Decides what to do next for one model; an engine appears in at most one action. */
+export function planWeights(
+  engines: readonly PlannedEngine[],
+  wanted: number,
+): readonly PlanAction[] {
+  const actions: PlanAction[] = [];
+  let loading = 0;
+  let draining = 0;
+  let nearlyDone = 0;
+  for (const { step } of engines) {
+    if (step.kind === 'draining') draining += 1;
+    if (step.kind !== 'loading') continue;
+    loading += 1;
+    if (step.sinceMs >= drainAheadMs) nearlyDone += 1;
+  }
+  for (const { id, step, runs } of engines) {
+    if (step.kind === 'loading' && step.sinceMs >= checkAfterMs)
+      actions.push({ kind: 'check', id });
+    if (step.kind !== 'draining' || loading >= maxLoads) continue;
+    const isEmpty = runs <= fewRuns;
+    if (!isEmpty && step.sinceMs < maxDrainMs) continue;
+    loading += 1;
+    draining -= 1;
+    actions.push({ kind: 'order', id, runs: isEmpty ? 'finish' : 'keep' });
+  }
+  const waiting = engines
+    .filter(
+      ({ step, isDown, version }) =>
+        step.kind === 'serving' && !isDown && version !== undefined && version < wanted,
+    )
+    .sort((a, b) => a.runs - b.runs);
+  const free = Math.max(0, maxLoads - loading) + Math.min(nearlyDone, maxDrainsAhead) - draining;
+  for (const { id } of waiting.slice(0, Math.max(0, free))) actions.push({ kind: 'drain', id });
+  return actions;
+}
