--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -39,7 +39,7 @@
 /** First and longest delay before a failed call is repeated; the store is back within seconds. */
 const minRetryMs = 100;
 
-const maxRetryMs = 1_000;
+const maxRetryMs = 400;
 
 /** Reads a table and follows its changes for as long as the watch is not disposed. */
 export function watchTable(options: TableWatchOptions): TableWatch {
@@ -64,7 +64,8 @@
       onChange({ rows, isSnapshot: true });
       return;
     }
-    const result = await feed.changes(table, position, waitMs, token);
+    // A store that was away is asked briefly, so that its return is not missed by a long wait.
+    const result = await feed.changes(table, position, failures > 0 ? 0 : waitMs, token);
     confirm();
     if (result === 'history-lost') {
       log.warn({ table, position }, 'store dropped its history; the table is read again');
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -73,6 +73,8 @@
 
   let routes: RouteTable | undefined;
   const wanted = new Map<string, number>();
+  /** When a wanted version was first seen; missing for those that were there at the start. */
+  const wantedSince = new Map<string, number>();
   const watches: { operator?: TableWatch; targets?: TableWatch } = {};
   const directory = createTargetDirectory({
     clock,
@@ -147,7 +149,11 @@
     peers,
     dataCentre,
     service: (name) => routes?.configuration.services.find((spec) => spec.name === name),
-    wanted: (model) => wanted.get(model),
+    wanted: (model) => {
+      const version = wanted.get(model);
+      const ageMs = clock.now() - (wantedSince.get(model) ?? -Infinity);
+      return version === undefined ? undefined : { version, ageMs };
+    },
     isChanging: ({ id }) => changing.has(id) || peers.isChanging(id),
     onUse: (use) => peers.tellUse(use),
   });
@@ -196,7 +202,7 @@
     token: lifetime.token,
   });
 
-  const onOperatorRows = ({ rows }: RowChange): void => {
+  const onOperatorRows = ({ rows, isSnapshot }: RowChange): void => {
     for (const { key, value } of rows) {
       if (value === undefined) continue;
       const configuration = decoder.configuration(key, value);
@@ -210,6 +216,8 @@
         );
       } else if (weights && weights.version > (wanted.get(weights.model) ?? -1)) {
         wanted.set(weights.model, weights.version);
+        if (!isSnapshot) wantedSince.set(weights.model, clock.now());
+        else wantedSince.delete(weights.model);
         log.info({ ...weights }, 'weights are wanted');
         rollout.wake();
       } else if (!configuration && !weights) {
@@ -273,7 +281,7 @@
       isDraining = true;
       callers.closeAfterAnswers();
       await sleep(clock, settings.shutdown.balancer_wait, noCancellation);
-      callers.closeIdle();
+      callers.refuseNew();
       const leftMs = settings.shutdown.grace - closeMs - (clock.now() - startedAt);
       await waitUntilIdle(clock, log, () => callers.active, leftMs);
       closeHttp(callers.server).catch((err: unknown) => {
--- a/src/gateway/answer.ts
+++ b/src/gateway/answer.ts
@@ -39,6 +39,7 @@
 /** The answer to one caller. */
 export interface Answer {
   readonly isBegun: boolean;
+  /** The whole answer was handed over, or it was broken off on purpose. */
   readonly isOver: boolean;
   /** Status that the caller got, 0 before the head. */
   readonly status: number;
@@ -66,7 +67,7 @@
       return isBegun;
     },
     get isOver() {
-      return isOver || res.destroyed;
+      return isOver;
     },
     get status() {
       return isBegun ? res.statusCode : 0;
@@ -79,7 +80,8 @@
       if (length !== undefined) headers.push('Content-Length', length);
       res.writeHead(from.statusCode ?? 502, headers);
     },
-    write: (chunk) => res.write(chunk),
+    // A caller that left reads nothing; its answer must not wait for it.
+    write: (chunk) => res.destroyed || res.write(chunk),
     onDrain: (listener) => res.once('drain', listener),
     end() {
       if (isOver) return;
--- a/src/gateway/cacheindex.ts
+++ b/src/gateway/cacheindex.ts
@@ -17,7 +17,7 @@
  * Engines drop the least recently used parts. With the site's prompts one engine's memory turns
  * over in about 9 s, so an older use is taken as dropped.
  */
-const keptMs = 9_000;
+const keptMs = 15_000;
 
 /** Bound on the parts that are remembered; far above what one entry sends in `keptMs`. */
 const maxParts = 20_000;
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -38,11 +38,20 @@
   readonly token: CancellationToken;
 }
 
+/** Why a request went to its target, for the log. */
+export interface PlacementNote {
+  readonly weightsVersion: number | undefined;
+  readonly tokensToRead: number;
+  readonly fetchFrom: string | undefined;
+}
+
 /** Result of one request, for log and metrics. */
 export interface CallResult {
   readonly outcome: 'ok' | 'passed-failure' | 'broken' | 'left' | OwnAnswer;
   readonly attempts: number;
   readonly target: string | undefined;
+  /** Inputs of the last placement. */
+  readonly placement: PlacementNote | undefined;
   /** Time from the arrival to the first byte of the answer. */
   readonly firstByteMs: number | undefined;
 }
@@ -169,14 +178,19 @@
       let attempts = 0;
       let firstByteMs: number | undefined;
       let kept: KeptAnswer | undefined;
-      let last: Target | undefined;
+      let last: Placement | undefined;
       let cause: NotRunCause | string | undefined;
       budget.deposit();
 
       const result = (outcome: CallResult['outcome']): CallResult => ({
         outcome,
         attempts,
-        target: last?.id,
+        target: last?.target.id,
+        placement: last && {
+          weightsVersion: last.weightsVersion,
+          tokensToRead: last.tokensToRead,
+          fetchFrom: last.fetchFrom?.host,
+        },
         firstByteMs,
       });
 
@@ -212,7 +226,7 @@
           continue;
         }
         const { target } = placement;
-        last = target;
+        last = placement;
         attempts += 1;
         const attempt = start(call, placement, progress, () => {
           firstByteMs ??= clock.now() - arrivedAt;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -70,17 +70,20 @@
 /** Agent that closes kept connections on which something unasked arrives. */
 function createAgent(clock: Clock): Agent {
   const agent = new Agent({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64 });
+  const original = Agent.prototype as unknown as AgentHooks;
   const onUnasked = function onUnasked(this: Socket): void {
     this.destroy();
   };
   const hooks: AgentHooks = {
     keepSocketAlive(socket) {
+      if (!original.keepSocketAlive.call(agent, socket)) return false;
       const kept: KeptSocket = socket;
       kept[idleSince] = clock.now();
       kept.on('data', onUnasked);
       return true;
     },
-    reuseSocket(socket) {
+    reuseSocket(socket, req) {
+      original.reuseSocket.call(agent, socket, req);
       socket.off('data', onUnasked);
     },
   };
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -39,8 +39,8 @@
   readonly peers: Pick<Peers, 'outstanding'>;
   readonly dataCentre: string;
   service(name: string): ServiceSpec | undefined;
-  /** Version of a model's weights that the operator wants. */
-  wanted(model: string): number | undefined;
+  /** Version of a model's weights that the operator wants, and for how long. */
+  wanted(model: string): { readonly version: number; readonly ageMs: number } | undefined;
   /** True while the target changes its weights or is about to. */
   isChanging(target: Target): boolean;
   /** Called with each placement that an engine will cache. */
@@ -50,6 +50,12 @@
 /** Load words of targets older than this say nothing of the present. */
 const loadFreshMs = 300;
 
+/**
+ * An engine that still has older weights after this time is left out while others have the newer
+ * ones. Operators allow 10 s, and a roll-out over all engines takes 3 s.
+ */
+const overdueMs = 5_000;
+
 /**
  * Cache entries are shared within one version of the weights and, for isolated teams, within the
  * team. The version is part of the text, because stores keep what they got under an older one.
@@ -100,6 +106,8 @@
         };
       });
       const candidates = details.map(({ target, version, fetched, tokensToRead }): Candidate => {
+        const isOutdated =
+          wanted !== undefined && version !== undefined && version < wanted.version;
         const others = peers.outstanding(target.id);
         const own = target.outstanding;
         const fresh = target.loadAgeMs() < loadFreshMs ? target.load : undefined;
@@ -112,7 +120,8 @@
           isNear: target.entry.dataCentre === dataCentre,
           failureShare: reliability.failureShare(target),
           slowness: fresh?.slowness ?? 1,
-          isOutdated: wanted !== undefined && version !== undefined && version < wanted,
+          isOutdated,
+          isOverdue: isOutdated && wanted.ageMs > overdueMs,
           isChanging: options.isChanging(target),
         };
       });
--- a/src/gateway/scoring.ts
+++ b/src/gateway/scoring.ts
@@ -18,6 +18,8 @@
   readonly slowness: number;
   /** Serves an older version than the operator wants. */
   readonly isOutdated: boolean;
+  /** Serves an older version than the operator has wanted for a while. */
+  readonly isOverdue: boolean;
   /** Is about to change its weights, or does so now. */
   readonly isChanging: boolean;
 }
@@ -40,7 +42,7 @@
 const fetchedTokensPerMs = 600;
 
 /** A transfer takes the link of both engines, so a slightly longer wait at a holder is preferred. */
-const fetchMs = 10;
+const fetchMs = 60;
 
 /** Two more crossings of the network, and the price of bytes between data centres. */
 const farMs = 3;
@@ -76,15 +78,21 @@
   return workMs + moveMs + otherMs;
 }
 
-/** Index of the best candidate; those that change their weights only when there is no other. */
+/** What keeps a candidate out while there are others, from the worst to the least. */
+function obstacleOf({ isOverdue, isChanging }: Candidate): number {
+  if (isOverdue) return 2;
+  return isChanging ? 1 : 0;
+}
+
+/** Index of the best candidate among those with the least obstacle. */
 export function pickCandidate(
   candidates: readonly Candidate[],
   speeds: TargetSpeeds,
   random: Random,
 ): number | undefined {
-  const settled = candidates.some(({ isChanging }) => !isChanging);
+  const least = Math.min(...candidates.map(obstacleOf));
   const scores = candidates.map((candidate) =>
-    candidate.isChanging && settled ? Infinity : expectMs(candidate, speeds),
+    obstacleOf(candidate) > least ? Infinity : expectMs(candidate, speeds),
   );
   const best = Math.min(...scores);
   if (best === Infinity) return undefined;
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -16,10 +16,10 @@
   readonly server: Server;
   /** Requests that are being answered. */
   readonly active: number;
-  /** From now on every answer asks its caller to open a new connection. */
+  /** From now on every connection is closed after its answer. */
   closeAfterAnswers(): void;
-  /** Closes connections on which no request is being answered. */
-  closeIdle(): void;
+  /** Closes idle connections and refuses what still arrives. */
+  refuseNew(): void;
   /** Applies the limits of the newest configuration to connections. */
   setIdleTimeout(idleMs: number): void;
 }
@@ -80,10 +80,17 @@
   const { clock, random, log, protocol, dispatcher, routes, onResult } = options;
   let active = 0;
   let isClosing = false;
+  let isRefusing = false;
 
   const refuse = (answer: Answer, kind: OwnAnswer, retryAfterMs?: number): CallResult => {
     answer.own(kind, retryAfterMs);
-    return { outcome: kind, attempts: 0, target: undefined, firstByteMs: undefined };
+    return {
+      outcome: kind,
+      attempts: 0,
+      target: undefined,
+      placement: undefined,
+      firstByteMs: undefined,
+    };
   };
 
   const serve = async (
@@ -95,7 +102,7 @@
   ): Promise<CallResult> => {
     const arrivedAt = clock.now();
     const table = routes();
-    if (!table) return refuse(answer, 'not-ready', notReadyRetryMs);
+    if (!table || isRefusing) return refuse(answer, 'not-ready', notReadyRetryMs);
     const { configuration } = table;
     note.version = configuration.version;
     const admission = table.admit(req.headers.host ?? '', req.url ?? '/', head.credential);
@@ -142,6 +149,10 @@
     const answer = createAnswer(res, protocol, head.requestId);
     const note = { route: '', team: '', version: -1 };
     if (isClosing) res.shouldKeepAlive = false;
+    res.on('finish', () => {
+      // An answer that began before the shutdown did not announce that its connection closes.
+      if (isClosing) req.socket.end();
+    });
     res.on('error', (err) => {
       log.debug({ requestId: head.requestId, err: errMessage(err) }, 'answer was not written');
     });
@@ -165,6 +176,7 @@
             outcome: result.outcome,
             status,
             target: result.target,
+            ...result.placement,
             attempts: result.attempts,
             firstByteMs: result.firstByteMs && Math.round(result.firstByteMs),
             durationMs: Math.round(durationMs),
@@ -190,7 +202,10 @@
     closeAfterAnswers() {
       isClosing = true;
     },
-    closeIdle: () => server.closeIdleConnections(),
+    refuseNew() {
+      isRefusing = true;
+      server.closeIdleConnections();
+    },
     setIdleTimeout(idleMs) {
       server.keepAliveTimeout = idleMs;
     },
--- a/src/orders/claim.ts
+++ b/src/orders/claim.ts
@@ -22,7 +22,7 @@
   readonly key: string;
   /** True while the row names this process. */
   readonly isHolder: boolean;
-  /** Time since the row last changed, as far as this process saw it. */
+  /** Time since the row last changed, as far as this process saw it; Infinity without a row. */
   unchangedMs(): number;
   /**
    * Returns the fencing number if this process may give an order now, at most `orderWithinMs`
@@ -128,7 +128,7 @@
     get isHolder() {
       return row?.holder === holder;
     },
-    unchangedMs: () => clock.now() - seenAt,
+    unchangedMs: () => (row ? clock.now() - seenAt : Infinity),
     observe,
     async take(token) {
       try {
--- a/src/orders/weightsplan.ts
+++ b/src/orders/weightsplan.ts
@@ -18,7 +18,7 @@
 export type EngineStep =
   | { readonly kind: 'serving' }
   | { readonly kind: 'draining'; readonly sinceMs: number }
-  | { readonly kind: 'loading'; readonly sinceMs: number };
+  | { readonly kind: 'loading'; readonly sinceMs: number; readonly sinceCheckMs: number };
 
 /** One thing to do now. */
 export type PlanAction =
@@ -47,6 +47,9 @@
 /** Time into a load before its end is asked for. */
 const checkAfterMs = 600;
 
+/** Time between two questions; the answers lag by some hundred milliseconds anyway. */
+const checkIntervalMs = 80;
+
 /** Decides what to do next for one model; an engine appears in at most one action. */
 export function planWeights(
   engines: readonly PlannedEngine[],
@@ -63,8 +66,10 @@
     if (step.sinceMs >= drainAheadMs) nearlyDone += 1;
   }
   for (const { id, step, runs } of engines) {
-    if (step.kind === 'loading' && step.sinceMs >= checkAfterMs)
-      actions.push({ kind: 'check', id });
+    if (step.kind === 'loading') {
+      const isDue = step.sinceMs >= checkAfterMs && step.sinceCheckMs >= checkIntervalMs;
+      if (isDue) actions.push({ kind: 'check', id });
+    }
     if (step.kind !== 'draining' || loading >= maxLoads) continue;
     const isEmpty = runs <= fewRuns;
     if (!isEmpty && step.sinceMs < maxDrainMs) continue;
--- a/src/orders/weightsrollout.ts
+++ b/src/orders/weightsrollout.ts
@@ -67,6 +67,7 @@
   version: number;
   step: 'draining' | 'loading';
   since: number;
+  checkedAt: number;
   isAsked: boolean;
 }
 
@@ -84,7 +85,11 @@
   const stepOf = (id: string): EngineStep => {
     const change = changes.get(id);
     if (!change) return { kind: 'serving' };
-    return { kind: change.step, sinceMs: clock.now() - change.since };
+    const { step, since, checkedAt } = change;
+    const sinceMs = clock.now() - since;
+    return step === 'draining'
+      ? { kind: 'draining', sinceMs }
+      : { kind: 'loading', sinceMs, sinceCheckMs: clock.now() - checkedAt };
   };
 
   const finish = (id: string, reason: string): void => {
@@ -151,6 +156,7 @@
     token: CancellationToken,
   ): Promise<void> => {
     const { id, address } = engine;
+    change.checkedAt = clock.now();
     try {
       const report = await control.report(address, id, token);
       const version = report.weights.get(change.model);
@@ -197,6 +203,7 @@
           version: wanted,
           step: 'draining',
           since: clock.now(),
+          checkedAt: -Infinity,
           isAsked: false,
         });
         tellChanging();
@@ -230,9 +237,10 @@
     return false;
   };
 
-  /** The last holder begins at once; the others leave it a head start. */
+  /** The last holder begins at once; the others leave it a head start, if there is one. */
   const mayAct = (): boolean => {
     if (claim.isHolder || changes.size > 0) return true;
+    if (claim.unchangedMs() === Infinity) return true;
     const sinceMs = Math.min(claim.unchangedMs(), site.sincePeerChangeMs());
     const waitedMs = outdatedSince === undefined ? 0 : clock.now() - outdatedSince;
     return sinceMs > holderHeadStartMs && waitedMs > holderHeadStartMs;
