Test a silent target by a connection before a request moves on

Ruled out: the drain of the entry, which still had 6 s.

Change: silence leads to a connection test; only a target that refuses it, or that hangs for 2.5 objectives, is given up.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,5 +1,6 @@
 import { type IncomingMessage } from 'node:http';
 import { type Clock } from '../base/clock.js';
+import { errMessage } from '../base/errors.js';
 import { type Disposable } from '../base/lifecycle.js';
 import { type TargetHead, type WireProtocol } from '../ports/wire.js';
 import { type Answer } from './answer.js';
@@ -48,8 +49,10 @@
   readonly progress: Progress;
   /** Time until the caller's deadline or the route's timeout, in milliseconds. */
   readonly remainingMs: number;
-  /** Silence of the target, towards all requests, after which a repeatable request moves on. */
+  /** Silence after which a connection tests whether the target is there at all. */
   readonly silenceMs: number;
+  /** Silence after which a repeatable request moves on although the target is there. */
+  readonly hangMs: number;
   /** Prompt tokens that the target is expected to read. */
   readonly tokens: number;
   onHead(head: TargetHead): void;
@@ -66,6 +69,9 @@
 /** Part of a plain answer that is kept back until it is known to be whole. */
 const maxHeldBytes = 262_144;
 
+/** Least time between two looks at a silent target. */
+const minCheckMs = 150;
+
 const notRunStatuses: Readonly<Record<number, NotRunCause>> = {
   421: 'misdirected',
   429: 'full',
@@ -198,16 +204,33 @@
     else fail(err.message);
   };
 
-  /** Gives up a repeatable request at a target from which nothing has come for a while. */
-  const checkSilence = (): void => {
+  /**
+   * Gives up a repeatable request at a target that is gone or hangs. A target that loads weights or
+   * reads a long prompt is silent too, so silence alone says nothing while it accepts connections.
+   */
+  const checkSilence = async (): Promise<void> => {
+    const silentMs = clock.now() - heardAt;
+    if (silentMs >= options.hangMs) {
+      fail(`no byte came for ${Math.round(silentMs)} ms`);
+      return;
+    }
+    const isSilent = silentMs >= options.silenceMs;
+    const isHeard = target.connections.silentMs() < options.silenceMs;
+    if (isSilent && !isHeard && !(await target.connections.probe())) {
+      fail('target accepts no connections');
+      return;
+    }
     if (isEnded) return;
-    const silentMs = Math.min(clock.now() - heardAt, target.connections.silentMs());
-    if (silentMs >= options.silenceMs) fail(`target was silent for ${Math.round(silentMs)} ms`);
-    else timers.push(clock.setTimer(options.silenceMs - silentMs + 1, checkSilence));
+    const waitMs = Math.max(minCheckMs, options.silenceMs - (clock.now() - heardAt));
+    timers.push(clock.setTimer(waitMs, scheduleCheck));
   };
 
+  function scheduleCheck(): void {
+    checkSilence().catch((err: unknown) => fail(errMessage(err)));
+  }
+
   timers.push(clock.setTimer(options.remainingMs, () => fail('time is over')));
-  if (options.isRepeatable) timers.push(clock.setTimer(options.silenceMs, checkSilence));
+  if (options.isRepeatable) timers.push(clock.setTimer(options.silenceMs, scheduleCheck));
   exchange.current = target.connections.start(options.request, {
     onHead,
     onData,
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -83,14 +83,17 @@
 /** Share of the route's objective for which a request waits for a usable target. */
 const waitShare = 0.5;
 
+/** Silence that is worth a connection test; most first bytes and all pauses come sooner. */
+const silenceMs = 300;
+
 /**
- * Silence after which a repeatable request moves on, as a share of the objective: the rest is left
- * for the other target.
+ * Silence after which a repeatable request moves on although its target accepts connections, as a
+ * multiple of the route's objective. Callers of streams give up after four times the objective.
  */
-const silenceShare = 0.6;
+const hangObjectives = 2.5;
 
-/** Pauses in a stream are several times the usual time between events before they mean a fault. */
-const minSilenceMs = 250;
+/** A load of weights makes an engine silent for 0.8 s, which is no reason to move on. */
+const minHangMs = 1_000;
 
 /** Time that callers are told to wait; spread, so that they do not return together. */
 const minRetryAfterMs = 150;
@@ -142,7 +145,10 @@
       answer: call.answer,
       progress,
       remainingMs: remainingMs(call),
-      silenceMs: Math.max(minSilenceMs, route.objectiveMs * silenceShare, route.maxPauseMs),
+      silenceMs,
+      hangMs: isStream
+        ? Math.max(minHangMs, route.objectiveMs * hangObjectives)
+        : route.objectiveMs * hangObjectives,
       tokens: placement.tokensToRead,
       onHead({ load, weightsVersion }) {
         if (load) target.observeLoad(load);
