Model the engines' prompt caches and keep shared parts in the store of KV cache

Cause: parts were taken as kept for a fixed time.

Change: one least-recently-used model for each engine and store, fed by all entries through hints; requests whose shared parts the store lacks save them there; a target fetches from the nearest holder.

--- a/src/base/address.ts
+++ b/src/base/address.ts
@@ -14,3 +14,8 @@
   if (!host.includes(':') && host.split('.').some((part) => Number(part) > 255)) return undefined;
   return { host, port };
 }
+
+/** Formats an address as {@link parseHostPort} reads it. */
+export function formatHostPort({ host, port }: HostPort): string {
+  return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+}
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -7,11 +7,12 @@
 import { type Logger } from '../base/logging.js';
 import { systemRandom } from '../base/random.js';
 import { type RowChange, type TableWatch, watchTable } from '../configuration/watch.js';
-import { createCacheIndex } from '../gateway/cacheindex.js';
+import { createCacheModel } from '../gateway/cachemodel.js';
 import { createDispatcher } from '../gateway/dispatcher.js';
 import { createTargetReliability } from '../gateway/health.js';
+import { createKvStores } from '../gateway/kvstores.js';
 import { createPeers } from '../gateway/peers.js';
-import { createPlacer } from '../gateway/placement.js';
+import { createPlacer, recordUse } from '../gateway/placement.js';
 import { createRepeatBudget } from '../gateway/repeats.js';
 import { createRouteTable, type RouteTable } from '../gateway/routes.js';
 import { createGatewayServer } from '../gateway/server.js';
@@ -76,14 +77,16 @@
   /** When a wanted version was first seen; missing for those that were there at the start. */
   const wantedSince = new Map<string, number>();
   const watches: { operator?: TableWatch; targets?: TableWatch } = {};
+  const cache = createCacheModel(clock);
   const directory = createTargetDirectory({
     clock,
     log,
     decoder,
     sinceStoreFailureMs: () => watches.targets?.sinceFailureMs() ?? Infinity,
+    onEmptied: (id) => cache.forget(id),
   });
   const reliability = createTargetReliability({ clock, log, token: lifetime.token });
-  const cache = createCacheIndex(clock);
+  const stores = resources.add(createKvStores({ clock, log, cache }));
 
   const peers = resources.add(
     createPeers({
@@ -92,7 +95,7 @@
       instance,
       bind: settings.listen.peers,
       own: () => directory.all.map(({ id, outstanding }) => [id, outstanding] as const),
-      onUse: ({ salt, partIds, targetId }) => cache.record(salt, partIds, targetId),
+      onUse: (use) => recordUse(cache, use),
       onWeights: ({ targetId, model, version }) => {
         directory.find(targetId)?.observeWeights(model, version);
       },
@@ -146,6 +149,7 @@
     directory,
     reliability,
     cache,
+    stores,
     peers,
     dataCentre,
     service: (name) => routes?.configuration.services.find((spec) => spec.name === name),
@@ -202,6 +206,14 @@
     token: lifetime.token,
   });
 
+  /** Tells the cache model how much the engines hold, by the specification of their service. */
+  const setCapacities = (): void => {
+    for (const { id, entry } of directory.all) {
+      const spec = routes?.configuration.services.find(({ name }) => name === entry.service);
+      if (spec?.engine) cache.setCapacity(id, spec.engine.kvTokens);
+    }
+  };
+
   const onOperatorRows = ({ rows, isSnapshot }: RowChange): void => {
     for (const { key, value } of rows) {
       if (value === undefined) continue;
@@ -210,6 +222,8 @@
       if (configuration && configuration.version > (routes?.configuration.version ?? -1)) {
         routes = createRouteTable(configuration);
         callers.setIdleTimeout(configuration.limits.idleTimeoutMs);
+        stores.configure(configuration.kvStores);
+        setCapacities();
         log.info(
           { version: configuration.version, routes: configuration.routes.length },
           'configuration is in force',
@@ -255,7 +269,10 @@
     );
   watches.operator = watch(decoder.configurationTable, siteWaitMs, 0, onOperatorRows);
   resources.add(directory.onChange(() => rollout.wake()));
-  watches.targets = watch(decoder.targetTable, siteWaitMs, targetPauseMs, directory.apply);
+  watches.targets = watch(decoder.targetTable, siteWaitMs, targetPauseMs, (change) => {
+    directory.apply(change);
+    setCapacities();
+  });
   watch(store.ownTable, ownWaitMs, 0, onOwnRows);
 
   const callersAddress = await listenHttp(callers.server, settings.listen.callers);
--- /dev/null
+++ b/src/gateway/cachemodel.ts
@@ -0,0 +1,111 @@
+import { type Clock } from '../base/clock.js';
+import { type PromptPart } from '../ports/wire.js';
+
+/**
+ * Models the prompt caches of engines and stores by the requests that all entries sent there. The
+ * holders drop the least recently used parts, so a model with their capacity knows what is left
+ * without asking them.
+ */
+export interface CacheModel {
+  /** Sets the capacity of a holder in tokens; it keeps what it has. */
+  setCapacity(holder: string, tokens: number): void;
+  /** Records that a holder reads or receives these parts, in this order. */
+  use(holder: string, salt: string, parts: readonly PromptPart[]): void;
+  /** Leading tokens of a prompt that a holder has, or will have once it has read what it got. */
+  cachedTokens(holder: string, salt: string, parts: readonly PromptPart[]): number;
+  /** Leading tokens that a holder can already send to another one. */
+  sendableTokens(holder: string, salt: string, parts: readonly PromptPart[]): number;
+  /** Forgets a holder whose memory is empty. */
+  forget(holder: string): void;
+}
+
+interface Entry {
+  readonly tokens: number;
+  /** When the part was first sent to the holder. */
+  readonly addedAt: number;
+}
+
+interface Holder {
+  capacity: number;
+  tokens: number;
+  /** In the order of the last use, the oldest first. */
+  readonly entries: Map<string, Entry>;
+}
+
+/** Capacity of a holder whose own is not known yet. */
+const defaultCapacity = 100_000;
+
+/**
+ * Part of the memory that holds finished prompts; the rest belongs to running requests and to the
+ * tokens that they make.
+ */
+const cachePart = 0.85;
+
+/** A prompt is read within this time of its arrival unless the engine is crowded. */
+const readMs = 200;
+
+export function createCacheModel(clock: Clock): CacheModel {
+  const holders = new Map<string, Holder>();
+
+  const holderOf = (name: string): Holder => {
+    const known = holders.get(name);
+    if (known) return known;
+    const holder = { capacity: defaultCapacity * cachePart, tokens: 0, entries: new Map() };
+    holders.set(name, holder);
+    return holder;
+  };
+
+  const keyOf = (salt: string, partId: string): string => `${salt}/${partId}`;
+
+  const trim = (holder: Holder): void => {
+    for (const [key, { tokens }] of holder.entries) {
+      if (holder.tokens <= holder.capacity) return;
+      holder.entries.delete(key);
+      holder.tokens -= tokens;
+    }
+  };
+
+  const leadingTokens = (
+    name: string,
+    salt: string,
+    parts: readonly PromptPart[],
+    addedBefore: number,
+  ): number => {
+    const entries = holders.get(name)?.entries;
+    let total = 0;
+    for (const { id, tokens } of parts) {
+      const entry = entries?.get(keyOf(salt, id));
+      if (!entry || entry.addedAt > addedBefore) break;
+      total += tokens;
+    }
+    return total;
+  };
+
+  return {
+    setCapacity(name, tokens) {
+      const holder = holderOf(name);
+      holder.capacity = tokens * cachePart;
+      trim(holder);
+    },
+    use(name, salt, parts) {
+      const holder = holderOf(name);
+      for (const { id, tokens } of parts) {
+        const key = keyOf(salt, id);
+        const known = holder.entries.get(key);
+        // Inserted again, so that the map keeps the order of the last uses.
+        if (known) holder.entries.delete(key);
+        else holder.tokens += tokens;
+        holder.entries.set(key, known ?? { tokens, addedAt: clock.now() });
+      }
+      trim(holder);
+    },
+    cachedTokens: (name, salt, parts) => leadingTokens(name, salt, parts, Infinity),
+    sendableTokens: (name, salt, parts) => leadingTokens(name, salt, parts, clock.now() - readMs),
+    forget(name) {
+      const holder = holders.get(name);
+      if (!holder) return;
+      holder.entries.clear();
+      holder.tokens = 0;
+    },
+  };
+}
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -130,6 +130,7 @@
         priority: isStream ? (team?.priority ?? route.priority) : undefined,
         weightsVersion: placement.weightsVersion,
         fetchFrom: placement.fetchFrom,
+        saveTo: placement.saveTo,
         resumeAfter: progress.lastEventId,
       },
       call.body?.length ?? 0,
--- /dev/null
+++ b/src/gateway/kvstores.ts
@@ -0,0 +1,96 @@
+import { type HostPort, parseHostPort } from '../base/address.js';
+import { type Clock } from '../base/clock.js';
+import { errMessage } from '../base/errors.js';
+import { type Disposable } from '../base/lifecycle.js';
+import { type Logger } from '../base/logging.js';
+import { type KvStoreSpec } from '../ports/site.js';
+import { type CacheModel } from './cachemodel.js';
+import { createConnections } from './exchange.js';
+
+/** A store of KV cache that is there. */
+export interface KvStore {
+  /** Name under which the cache model knows it. */
+  readonly holder: string;
+  readonly address: HostPort;
+  readonly dataCentre: string;
+}
+
+/** Stores of KV cache. No list names the live ones, so they are tested while they are used. */
+export interface KvStores extends Disposable {
+  /** Stores that accepted the last connection. */
+  readonly live: readonly KvStore[];
+  configure(specs: readonly KvStoreSpec[]): void;
+  /** Says that a request is about to use a store. */
+  touch(): void;
+}
+
+export interface KvStoresOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly cache: CacheModel;
+}
+
+/**
+ * Time between two tests of a store in use. A fetch from a dead store costs a request some hundred
+ * milliseconds, and a store that is down stays so for seconds.
+ */
+const testIntervalMs = 1_000;
+
+interface Known extends KvStore {
+  isUp: boolean;
+  readonly connections: ReturnType<typeof createConnections>;
+}
+
+export function createKvStores({ clock, log, cache }: KvStoresOptions): KvStores {
+  let stores: readonly Known[] = [];
+  let live: readonly KvStore[] = [];
+  let testedAt = -Infinity;
+  let isDisposed = false;
+
+  const rebuild = (): void => {
+    live = stores.filter(({ isUp }) => isUp);
+  };
+
+  const test = async (store: Known): Promise<void> => {
+    const isUp = await store.connections.probe();
+    if (isUp === store.isUp || isDisposed) return;
+    store.isUp = isUp;
+    // A store comes back empty.
+    cache.forget(store.holder);
+    log.info({ store: store.holder, isUp }, 'store of KV cache changed its state');
+    rebuild();
+  };
+
+  return {
+    get live() {
+      return live;
+    },
+    configure(specs) {
+      const known = new Map(stores.map((store) => [store.holder, store]));
+      const next: Known[] = [];
+      for (const { address: text, dataCentre, kvTokens } of specs) {
+        const address = parseHostPort(text);
+        if (!address) continue;
+        cache.setCapacity(text, kvTokens);
+        const connections = createConnections(clock, address);
+        const fresh = { holder: text, address, dataCentre, isUp: true, connections };
+        next.push(known.get(text) ?? fresh);
+      }
+      stores = next;
+      rebuild();
+    },
+    touch() {
+      if (clock.now() - testedAt < testIntervalMs) return;
+      testedAt = clock.now();
+      for (const store of stores) {
+        test(store).catch((err: unknown) => {
+          log.debug({ store: store.holder, err: errMessage(err) }, 'store was not tested');
+        });
+      }
+    },
+    dispose() {
+      isDisposed = true;
+      for (const { connections } of stores) connections.dispose();
+    },
+  };
+}
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -4,13 +4,16 @@
 import { errMessage } from '../base/errors.js';
 import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
+import { type PromptPart } from '../ports/wire.js';
 import { type Outstanding } from './targets.js';
 
 /** One placement, told so that peers know which engine keeps the parts. */
 export interface CacheUse {
   readonly salt: string;
-  readonly partIds: readonly string[];
+  readonly parts: readonly PromptPart[];
   readonly targetId: string;
+  /** Store that receives the parts too. */
+  readonly store: string | undefined;
 }
 
 /** New weights that a peer saw at a target. */
@@ -82,8 +85,8 @@
   readonly o: readonly (readonly [string, number, number])[];
   /** Targets that change their weights. */
   readonly c: readonly string[];
-  /** Salt, target, parts. */
-  readonly u: readonly (readonly [string, string, readonly string[]])[];
+  /** Salt, target, store or an empty text, and the parts with their tokens. */
+  readonly u: readonly (readonly [string, string, string, readonly (string | number)[]])[];
   /** Target, model, version. */
   readonly w: readonly (readonly [string, string, number])[];
 }
@@ -104,6 +107,14 @@
   return [hint.o, hint.c, hint.u, hint.w].every((list) => Array.isArray(list));
 };
 
+function readParts(flat: readonly (string | number)[]): readonly PromptPart[] {
+  const parts: PromptPart[] = [];
+  for (let index = 0; index + 1 < flat.length; index += 2) {
+    parts.push({ id: String(flat[index]), tokens: Number(flat[index + 1]) });
+  }
+  return parts;
+}
+
 export function createPeers(options: PeersOptions): Peers {
   const { clock, log, instance, bind, own, onUse, onWeights } = options;
   const run = clock.wallTime();
@@ -129,7 +140,14 @@
       b: run,
       o: counts.map(([id, { runs, tokens }]) => [id, runs, tokens]),
       c: changing,
-      u: uses.slice(0, maxUses).map(({ salt, targetId, partIds }) => [salt, targetId, partIds]),
+      u: uses
+        .slice(0, maxUses)
+        .map((use) => [
+          use.salt,
+          use.targetId,
+          use.store ?? '',
+          use.parts.flatMap(({ id, tokens }) => [id, tokens]),
+        ]),
       w: weights.map(({ targetId, model, version }) => [targetId, model, version]),
     };
     uses = uses.slice(maxUses, 4 * maxUses);
@@ -163,7 +181,9 @@
       changing: new Set(hint.c),
       changingAt: hint.c.length > 0 ? clock.now() : (known?.changingAt ?? -Infinity),
     });
-    for (const [salt, targetId, partIds] of hint.u) onUse({ salt, targetId, partIds });
+    for (const [salt, targetId, store, flat] of hint.u) {
+      onUse({ salt, targetId, store: store || undefined, parts: readParts(flat) });
+    }
     for (const [targetId, model, version] of hint.w) onWeights({ targetId, model, version });
   };
 
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,9 +1,10 @@
 import { type HostPort } from '../base/address.js';
 import { type Random } from '../base/random.js';
 import { type ServiceSpec, type TeamSpec } from '../ports/site.js';
-import { type CallerHead } from '../ports/wire.js';
-import { type CacheIndex } from './cacheindex.js';
+import { type CallerHead, type PromptPart } from '../ports/wire.js';
+import { type CacheModel } from './cachemodel.js';
 import { type TargetReliability } from './health.js';
+import { type KvStore, type KvStores } from './kvstores.js';
 import { type CacheUse, type Peers } from './peers.js';
 import { type Candidate, engineSpeeds, pickCandidate, serviceSpeeds } from './scoring.js';
 import { type Target, type TargetDirectory } from './targets.js';
@@ -14,6 +15,7 @@
   readonly salt: string | undefined;
   readonly weightsVersion: number | undefined;
   readonly fetchFrom: HostPort | undefined;
+  readonly saveTo: HostPort | undefined;
   /** Prompt tokens that the target has to read. */
   readonly tokensToRead: number;
 }
@@ -35,7 +37,8 @@
   readonly random: Random;
   readonly directory: TargetDirectory;
   readonly reliability: TargetReliability;
-  readonly cache: CacheIndex;
+  readonly cache: CacheModel;
+  readonly stores: KvStores;
   readonly peers: Pick<Peers, 'outstanding'>;
   readonly dataCentre: string;
   service(name: string): ServiceSpec | undefined;
@@ -50,6 +53,33 @@
 /** Load words of targets older than this say nothing of the present. */
 const loadFreshMs = 300;
 
+/** Fewer tokens are read faster than they are fetched. */
+const minFetchTokens = 500;
+
+/** Shared parts with fewer tokens are not worth their place in a store. */
+const minSaveTokens = 1_000;
+
+/** Transfers between data centres take twice as long. */
+const farSlowness = 2;
+
+/** A store's link has a quarter of the speed of an engine's and serves all engines. */
+const storeSlowness = 8;
+
+/** Where a prompt's parts can be fetched from. */
+interface Source {
+  readonly tokens: number;
+  readonly slowness: number;
+  readonly address: HostPort | undefined;
+}
+
+const noSource: Source = { tokens: 0, slowness: 1, address: undefined };
+
+function tokensOf(parts: readonly PromptPart[]): number {
+  let total = 0;
+  for (const { tokens } of parts) total += tokens;
+  return total;
+}
+
 /**
  * An engine that still has older weights after this time is left out while others have the newer
  * ones. Operators allow 10 s, and a roll-out over all engines takes 3 s.
@@ -64,19 +94,44 @@
   return team?.isIsolated ? `v${version}.team.${team.name}` : `v${version}`;
 }
 
+/** Enters a placement into the model of the caches. */
+export function recordUse(cache: CacheModel, use: CacheUse): void {
+  cache.use(use.targetId, use.salt, use.parts);
+  if (use.store !== undefined) cache.use(use.store, use.salt, use.parts);
+}
+
 export function createPlacer(options: PlacerOptions): Placer {
-  const { random, directory, reliability, cache, peers, dataCentre } = options;
-
-  /** Fetches from an engine that read the deepest shared part under the same salt. */
-  const findSource = (salt: string, head: CallerHead, target: Target): Target | undefined => {
-    for (const { id } of [...head.parts].reverse()) {
-      for (const holder of cache.holders(salt, id)) {
-        const source = directory.find(holder);
-        if (!source || source === target || reliability.isDown(source)) continue;
-        return source;
-      }
+  const { random, directory, reliability, cache, stores, peers, dataCentre } = options;
+
+  /** Finds where the target gets the parts that it lacks itself. */
+  const findSource = (salt: string, head: CallerHead, target: Target, own: number): Source => {
+    let best = noSource;
+    const consider = (holder: string, address: HostPort, slowness: number): void => {
+      const tokens = cache.sendableTokens(holder, salt, head.parts) - own;
+      if (tokens < minFetchTokens || tokens < best.tokens) return;
+      if (tokens === best.tokens && slowness >= best.slowness) return;
+      best = { tokens, slowness, address };
+    };
+    for (const engine of directory.usable(target.entry.service)) {
+      if (engine === target || reliability.isDown(engine)) continue;
+      const isNear = engine.entry.dataCentre === target.entry.dataCentre;
+      consider(engine.id, engine.entry.address, isNear ? 1 : farSlowness);
     }
-    return undefined;
+    for (const store of stores.live) {
+      const isNear = store.dataCentre === target.entry.dataCentre;
+      consider(store.holder, store.address, storeSlowness * (isNear ? 1 : farSlowness));
+    }
+    return best;
+  };
+
+  /** A store that lacks the shared parts; the last part is the request's own. */
+  const findSaveTarget = (salt: string, { parts }: CallerHead): KvStore | undefined => {
+    const shared = parts.slice(0, -1);
+    const sharedTokens = tokensOf(shared);
+    if (sharedTokens < minSaveTokens) return undefined;
+    const [store] = stores.live;
+    if (!store) return undefined;
+    return cache.cachedTokens(store.holder, salt, shared) < sharedTokens ? store : undefined;
   };
 
   return {
@@ -91,21 +146,15 @@
       const details = targets.map((target) => {
         const version = isEngine ? target.weightsVersion(head.model as string) : undefined;
         const salt = version === undefined ? undefined : saltOf(version, team);
-        const cached = salt === undefined ? 0 : cache.cachedTokens(salt, head.parts, target.id);
-        const source = salt === undefined ? undefined : findSource(salt, head, target);
-        const held = source && salt ? cache.cachedTokens(salt, head.parts, source.id) : 0;
-        const fetched = Math.max(0, held - cached);
-        const tokensToRead = Math.max(0, head.promptTokens - cached - fetched);
-        return {
-          target,
-          version,
-          salt,
-          source: fetched > 0 ? source : undefined,
-          fetched,
-          tokensToRead,
-        };
+        if (salt === undefined) {
+          return { target, version, salt, source: noSource, tokensToRead: head.promptTokens };
+        }
+        const cached = cache.cachedTokens(target.id, salt, head.parts);
+        const source = findSource(salt, head, target, cached);
+        const tokensToRead = Math.max(0, head.promptTokens - cached - source.tokens);
+        return { target, version, salt, source, tokensToRead };
       });
-      const candidates = details.map(({ target, version, fetched, tokensToRead }): Candidate => {
+      const candidates = details.map(({ target, version, source, tokensToRead }): Candidate => {
         const isOutdated =
           wanted !== undefined && version !== undefined && version < wanted.version;
         const others = peers.outstanding(target.id);
@@ -116,7 +165,8 @@
           waitingTokens: own.tokens + others.tokens,
           slots: target.entry.slots,
           tokensToRead,
-          tokensToFetch: fetched,
+          tokensToFetch: source.tokens,
+          fetchSlowness: source.slowness,
           isNear: target.entry.dataCentre === dataCentre,
           failureShare: reliability.failureShare(target),
           slowness: fresh?.slowness ?? 1,
@@ -129,16 +179,20 @@
       const chosen = index === undefined ? undefined : details[index];
       if (!chosen) return undefined;
       const { target, salt, version, source, tokensToRead } = chosen;
+      let saveTo: KvStore | undefined;
       if (salt !== undefined && head.parts.length > 0) {
-        const partIds = head.parts.map(({ id }) => id);
-        cache.record(salt, partIds, target.id);
-        options.onUse({ salt, partIds, targetId: target.id });
+        saveTo = findSaveTarget(salt, head);
+        if (saveTo || source.address) stores.touch();
+        const use = { salt, parts: head.parts, targetId: target.id, store: saveTo?.holder };
+        recordUse(cache, use);
+        options.onUse(use);
       }
       return {
         target,
         salt,
         weightsVersion: version,
-        fetchFrom: source?.entry.address,
+        fetchFrom: source.address,
+        saveTo: saveTo?.address,
         tokensToRead: isEngine ? tokensToRead : 0,
       };
     },
--- a/src/gateway/scoring.ts
+++ b/src/gateway/scoring.ts
@@ -9,8 +9,10 @@
   readonly slots: number;
   /** Tokens of this prompt that the target has to read itself. */
   readonly tokensToRead: number;
-  /** Tokens of this prompt that the target fetches from another engine. */
+  /** Tokens of this prompt that the target fetches from elsewhere. */
   readonly tokensToFetch: number;
+  /** Speed of the source relative to an engine in the same data centre. */
+  readonly fetchSlowness: number;
   readonly isNear: boolean;
   /** Recent share of failed requests, from 0 to 1. */
   readonly failureShare: number;
@@ -38,11 +40,14 @@
 /** Time of a call of a plain service, from the operators' sheet of the site. */
 export const serviceSpeeds: TargetSpeeds = { baseMs: 43, tokensPerMs: Infinity };
 
-/** Tokens that an engine fetches in a millisecond: 130 Gbit/s at 18 KB a token, and some latency. */
-const fetchedTokensPerMs = 600;
+/**
+ * A transfer takes the links of both sides and makes a copy that pushes other parts out, so some
+ * wait at an engine that has the parts is preferred.
+ */
+const fetchMs = 40;
 
-/** A transfer takes the link of both engines, so a slightly longer wait at a holder is preferred. */
-const fetchMs = 60;
+/** Tokens that an engine fetches in a millisecond, at 130 Gbit/s and 18 KB a token. */
+const fetchedTokensPerMs = 880;
 
 /** Two more crossings of the network, and the price of bytes between data centres. */
 const farMs = 3;
@@ -70,7 +75,8 @@
   const queued = Math.max(0, runs + 1 - slots) / Math.max(1, slots);
   const crowdMs = speeds.tokensPerMs === Infinity ? runs * farMs : runs * perRunMs;
   const workMs = (speeds.baseMs * (1 + queued) + readMs + crowdMs) * Math.max(1, slowness);
-  const moveMs = tokensToFetch > 0 ? fetchMs + tokensToFetch / fetchedTokensPerMs : 0;
+  const transferMs = (tokensToFetch / fetchedTokensPerMs) * candidate.fetchSlowness;
+  const moveMs = tokensToFetch > 0 ? fetchMs + transferMs : 0;
   const otherMs =
     (candidate.isNear ? 0 : farMs) +
     (candidate.isOutdated ? outdatedMs : 0) +
--- a/src/gateway/targets.ts
+++ b/src/gateway/targets.ts
@@ -55,6 +55,8 @@
   readonly decoder: SiteDecoder;
   /** Time since a call to the store last failed; entries lapse while the store is away. */
   sinceStoreFailureMs(): number;
+  /** Called when a target is gone or has new weights, so that its memory is empty. */
+  onEmptied(id: string): void;
 }
 
 /**
@@ -130,7 +132,10 @@
       for (const [model, version] of next.weights) {
         const known = weights.get(model);
         const isOld = !known || clock.now() - known.at > entryLagMs;
-        if (isOld || version > known.version) weights.set(model, { version, at: -Infinity });
+        if (known?.version === version) continue;
+        if (!isOld && version < known.version) continue;
+        weights.set(model, { version, at: -Infinity });
+        onWeightsChange();
       }
     },
   };
@@ -143,7 +148,7 @@
 
 /** Keeps the list of targets by the entries that they write. */
 export function createTargetDirectory(options: TargetDirectoryOptions): TargetDirectory {
-  const { clock, log, decoder, sinceStoreFailureMs } = options;
+  const { clock, log, decoder, sinceStoreFailureMs, onEmptied } = options;
   const targets = new Map<string, ListedTarget>();
   const lapsing = new Map<string, Disposable>();
   const listeners = new Set<() => void>();
@@ -166,11 +171,17 @@
     notify();
   };
 
+  const onWeightsChange = (id: string): void => {
+    onEmptied(id);
+    notify();
+  };
+
   const drop = (id: string, reason: string): void => {
     const target = targets.get(id);
     if (!target) return;
     targets.delete(id);
     target.close();
+    onEmptied(id);
     log.info({ target: id, service: target.entry.service, reason }, 'target is gone');
   };
 
@@ -211,7 +222,10 @@
       return;
     }
     if (known) drop(id, 'it started again');
-    targets.set(id, createTarget(clock, entry, notify));
+    targets.set(
+      id,
+      createTarget(clock, entry, () => onWeightsChange(id)),
+    );
     const { service, dataCentre, isLeaving } = entry;
     log.info({ target: id, service, dataCentre, isLeaving }, 'target is listed');
   };
--- a/src/ports/site.ts
+++ b/src/ports/site.ts
@@ -57,6 +57,8 @@
   readonly name: string;
   readonly address: string;
   readonly dataCentre: string;
+  /** Tokens that it holds. */
+  readonly kvTokens: number;
 }
 
 /** A team and its keys. */
--- a/src/ports/wire.ts
+++ b/src/ports/wire.ts
@@ -38,6 +38,8 @@
   readonly weightsVersion?: number | undefined;
   /** Engine or store that keeps parts of the prompt. */
   readonly fetchFrom?: HostPort | undefined;
+  /** Store that receives the parts of the prompt once they are read. */
+  readonly saveTo?: HostPort | undefined;
   /** Engine that receives a copy of the run's memory as it grows. */
   readonly backupAt?: HostPort | undefined;
   /** Copy of the run's memory to go on from. */
