Tell a reset behind the last bytes from the end of an answer

Cause: an answer without a length ends with its connection. Ruled out: the order of error and end events; no error is reported at all.

Change: the system no longer knows the peer's address of a connection that was reset, which the end of such an answer now checks. The test fails without it.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -100,6 +100,21 @@
   }
 }
 
+/** An answer without a length ends with its connection. */
+function isUnframed({ headers }: IncomingMessage): boolean {
+  const { 'content-length': length, 'transfer-encoding': coding } = headers;
+  return length === undefined && coding === undefined;
+}
+
+/**
+ * A reset that comes together with the last bytes is reported as a plain end of the connection. The
+ * system no longer knows the peer of a connection that was reset; nothing may have asked for the
+ * peer's address before, because Node keeps the first reply.
+ */
+function isReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
 export function createConnections(clock: Clock, address: HostPort): Connections {
   const agent = createAgent(clock);
   let heardAt = -Infinity;
@@ -157,6 +172,11 @@
         if (!isDone) listener.onData(chunk);
       });
       res.on('error', fail);
+      if (isUnframed(res)) {
+        res.socket.prependOnceListener('end', () => {
+          if (isReset(res.socket)) fail(new Error('connection was reset'));
+        });
+      }
       res.on('end', () => {
         if (!res.complete) fail(new Error('answer is incomplete'));
         if (isDone) return;
--- /dev/null
+++ b/test/gateway/exchange.test.ts
@@ -0,0 +1,118 @@
+import { createServer, type Server, type Socket } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import { systemClock } from '../../src/base/clock.js';
+import { createConnections } from '../../src/gateway/exchange.js';
+
+/** Plays one raw answer for each request and reports what the listener of the exchange hears. */
+type Script = (socket: Socket) => void;
+
+const servers: Server[] = [];
+
+async function startTarget(scripts: readonly Script[]): Promise<number> {
+  let next = 0;
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      scripts[next]?.(socket);
+      next += 1;
+    });
+  });
+  servers.push(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return (server.address() as { port: number }).port;
+}
+
+function exchange(connections: ReturnType<typeof createConnections>): Promise<readonly string[]> {
+  const heard: string[] = [];
+  return new Promise((resolve) => {
+    connections.start(
+      { method: 'GET', path: '/', headers: ['Host', 'target'], body: undefined },
+      {
+        onHead: (res) => heard.push(`head ${res.statusCode}`),
+        onData: (chunk) => heard.push(`data ${chunk.toString()}`),
+        onEnd: () => resolve([...heard, 'end']),
+        onFailure: (_err, isSent) => resolve([...heard, `failure sent=${isSent}`]),
+      },
+    );
+  });
+}
+
+const pause = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+afterEach(() => {
+  for (const server of servers.splice(0)) server.close();
+});
+
+describe('an exchange with a target', () => {
+  it('takes an answer without a length as whole when its connection ends', async () => {
+    const port = await startTarget([(socket) => socket.end('HTTP/1.1 200 OK\r\n\r\nwhole')]);
+    const connections = createConnections(systemClock, { host: '127.0.0.1', port });
+    expect(await exchange(connections)).toEqual(['head 200', 'data whole', 'end']);
+  });
+
+  it('fails when the connection of an answer without a length is reset', async () => {
+    const port = await startTarget([
+      (socket) => {
+        socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+        setTimeout(() => socket.resetAndDestroy(), 30);
+      },
+    ]);
+    const connections = createConnections(systemClock, { host: '127.0.0.1', port });
+    expect(await exchange(connections)).toEqual(['head 200', 'data half', 'failure sent=true']);
+  });
+
+  it('fails when the reset comes right behind the bytes', async () => {
+    const port = await startTarget([
+      (socket) => {
+        socket.write('HTTP/1.1 200 OK\r\n\r\nhalf', () => socket.resetAndDestroy());
+      },
+    ]);
+    const connections = createConnections(systemClock, { host: '127.0.0.1', port });
+    expect((await exchange(connections)).at(-1)).toBe('failure sent=true');
+  });
+
+  it('fails when an answer is shorter than its length', async () => {
+    const port = await startTarget([
+      (socket) => socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'),
+    ]);
+    const connections = createConnections(systemClock, { host: '127.0.0.1', port });
+    expect((await exchange(connections)).at(-1)).toBe('failure sent=true');
+  });
+
+  it('reports that nothing was sent when the connection is refused', async () => {
+    const port = await startTarget([]);
+    for (const server of servers.splice(0)) await new Promise((resolve) => server.close(resolve));
+    const connections = createConnections(systemClock, { host: '127.0.0.1', port });
+    expect(await exchange(connections)).toEqual(['failure sent=false']);
+  });
+
+  it('drops a kept connection on which a second answer arrives', async () => {
+    const first = 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none';
+    const extra = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra';
+    const port = await startTarget([
+      (socket) => {
+        socket.write(first);
+        setTimeout(() => socket.write(extra), 20);
+      },
+      (socket) => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo'),
+    ]);
+    const connections = createConnections(systemClock, { host: '127.0.0.1', port });
+    expect(await exchange(connections)).toEqual(['head 200', 'data one', 'end']);
+    await pause(60);
+    expect(await exchange(connections)).toEqual(['head 200', 'data two', 'end']);
+  });
+
+  it('takes an answer as whole when a second one follows in the same packet', async () => {
+    const port = await startTarget([
+      (socket) =>
+        socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noneHTTP/1.1 200 OK\r\n\r\nx'),
+    ]);
+    const connections = createConnections(systemClock, { host: '127.0.0.1', port });
+    expect(await exchange(connections)).toEqual(['head 200', 'data one', 'end']);
+  });
+});
