Learn from rejections what they say, and leave crowded targets alone

Entries that were cut off never learned new versions from 421; a run that had taken over an address was tried again; orders with lost answers blocked a load slot for 6 s; requests left crowded engines after 1 s, used up their targets and failed (92). Ruled out: too small a budget for repeats; it was spent on rejections.

Change: a 421 by another run marks the target as replaced, any other forgets the version; an order without answer is given again with the same count of accepted orders; a request moves on only from a target that answers later ones; the number of loads at once follows the engines that are up.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -131,6 +131,10 @@
               version: target.weightsVersion(model),
             })),
         sincePeerChangeMs: () => peers.sinceChangeMs(),
+        onReplaced: (id) => {
+          const target = directory.find(id);
+          if (target) reliability.observe(target, 'replaced');
+        },
         setChanging: (ids) => {
           changing.clear();
           for (const id of ids) changing.add(id);
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -15,7 +15,7 @@
 export type AttemptEnd =
   | { readonly kind: 'done' }
   | { readonly kind: 'left' }
-  | { readonly kind: 'not-run'; readonly cause: NotRunCause }
+  | { readonly kind: 'not-run'; readonly cause: NotRunCause; readonly head?: TargetHead }
   | { readonly kind: 'failed'; readonly cause: string; readonly kept?: KeptAnswer }
   | { readonly kind: 'broken'; readonly cause: string };
 
@@ -51,7 +51,10 @@
   readonly remainingMs: number;
   /** Silence after which a connection tests whether the target is there at all. */
   readonly silenceMs: number;
-  /** Silence after which a repeatable request moves on although the target is there. */
+  /**
+   * Silence after which a repeatable request moves on although the target is there, if the target
+   * answers others: where it answers nobody, it is crowded, and so are the others.
+   */
   readonly hangMs: number;
   /** Prompt tokens that the target is expected to read. */
   readonly tokens: number;
@@ -69,6 +72,9 @@
 /** Part of a plain answer that is kept back until it is known to be whole. */
 const maxHeldBytes = 262_144;
 
+/** Requests that are sent this close to each other may be answered in any order. */
+const overtakeMs = 250;
+
 /** Least time between two looks at a silent target. */
 const minCheckMs = 150;
 
@@ -142,6 +148,7 @@
   const onHead = (message: IncomingMessage): void => {
     res = message;
     heardAt = clock.now();
+    target.observeBegun(startedAt);
     head = protocol.readTarget(message.headers);
     const isOther = head.requestId !== undefined && head.requestId !== requestId;
     if (isOther || head.isEncoded) {
@@ -152,7 +159,7 @@
     const status = message.statusCode ?? 0;
     const cause = notRunStatuses[status];
     if (cause && (head.isNotRun || status === 421)) {
-      end({ kind: 'not-run', cause });
+      end({ kind: 'not-run', cause, head });
       return;
     }
     if (!head.isSigned) fail(`answer ${status} is not signed`);
@@ -204,13 +211,17 @@
     else fail(err.message);
   };
 
+  /** True when the target has begun to answer requests that came clearly later than this one. */
+  const isOvertaken = (): boolean =>
+    res !== undefined || target.lastBegunSentAt - startedAt > overtakeMs;
+
   /**
    * Gives up a repeatable request at a target that is gone or hangs. A target that loads weights or
    * reads a long prompt is silent too, so silence alone says nothing while it accepts connections.
    */
   const checkSilence = async (): Promise<void> => {
     const silentMs = clock.now() - heardAt;
-    if (silentMs >= options.hangMs) {
+    if (silentMs >= options.hangMs && isOvertaken()) {
       fail(`no byte came for ${Math.round(silentMs)} ms`);
       return;
     }
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -115,11 +115,14 @@
     call: GatewayCall,
     placement: Placement,
     progress: Progress,
+    ranOn: number,
     onFirstByte: () => void,
   ): Attempt => {
     const { head, route, team } = call;
     const { target } = placement;
     const isStream = route.kind === 'stream';
+    // On the last target that it may run on, a request has nothing to gain from moving on.
+    const mayMove = isRepeatable(call) && ranOn < route.maxTargets - 1;
     const headers = protocol.toTarget(
       call.rawHeaders,
       {
@@ -142,7 +145,7 @@
       request: { method: call.method, path: call.path, headers, body: call.body },
       requestId: head.requestId,
       isStream,
-      isRepeatable: isRepeatable(call),
+      isRepeatable: mayMove,
       answer: call.answer,
       progress,
       remainingMs: remainingMs(call),
@@ -167,11 +170,18 @@
     answer.end();
   };
 
-  const learn = (target: Target, end: AttemptEnd): void => {
+  const learn = ({ head }: GatewayCall, target: Target, end: AttemptEnd): void => {
     if (end.kind === 'done') reliability.observe(target, 'ok');
     if (end.kind === 'failed' || end.kind === 'broken') reliability.observe(target, 'failed');
-    if (end.kind === 'not-run' && end.cause === 'unreachable') {
-      reliability.observe(target, 'unreachable');
+    if (end.kind !== 'not-run') return;
+    if (end.cause === 'unreachable') reliability.observe(target, 'unreachable');
+    if (end.cause !== 'misdirected') return;
+    const answeredBy = end.head?.targetId;
+    if (answeredBy !== undefined && answeredBy !== target.id) {
+      reliability.observe(target, 'replaced');
+    } else if (head.model !== undefined && end.head?.weightsVersion === undefined) {
+      // The target has other weights and does not say which; its next answer does.
+      target.forgetWeights(head.model);
     }
   };
 
@@ -235,7 +245,7 @@
         const { target } = placement;
         last = placement;
         attempts += 1;
-        const attempt = start(call, placement, progress, () => {
+        const attempt = start(call, placement, progress, ranOn.size, () => {
           firstByteMs ??= clock.now() - arrivedAt;
         });
         options.onLoadChange();
@@ -243,7 +253,7 @@
         const end = await attempt.ended;
         link.dispose();
         options.onLoadChange();
-        learn(target, end);
+        learn(call, target, end);
         if (end.kind === 'done') {
           firstByteMs ??= clock.now() - arrivedAt;
           return result('ok');
--- a/src/gateway/health.ts
+++ b/src/gateway/health.ts
@@ -4,13 +4,16 @@
 import { type Logger } from '../base/logging.js';
 import { type Target } from './targets.js';
 
-/** How one request at a target ended, as far as it tells about the target. */
-export type TargetOutcome = 'ok' | 'failed' | 'unreachable';
+/**
+ * How one request at a target ended, as far as it tells about the target. `replaced` means that
+ * another run has its address, so that it never comes back.
+ */
+export type TargetOutcome = 'ok' | 'failed' | 'unreachable' | 'replaced';
 
 /** Judges targets by the requests that this process sent there. */
 export interface TargetReliability {
   observe(target: Target, outcome: TargetOutcome): void;
-  /** True while no connection to the target can be made. */
+  /** True while no connection to the target can be made, or another run has its address. */
   isDown(target: Target): boolean;
   /** Recent share of failed requests, from 0 to 1. */
   failureShare(target: Target): number;
@@ -35,6 +38,7 @@
   share: number;
   at: number;
   isDown: boolean;
+  isReplaced: boolean;
 }
 
 export function createTargetReliability(options: TargetReliabilityOptions): TargetReliability {
@@ -44,7 +48,7 @@
   const recordOf = (target: Target): Record => {
     const known = records.get(target);
     if (known) return known;
-    const record = { share: 0, at: clock.now(), isDown: false };
+    const record = { share: 0, at: clock.now(), isDown: false, isReplaced: false };
     records.set(target, record);
     return record;
   };
@@ -68,6 +72,10 @@
       const value = outcome === 'ok' ? 0 : 1;
       record.share = share + (value - share) * outcomeWeight;
       record.at = clock.now();
+      if (outcome === 'replaced') {
+        if (!record.isReplaced) log.warn({ target: target.id }, 'another run has the address');
+        record.isReplaced = true;
+      }
       if (outcome !== 'unreachable' || record.isDown) return;
       record.isDown = true;
       log.warn({ target: target.id }, 'target refuses connections; it gets no requests');
@@ -75,7 +83,10 @@
         log.debug({ target: target.id, err: errMessage(err) }, 'connection tests ended');
       });
     },
-    isDown: (target) => records.get(target)?.isDown ?? false,
+    isDown(target) {
+      const record = records.get(target);
+      return record !== undefined && (record.isDown || record.isReplaced);
+    },
     failureShare(target) {
       const record = records.get(target);
       return record ? shareOf(record) : 0;
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -147,7 +147,10 @@
         const version = isEngine ? target.weightsVersion(head.model as string) : undefined;
         const salt = version === undefined ? undefined : saltOf(version, team);
         if (salt === undefined) {
-          return { target, version, salt, source: noSource, tokensToRead: head.promptTokens };
+          // Nothing is shared with an engine whose version is unknown, so that nothing can be stale.
+          const own = isEngine ? `request.${head.requestId}` : undefined;
+          const tokensToRead = head.promptTokens;
+          return { target, version, salt: own, source: noSource, tokensToRead };
         }
         const cached = cache.cachedTokens(target.id, salt, head.parts);
         const source = findSource(salt, head, target, cached);
@@ -180,7 +183,7 @@
       if (!chosen) return undefined;
       const { target, salt, version, source, tokensToRead } = chosen;
       let saveTo: KvStore | undefined;
-      if (salt !== undefined && head.parts.length > 0) {
+      if (salt !== undefined && version !== undefined && head.parts.length > 0) {
         saveTo = findSaveTarget(salt, head);
         if (saveTo || source.address) stores.touch();
         const use = { salt, parts: head.parts, targetId: target.id, store: saveTo?.holder };
--- a/src/gateway/targets.ts
+++ b/src/gateway/targets.ts
@@ -29,6 +29,11 @@
   weightsVersion(model: string): number | undefined;
   observeLoad(load: TargetLoad): void;
   observeWeights(model: string, version: number): void;
+  /** Time at which the newest request that the target began to answer was sent. */
+  readonly lastBegunSentAt: number;
+  observeBegun(sentAt: number): void;
+  /** Forgets the version after the target denied it. */
+  forgetWeights(model: string): void;
   /** Counts a request until the result is disposed; `begun` counts its prompt as read. */
   begin(tokens: number): TargetRun;
 }
@@ -76,6 +81,7 @@
 function createTarget(clock: Clock, first: TargetEntry, onWeightsChange: () => void): ListedTarget {
   let entry = first;
   let isGone = false;
+  let lastBegunSentAt = -Infinity;
   let runs = 0;
   let tokens = 0;
   let load: TargetLoad | undefined;
@@ -109,6 +115,15 @@
       weights.set(model, { version, at: clock.now() });
       if (isNew) onWeightsChange();
     },
+    get lastBegunSentAt() {
+      return lastBegunSentAt;
+    },
+    observeBegun(sentAt) {
+      lastBegunSentAt = Math.max(lastBegunSentAt, sentAt);
+    },
+    forgetWeights(model) {
+      weights.delete(model);
+    },
     begin(count) {
       runs += 1;
       tokens += count;
--- a/src/orders/weightsplan.ts
+++ b/src/orders/weightsplan.ts
@@ -26,13 +26,16 @@
   | { readonly kind: 'order'; readonly id: string; readonly runs: RunPolicy }
   | { readonly kind: 'check'; readonly id: string };
 
-/** Loads at once; more slow each other down, as the site's sheet says. */
-export const maxLoads = 2;
-
-/** Engines that drain while the loads before them still run, so that no load slot stands idle. */
-const maxDrainsAhead = 2;
+/**
+ * Engines for each load at once. More loads slow each other down: from 2 of 6 engines and from 9 of
+ * 34, as the operators' sheets say; and the rest of the engines carry all requests meanwhile.
+ */
+const enginesPerLoad = 3.7;
 
-/** Time into a load from which the next engines drain; loads take 760 ms, most runs under 400 ms. */
+/**
+ * Time into a load from which the next engine drains, so that no load slot stands idle; loads take
+ * 760 ms, most runs under 400 ms.
+ */
 const drainAheadMs = 350;
 
 /**
@@ -56,6 +59,8 @@
   wanted: number,
 ): readonly PlanAction[] {
   const actions: PlanAction[] = [];
+  const up = engines.filter(({ isDown }) => !isDown).length;
+  const maxLoads = Math.max(1, Math.round(up / enginesPerLoad));
   let loading = 0;
   let draining = 0;
   let nearlyDone = 0;
@@ -83,7 +88,7 @@
         step.kind === 'serving' && !isDown && version !== undefined && version < wanted,
     )
     .sort((a, b) => a.runs - b.runs);
-  const free = Math.max(0, maxLoads - loading) + Math.min(nearlyDone, maxDrainsAhead) - draining;
+  const free = Math.max(0, maxLoads - loading) + nearlyDone - draining;
   for (const { id } of waiting.slice(0, Math.max(0, free))) actions.push({ kind: 'drain', id });
   return actions;
 }
--- a/src/orders/weightsrollout.ts
+++ b/src/orders/weightsrollout.ts
@@ -29,6 +29,8 @@
   sincePeerChangeMs(): number;
   setChanging(ids: readonly string[]): void;
   onWeights(id: string, model: string, version: number): void;
+  /** Another run has the address of an engine. */
+  onReplaced(id: string): void;
 }
 
 /** Brings the engines to the wanted weights while this process holds the claim. */
@@ -59,6 +61,15 @@
 /** An engine that did not take an order is left alone for this time. */
 const retryMs = 500;
 
+/** Orders without an answer after which an engine serves on and is asked again later. */
+const maxLostAnswers = 3;
+
+/**
+ * An engine that is idle with its old weights after this time has not taken the order. Its reports
+ * lag by some hundred milliseconds.
+ */
+const minLoadMs = 1_400;
+
 /** An engine that has not finished a load after this time is looked at afresh. */
 const maxLoadMs = 6_000;
 
@@ -69,6 +80,7 @@
   since: number;
   checkedAt: number;
   isAsked: boolean;
+  lostAnswers: number;
 }
 
 export function createWeightsRollout(options: WeightsRolloutOptions): WeightsRollout {
@@ -137,9 +149,19 @@
         change.step = 'loading';
         return;
       }
+      if (answer === 'unknown') {
+        // Asked again with the same count: the engine takes only one of the two orders.
+        accepted.set(id, count);
+        change.lostAnswers += 1;
+        if (change.lostAnswers >= maxLostAnswers) postpone(id, 'its answers are lost');
+        return;
+      }
       accepted.delete(id);
-      if (answer === 'unknown') change.step = 'loading';
-      else if (answer === 'in-force') {
+      if (answer === 'replaced') site.onReplaced(id);
+      if (answer === 'conflict') {
+        // Perhaps an order whose answer was lost is being carried out; a report tells.
+        change.step = 'loading';
+      } else if (answer === 'in-force') {
         site.onWeights(id, model, version);
         finish(id, 'it had them already');
       } else postpone(id, `order was answered with ${answer}`);
@@ -161,10 +183,11 @@
       const report = await control.report(address, id, token);
       const version = report.weights.get(change.model);
       if (report.isBusy || version === undefined) return;
+      accepted.set(id, report.acceptedOrders);
       if (version === change.version) {
         site.onWeights(id, change.model, version);
         finish(id, 'it reports them');
-      } else if (clock.now() - change.since > maxLoadMs) finish(id, `it reports ${version}`);
+      } else if (clock.now() - change.since > minLoadMs) postpone(id, `it reports ${version}`);
     } catch (err) {
       log.debug({ target: id, err: errMessage(err) }, 'engine does not report');
       if (clock.now() - change.since > maxLoadMs) finish(id, 'it does not report');
@@ -205,6 +228,7 @@
           since: clock.now(),
           checkedAt: -Infinity,
           isAsked: false,
+          lostAnswers: 0,
         });
         tellChanging();
       },
--- a/src/ports/wire.ts
+++ b/src/ports/wire.ts
@@ -112,10 +112,12 @@
 
 /**
  * Answer to an order: `accepted` is being carried out, `in-force` already holds, `conflict` means
- * that another order runs or was accepted since, `unknown` that no answer came and the order may
+ * that another order runs or was accepted since, `replaced` that another run has the address,
+ * `unknown` that no answer came and the order may
  * still be carried out.
  */
-export type OrderAnswer = 'accepted' | 'in-force' | 'conflict' | 'fenced' | 'rejected' | 'unknown';
+export type OrderAnswer =
+  'accepted' | 'in-force' | 'conflict' | 'fenced' | 'replaced' | 'rejected' | 'unknown';
 
 /** Calls to model engines that are no requests of callers. */
 export interface EngineControl {
