Let the drain before new weights follow the load of the engines

Cause: streams last 2 s, and a change of weights makes the running ones late.

Change: 1000 ms up to 7 runs on each engine, 300 ms from 14.

--- a/src/orders/weightsplan.ts
+++ b/src/orders/weightsplan.ts
@@ -39,10 +39,17 @@
 const drainAheadMs = 350;
 
 /**
- * Longest drain. Runs of a site's short streams end within it; the few longer ones go on, and only
- * what they make after the change is lost.
+ * Longest drain with few and with many runs on each engine. Streams that are cut short by a change
+ * are late, but an engine that drains leaves its load to the others, which then are late with more.
  */
-const maxDrainMs = 450;
+const longDrainMs = 1_000;
+
+const shortDrainMs = 300;
+
+/** Runs on each engine up to which there is room for the long drain, and from which there is none. */
+const calmRuns = 7;
+
+const busyRuns = 14;
 
 /** Runs that may still be going when the order is given without waiting for them. */
 const fewRuns = 0;
@@ -53,13 +60,26 @@
 /** Time between two questions; the answers lag by some hundred milliseconds anyway. */
 const checkIntervalMs = 80;
 
+/** Longest drain for a load of the engines, in runs on each of them. */
+export function maxDrainMs(runsPerEngine: number): number {
+  const share = (busyRuns - runsPerEngine) / (busyRuns - calmRuns);
+  return shortDrainMs + (longDrainMs - shortDrainMs) * Math.min(1, Math.max(0, share));
+}
+
 /** Decides what to do next for one model; an engine appears in at most one action. */
 export function planWeights(
   engines: readonly PlannedEngine[],
   wanted: number,
 ): readonly PlanAction[] {
   const actions: PlanAction[] = [];
-  const up = engines.filter(({ isDown }) => !isDown).length;
+  let up = 0;
+  let allRuns = 0;
+  for (const { isDown, runs } of engines) {
+    if (isDown) continue;
+    up += 1;
+    allRuns += runs;
+  }
+  const drainMs = maxDrainMs(allRuns / Math.max(1, up));
   const maxLoads = Math.max(1, Math.round(up / enginesPerLoad));
   let loading = 0;
   let draining = 0;
@@ -77,7 +97,7 @@
     }
     if (step.kind !== 'draining' || loading >= maxLoads) continue;
     const isEmpty = runs <= fewRuns;
-    if (!isEmpty && step.sinceMs < maxDrainMs) continue;
+    if (!isEmpty && step.sinceMs < drainMs) continue;
     loading += 1;
     draining -= 1;
     actions.push({ kind: 'order', id, runs: isEmpty ? 'finish' : 'keep' });
