Go on with streams that may not be repeated from a copy of their run

Change: such a stream sends a copy of its run's memory to a second engine with the same weights and goes on there, which counts as the same run.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -15,7 +15,7 @@
   startAttempt,
 } from './attempt.js';
 import { type TargetReliability } from './health.js';
-import { type Placement, type Placer } from './placement.js';
+import { type Placement, type PlacementRequest, type Placer } from './placement.js';
 import { type RepeatBudget } from './repeats.js';
 import { type Target } from './targets.js';
 
@@ -122,7 +122,8 @@
     const { target } = placement;
     const isStream = route.kind === 'stream';
     // On the last target that it may run on, a request has nothing to gain from moving on.
-    const mayMove = isRepeatable(call) && ranOn < route.maxTargets - 1;
+    const mayRepeat = isRepeatable(call) && ranOn < route.maxTargets - 1;
+    const mayMove = mayRepeat || placement.backup !== undefined;
     const headers = protocol.toTarget(
       call.rawHeaders,
       {
@@ -134,6 +135,8 @@
         weightsVersion: placement.weightsVersion,
         fetchFrom: placement.fetchFrom,
         saveTo: placement.saveTo,
+        backupAt: placement.backup?.entry.address,
+        continueFrom: placement.continueFrom,
         resumeAfter: progress.lastEventId,
       },
       call.body?.length ?? 0,
@@ -185,6 +188,34 @@
     }
   };
 
+  /**
+   * Goes on with a stream that broke off at the engine that has a copy of its run. It counts as the
+   * same run, so also a request that may run only once can go on. An engine that changed its weights
+   * meanwhile made the rest of the copy with others.
+   */
+  const continueAtBackup = (
+    { head }: GatewayCall,
+    { target, backup, salt, weightsVersion }: Placement,
+    progress: Progress,
+  ): Placement | undefined => {
+    if (!backup || backup.isGone || reliability.isDown(backup)) return undefined;
+    if (progress.lastEventId === undefined || head.model === undefined) return undefined;
+    const isSameVersion =
+      target.weightsVersion(head.model) === weightsVersion &&
+      backup.weightsVersion(head.model) === weightsVersion;
+    if (!isSameVersion) return undefined;
+    return {
+      target: backup,
+      salt,
+      weightsVersion,
+      fetchFrom: undefined,
+      saveTo: undefined,
+      backup: undefined,
+      tokensToRead: 0,
+      continueFrom: { address: backup.entry.address, handle: head.requestId },
+    };
+  };
+
   return {
     async dispatch(call) {
       const { answer, route, head, token } = call;
@@ -196,6 +227,13 @@
       let firstByteMs: number | undefined;
       let kept: KeptAnswer | undefined;
       let last: Placement | undefined;
+      let next: Placement | undefined;
+      const placementRequest: PlacementRequest = {
+        service: call.service,
+        head,
+        team: call.team,
+        needsBackup: route.kind === 'stream' && !route.isResumable,
+      };
       let cause: NotRunCause | string | undefined;
       budget.deposit();
 
@@ -232,7 +270,8 @@
 
       for (;;) {
         if (token.isCancellationRequested || remainingMs(call) < minUsefulMs) return giveUp();
-        const placement = placer.place({ service: call.service, head, team: call.team }, excluded);
+        const placement = next ?? placer.place(placementRequest, excluded);
+        next = undefined;
         if (!placement) {
           const waitedMs = clock.now() - arrivedAt;
           if (waitedMs > route.objectiveMs * waitShare || attempts >= maxAttempts) return giveUp();
@@ -275,10 +314,17 @@
         if (end.kind === 'not-run') {
           // A refused connection reached no target, so it costs nothing of the budget.
           if (end.cause !== 'unreachable' && !budget.withdraw()) return giveUp();
-          if (attempts >= maxAttempts) return giveUp();
+          if (attempts >= maxAttempts || placement.continueFrom) return giveUp();
           continue;
         }
         ranOn.add(target);
+        if (end.kind === 'broken' && remainingMs(call) > minUsefulMs) {
+          next = continueAtBackup(call, placement, progress);
+          if (next) {
+            budget.charge();
+            continue;
+          }
+        }
         if (end.kind === 'failed' && end.kept) kept = end.kept;
         if (!isRepeatable(call) || ranOn.size >= route.maxTargets) return giveUp();
         if (!budget.withdraw()) return giveUp();
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,7 +1,7 @@
 import { type HostPort } from '../base/address.js';
 import { type Random } from '../base/random.js';
 import { type ServiceSpec, type TeamSpec } from '../ports/site.js';
-import { type CallerHead, type PromptPart } from '../ports/wire.js';
+import { type CallerHead, type Dispatch, type PromptPart } from '../ports/wire.js';
 import { type CacheModel } from './cachemodel.js';
 import { type TargetReliability } from './health.js';
 import { type KvStore, type KvStores } from './kvstores.js';
@@ -16,6 +16,10 @@
   readonly weightsVersion: number | undefined;
   readonly fetchFrom: HostPort | undefined;
   readonly saveTo: HostPort | undefined;
+  /** Engine that receives a copy of the run, for streams that may not run a second time. */
+  readonly backup: Target | undefined;
+  /** Copy of the run that this placement goes on from. */
+  readonly continueFrom?: Dispatch['continueFrom'];
   /** Prompt tokens that the target has to read. */
   readonly tokensToRead: number;
 }
@@ -25,6 +29,8 @@
   readonly service: string;
   readonly head: CallerHead;
   readonly team: TeamSpec | undefined;
+  /** The run can't be repeated elsewhere, so a copy of it is kept. */
+  readonly needsBackup: boolean;
 }
 
 /** Places requests on targets by what this process and its peers know of them. */
@@ -62,6 +68,15 @@
 /** Transfers between data centres take twice as long. */
 const farSlowness = 2;
 
+/**
+ * Runs at an engine that still takes copies. Copies push shared parts out: on full days 60% more of
+ * these were read again, which cost more than the streams that were saved.
+ */
+const maxBackupRuns = 6;
+
+/** A copy goes to another data centre only to an engine with this many runs less. */
+const farBackupRuns = 4;
+
 /** A store's link has a quarter of the speed of an engine's and serves all engines. */
 const storeSlowness = 8;
 
@@ -124,6 +139,25 @@
     return best;
   };
 
+  /** An engine with the same weights that is least busy, in the same data centre if possible. */
+  const findBackup = (target: Target, model: string): Target | undefined => {
+    const version = target.weightsVersion(model);
+    let best: Target | undefined;
+    let bestCost = Infinity;
+    for (const other of directory.usable(target.entry.service)) {
+      if (other === target || reliability.isDown(other) || options.isChanging(other)) continue;
+      if (version === undefined || other.weightsVersion(model) !== version) continue;
+      const isNear = other.entry.dataCentre === target.entry.dataCentre;
+      const runs = other.outstanding.runs + peers.outstanding(other.id).runs;
+      if (runs > maxBackupRuns) continue;
+      const cost = runs + (isNear ? 0 : farBackupRuns);
+      if (cost >= bestCost) continue;
+      best = other;
+      bestCost = cost;
+    }
+    return best;
+  };
+
   /** A store that lacks the shared parts; the last part is the request's own. */
   const findSaveTarget = (salt: string, { parts }: CallerHead): KvStore | undefined => {
     const shared = parts.slice(0, -1);
@@ -135,7 +169,7 @@
   };
 
   return {
-    place({ service, head, team }, excluded) {
+    place({ service, head, team, needsBackup }, excluded) {
       const spec = options.service(service);
       const isEngine = spec?.engine !== undefined && head.model !== undefined;
       const usable = directory.usable(service);
@@ -196,6 +230,7 @@
         weightsVersion: version,
         fetchFrom: source.address,
         saveTo: saveTo?.address,
+        backup: isEngine && needsBackup ? findBackup(target, head.model as string) : undefined,
         tokensToRead: isEngine ? tokensToRead : 0,
       };
     },
--- a/src/gateway/repeats.ts
+++ b/src/gateway/repeats.ts
@@ -9,6 +9,8 @@
   deposit(): void;
   /** Takes one repeat; returns false when the window has none left. */
   withdraw(): boolean;
+  /** Counts a repeat that is sent in any case: a stream that a caller has in part. */
+  charge(): void;
 }
 
 export interface RepeatLimits {
@@ -50,5 +52,8 @@
       repeats.push(clock.now());
       return true;
     },
+    charge() {
+      repeats.push(clock.now());
+    },
   };
 }
