--- /dev/null
+++ b/test/gateway/events.test.ts
@@ -0,0 +1,44 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { createEventSplitter } from '../../src/gateway/events.js';
+
+const stream = [1, 2, 3, 40]
+  .map((id) => `x-note: 1\nid: ${id}\ndata: text with id: 9 inside\n\n`)
+  .join('');
+
+describe('the splitter of events', () => {
+  it('passes on whole events only, however the bytes are cut', () => {
+    fc.assert(
+      fc.property(fc.array(fc.integer({ min: 1, max: 40 }), { maxLength: 20 }), (sizes) => {
+        const splitter = createEventSplitter();
+        let passed = '';
+        let lastId: string | undefined;
+        let at = 0;
+        for (const size of [...sizes, stream.length]) {
+          const batch = splitter.push(Buffer.from(stream.slice(at, at + size)));
+          at += size;
+          if (!batch) continue;
+          passed += batch.bytes.toString();
+          lastId = batch.lastId ?? lastId;
+          expect(passed.endsWith('\n\n')).toBe(true);
+        }
+        expect(passed).toBe(stream);
+        expect(lastId).toBe('40');
+        expect(splitter.pendingBytes).toBe(0);
+      }),
+    );
+  });
+
+  it('keeps a torn event back', () => {
+    const splitter = createEventSplitter();
+    const batch = splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
+    expect([batch?.bytes.toString(), batch?.lastId]).toEqual(['id: 1\ndata: a\n\n', '1']);
+    expect(splitter.pendingBytes).toBe(8);
+  });
+
+  it('understands lines that end with carriage return and line feed', () => {
+    const splitter = createEventSplitter();
+    const batch = splitter.push(Buffer.from('id: 7\r\ndata: a\r\n\r\n'));
+    expect(batch?.lastId).toBe('7');
+  });
+});
--- /dev/null
+++ b/test/gateway/scoring.test.ts
@@ -0,0 +1,94 @@
+import { describe, expect, it } from 'vitest';
+import { createSeededRandom } from '../../src/base/random.js';
+import {
+  type Candidate,
+  engineSpeeds,
+  expectMs,
+  pickCandidate,
+  serviceSpeeds,
+} from '../../src/gateway/scoring.js';
+
+const idle: Candidate = {
+  runs: 0,
+  waitingTokens: 0,
+  slots: 64,
+  tokensToRead: 3_000,
+  tokensToFetch: 0,
+  fetchSlowness: 1,
+  isNear: true,
+  failureShare: 0,
+  slowness: 1,
+  isOutdated: false,
+  isOverdue: false,
+  isChanging: false,
+};
+
+const pick = (candidates: readonly Candidate[]): number | undefined =>
+  pickCandidate(candidates, engineSpeeds, createSeededRandom(1));
+
+describe('the choice of a target', () => {
+  it.each<[string, Candidate, Candidate]>([
+    [
+      'an engine with the parts over an idle one',
+      { ...idle, runs: 3 },
+      { ...idle, tokensToRead: 9_000 },
+    ],
+    ['an idle engine over one with a long queue', idle, { ...idle, waitingTokens: 30_000 }],
+    [
+      'fetching over reading again',
+      { ...idle, tokensToFetch: 6_000 },
+      { ...idle, tokensToRead: 9_000 },
+    ],
+    [
+      'reading over waiting behind many prompts',
+      { ...idle, tokensToRead: 9_000 },
+      { ...idle, waitingTokens: 20_000 },
+    ],
+    ['a sound engine over one that fails', idle, { ...idle, failureShare: 0.4 }],
+    ['newer weights over older ones', { ...idle, runs: 10 }, { ...idle, isOutdated: true }],
+    [
+      'older weights over a long wait',
+      { ...idle, isOutdated: true },
+      { ...idle, waitingTokens: 20_000 },
+    ],
+    [
+      'a crowded engine over one that changes',
+      { ...idle, waitingTokens: 50_000 },
+      { ...idle, isChanging: true },
+    ],
+    [
+      'a changing engine over an overdue one',
+      { ...idle, isChanging: true },
+      { ...idle, isOverdue: true },
+    ],
+    ['the same data centre', idle, { ...idle, isNear: false, runs: 2 }],
+    ['an engine that is not slowed by its neighbours', idle, { ...idle, slowness: 2.5 }],
+  ])('prefers %s', (_name, better, worse) => {
+    expect(pick([better, worse])).toBe(0);
+    expect(pick([worse, better])).toBe(1);
+  });
+
+  it('uses an overdue engine when there is no other', () => {
+    expect(pick([{ ...idle, isOverdue: true }])).toBe(0);
+  });
+
+  it('finds nothing without candidates', () => {
+    expect(pick([])).toBeUndefined();
+  });
+
+  it('spreads equal candidates, so that entries with the same view do not all agree', () => {
+    const random = createSeededRandom(7);
+    const chosen = new Set<number | undefined>();
+    for (let count = 0; count < 20; count += 1) {
+      chosen.add(pickCandidate([idle, idle, idle], engineSpeeds, random));
+    }
+    expect([...chosen].sort()).toEqual([0, 1, 2]);
+  });
+
+  it('expects a queue at a plain service once its slots are taken', () => {
+    const service = { ...idle, slots: 6, tokensToRead: 0 };
+    const free = expectMs({ ...service, runs: 5 }, serviceSpeeds);
+    const full = expectMs({ ...service, runs: 12 }, serviceSpeeds);
+    expect(full).toBeGreaterThan(free + serviceSpeeds.baseMs);
+  });
+});
--- /dev/null
+++ b/test/standins/platform/site.ts
@@ -0,0 +1,149 @@
+import { createCaller } from '../../../src/base/call.js';
+import { createNullLogger, type Logger } from '../../../src/base/logging.js';
+import { startGateway } from '../../../src/daemon/gateway.js';
+import { type DaemonProcess } from '../../../src/daemon/process.js';
+import { parseGatewaySettings } from '../../../src/daemon/settings/read.js';
+import { createEngineControl } from '../../../platform/engine.js';
+import { headerProtocol } from '../../../platform/headers.js';
+import { siteDecoder } from '../../../platform/site.js';
+import { createPlatformStore } from '../../../platform/store.js';
+import { startStoreStandin, type StoreStandin } from './store.js';
+import { startTargetStandin, type TargetStandin, type TargetStandinOptions } from './target.js';
+
+export const model = 'model-a';
+
+/** Routes of the test site: one of each kind, all for the host `site.test`. */
+export function configuration(version: number, changes: Readonly<Record<string, unknown>> = {}) {
+  const route = (name: string, kind: string, service: string, more: object = {}) => ({
+    name,
+    host: 'site.test',
+    prefix: `/${name}/`,
+    kind,
+    timeoutMs: 2_000,
+    sloMs: 300,
+    priority: 1,
+    service,
+    attempts: 2,
+    public: false,
+    ...more,
+  });
+  return {
+    version,
+    routes: [
+      route('fit', 'streaming', 'llm', { resumable: true, gapSloMs: 300, sticky: true }),
+      route('reply', 'streaming', 'llm', { resumable: false, gapSloMs: 300, attempts: 1 }),
+      route('order', 'unsafe', 'desk', { attempts: 1 }),
+      route('look', 'safe', 'desk'),
+      route('open', 'safe', 'desk', { public: true }),
+    ],
+    services: [
+      {
+        name: 'llm',
+        healthPath: '/health',
+        maxConns: 100,
+        engine: { slots: 8, kvCapacity: 100_000, models: [{ name: model }] },
+      },
+      { name: 'desk', healthPath: '/health', maxConns: 100 },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 65_536,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    tenants: [
+      { name: 'team-a', apiKeys: ['key-a'], isolated: false },
+      { name: 'team-b', apiKeys: ['key-b'], isolated: true },
+    ],
+    ...changes,
+  };
+}
+
+/** A site of stand-ins with one gateway or more. */
+export interface PlatformSite {
+  readonly store: StoreStandin;
+  startTarget(service: string, options: TargetStandinOptions): Promise<TargetStandin>;
+  /** Starts a gateway and waits until it is ready. */
+  startGateway(name: string, log?: Logger): Promise<DaemonProcess>;
+  close(): Promise<void>;
+}
+
+let nextPeerPort = 23_100 + (process.pid % 2_000);
+
+const pause = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+/** Waits until a condition holds; fails after a time that a busy machine does not reach. */
+export async function until(condition: () => boolean | Promise<boolean>): Promise<void> {
+  for (let tries = 0; tries < 1_000; tries += 1) {
+    if (await condition()) return;
+    await pause(10);
+  }
+  throw new Error('the condition did not come to hold');
+}
+
+export async function isReady(gateway: DaemonProcess): Promise<boolean> {
+  const res = await fetch(`${gateway.addresses.operators}/ready`);
+  await res.text();
+  return res.status === 200;
+}
+
+/** Starts a store with the test site's configuration. */
+export async function startPlatformSite(): Promise<PlatformSite> {
+  const store = await startStoreStandin();
+  store.put('op', 'config', configuration(1));
+  const targets: TargetStandin[] = [];
+  const gateways: DaemonProcess[] = [];
+  return {
+    store,
+    async startTarget(service, options) {
+      const target = await startTargetStandin(options);
+      targets.push(target);
+      store.put('servers', target.id, target.entry(service));
+      return target;
+    },
+    async startGateway(name, log = createNullLogger()) {
+      nextPeerPort += 1;
+      const settings = parseGatewaySettings(
+        [
+          '[process]',
+          `instance = ${name}`,
+          'data_centre = north',
+          '[listen]',
+          'callers = 127.0.0.1:0',
+          'operators = 127.0.0.1:0',
+          `peers = 127.0.0.1:${nextPeerPort}`,
+          '[store]',
+          `address = 127.0.0.1:${store.port}`,
+          '[shutdown]',
+          'balancer_wait = 100ms',
+          'grace = 3s',
+        ].join('\n'),
+        'test.ini',
+      );
+      const call = createCaller();
+      const gateway = await startGateway({
+        settings,
+        log,
+        droppedLogLines: () => 0,
+        platform: {
+          decoder: siteDecoder,
+          protocol: headerProtocol,
+          store: createPlatformStore({ address: settings.store.address, call }),
+          control: createEngineControl(call),
+          readyPath: '/ready',
+        },
+      });
+      gateways.push(gateway);
+      await until(() => isReady(gateway));
+      return gateway;
+    },
+    async close() {
+      for (const gateway of gateways) gateway.stop();
+      for (const target of targets) await target.close();
+      await store.close();
+    },
+  };
+}
--- /dev/null
+++ b/test/standins/platform/store.ts
@@ -0,0 +1,219 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type AddressInfo, type Socket } from 'node:net';
+
+/** How the store misbehaves. `late` applies a write and never answers. */
+export type StoreFault = 'none' | 'busy' | 'silent' | 'reset' | 'late';
+
+interface StoredRow {
+  readonly table: string;
+  readonly part: string;
+  readonly key: string;
+  readonly value: string;
+  readonly ver: number;
+}
+
+interface Change extends Partial<StoredRow> {
+  readonly table: string;
+  readonly part: string;
+  readonly key: string;
+  readonly ver: number;
+  readonly removed?: boolean;
+}
+
+interface RowRef {
+  readonly table: string;
+  readonly part: string;
+  readonly key: string;
+}
+
+interface Transaction {
+  readonly expectRev: readonly (RowRef & { readonly ver: number })[];
+  readonly setKeys: readonly (RowRef & { readonly value: string })[];
+  readonly remove: readonly RowRef[];
+}
+
+/** Stand-in for the platform's store: rows, transactions and the feed of changes. */
+export interface StoreStandin {
+  readonly port: number;
+  readonly calls: number;
+  fault: StoreFault;
+  put(table: string, key: string, value: unknown): void;
+  /** Writes bytes as they are, also such that no reader understands. */
+  putRaw(table: string, key: string, bytes: Buffer): void;
+  remove(table: string, key: string): void;
+  rows(table: string): ReadonlyMap<string, string>;
+  /** Drops the history, so that the next feed has a gap. */
+  compact(): void;
+  /** Makes all open connections silent; new ones work. */
+  silenceConnections(): void;
+  close(): Promise<void>;
+}
+
+const keyOf = ({ table, part, key }: RowRef): string => `${table}\n${part}\n${key}`;
+
+function readBody(req: IncomingMessage): Promise<string> {
+  return new Promise((resolve) => {
+    let text = '';
+    req.on('data', (chunk: Buffer) => {
+      text += chunk.toString('utf8');
+    });
+    req.on('end', () => resolve(text));
+  });
+}
+
+function send(res: ServerResponse, status: number, body: unknown): void {
+  res.writeHead(status, { 'Content-Type': 'application/json' });
+  res.end(JSON.stringify(body));
+}
+
+/** Starts the stand-in on a free port. */
+export async function startStoreStandin(): Promise<StoreStandin> {
+  const rows = new Map<string, StoredRow>();
+  const sockets = new Set<Socket>();
+  const silenced = new WeakSet<Socket>();
+  const waiting = new Set<() => void>();
+  let history: Change[] = [];
+  let firstKept = 0;
+  let ver = 0;
+  let calls = 0;
+  let fault: StoreFault = 'none';
+  const startedAt = performance.now();
+
+  const stamp = (): { readonly ver: number; readonly nowMs: number } => ({
+    ver,
+    nowMs: Math.round(performance.now() - startedAt),
+  });
+
+  const commit = (sets: readonly (RowRef & { value: string })[], removes: readonly RowRef[]) => {
+    ver += 1;
+    for (const { table, part, key, value } of sets) {
+      const row = { table, part, key, value, ver };
+      rows.set(keyOf(row), row);
+      history.push(row);
+    }
+    for (const ref of removes) {
+      if (rows.delete(keyOf(ref))) history.push({ ...ref, ver, removed: true });
+    }
+    for (const wake of [...waiting]) wake();
+  };
+
+  const range = (url: URL) => {
+    const table = url.searchParams.get('table') ?? '';
+    const part = url.searchParams.get('part') ?? '';
+    const from = url.searchParams.get('from') ?? '';
+    const limit = Number(url.searchParams.get('limit') ?? 500);
+    const all = [...rows.values()]
+      .filter((row) => row.table === table && row.part === part && row.key >= from)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    return { rows: all.slice(0, limit), hasMore: all.length > limit, ...stamp() };
+  };
+
+  const feed = (url: URL, res: ServerResponse): void => {
+    const table = url.searchParams.get('table') ?? '';
+    const after = Number(url.searchParams.get('after'));
+    const waitMs = Number(url.searchParams.get('waitMs'));
+    if (after < firstKept) {
+      send(res, 410, {});
+      return;
+    }
+    const timer: { current?: NodeJS.Timeout } = {};
+    const answer = (isOver: boolean): void => {
+      const changed = history.filter((change) => change.table === table && change.ver > after);
+      if (fault !== 'none' || (changed.length === 0 && !isOver)) return;
+      clearTimeout(timer.current);
+      waiting.delete(wake);
+      if (after < firstKept) send(res, 410, {});
+      else send(res, 200, { rows: changed, ...stamp() });
+    };
+    function wake(): void {
+      answer(false);
+    }
+    timer.current = setTimeout(() => answer(true), waitMs);
+    waiting.add(wake);
+    wake();
+  };
+
+  const transact = ({ expectRev, setKeys, remove }: Transaction, res: ServerResponse): void => {
+    for (const { ver: expected, ...ref } of expectRev) {
+      if ((rows.get(keyOf(ref))?.ver ?? 0) === expected) continue;
+      send(res, 412, { rows: expectRev.map((row) => rows.get(keyOf(row))).filter(Boolean) });
+      return;
+    }
+    commit(setKeys, remove);
+    if (fault !== 'late') send(res, 200, stamp());
+  };
+
+  const answer = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    calls += 1;
+    if (fault === 'silent' || silenced.has(req.socket)) return;
+    if (fault === 'reset') {
+      req.socket.resetAndDestroy();
+      return;
+    }
+    if (fault === 'busy') {
+      send(res, 503, {});
+      return;
+    }
+    const url = new URL(req.url ?? '/', 'http://store');
+    if (url.pathname === '/rows-get') send(res, 200, range(url));
+    else if (url.pathname === '/rows-feed') feed(url, res);
+    else if (url.pathname === '/rows-tx') {
+      transact(JSON.parse(await readBody(req)) as Transaction, res);
+    } else send(res, 404, {});
+  };
+
+  const server: Server = createServer((req, res) => {
+    answer(req, res).catch((err: unknown) => res.destroy(err as Error));
+  });
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+
+  const put = (table: string, key: string, bytes: Buffer): void =>
+    commit([{ table, part: '', key, value: bytes.toString('base64') }], []);
+
+  return {
+    port: (server.address() as AddressInfo).port,
+    get calls() {
+      return calls;
+    },
+    get fault() {
+      return fault;
+    },
+    set fault(value) {
+      fault = value;
+      for (const wake of [...waiting]) wake();
+    },
+    put: (table, key, value) => put(table, key, Buffer.from(JSON.stringify(value))),
+    putRaw: put,
+    remove: (table, key) => commit([], [{ table, part: '', key }]),
+    rows: (table) =>
+      new Map(
+        [...rows.values()]
+          .filter((row) => row.table === table)
+          .map((row) => [row.key, Buffer.from(row.value, 'base64').toString('utf8')]),
+      ),
+    compact() {
+      history = [];
+      ver += 1;
+      firstKept = ver;
+      for (const wake of [...waiting]) wake();
+    },
+    silenceConnections() {
+      for (const socket of sockets) {
+        silenced.add(socket);
+        socket.pause();
+      }
+    },
+    async close() {
+      for (const socket of sockets) socket.destroy();
+      await new Promise((resolve) => {
+        server.close(resolve);
+      });
+    },
+  };
+}
