Do not lose a wake-up of the roll-out, and test orders, watch, targets and the platform's formats

A lost wake-up at the start explains a roll-out that began only with the next change of the targets.

--- a/src/orders/weightsrollout.ts
+++ b/src/orders/weightsrollout.ts
@@ -91,6 +91,13 @@
   const retryAt = new Map<string, number>();
   let outdatedSince: number | undefined;
   let wakeUp: () => void = () => undefined;
+  /** Something changed since the last step began. */
+  let isWoken = false;
+
+  const wake = (): void => {
+    isWoken = true;
+    wakeUp();
+  };
 
   const tellChanging = (): void => site.setChanging([...changes.keys()]);
 
@@ -201,7 +208,7 @@
       .catch((err: unknown) => log.error({ err: errMessage(err) }, 'roll-out step failed'))
       .finally(() => {
         change.isAsked = false;
-        wakeUp();
+        wake();
       });
   };
 
@@ -290,7 +297,9 @@
 
   const run = async (token: CancellationToken): Promise<void> => {
     while (!token.isCancellationRequested) {
+      isWoken = false;
       const delayMs = await step(token);
+      if (isWoken) continue;
       const woken = new Promise<void>((resolve) => {
         wakeUp = resolve;
       });
@@ -304,10 +313,10 @@
   });
 
   return {
-    wake: () => wakeUp(),
+    wake,
     dispose() {
       source.cancel('roll-out closed');
-      wakeUp();
+      wake();
     },
   };
 }
--- /dev/null
+++ b/test/orders/claim.test.ts
@@ -0,0 +1,123 @@
+import { describe, expect, it } from 'vitest';
+import { noCancellation } from '../../src/base/cancellation.js';
+import { type Clock } from '../../src/base/clock.js';
+import { StoreReplyLostError, StoreUnavailableError } from '../../src/base/errors.js';
+import { createNullLogger } from '../../src/base/logging.js';
+import { createOrderClaim, orderWithinMs } from '../../src/orders/claim.js';
+import { type TableItem, type TablePort } from '../../src/ports/table.js';
+import { createManualClock, type ManualClock } from '../standins/clock.js';
+
+const leaseMs = 3_000;
+
+/** One row in memory, with calls that can be made to fail. */
+function createRow() {
+  let row: TableItem | undefined;
+  let fault: 'none' | 'down' | 'lost' = 'none';
+  const table: TablePort = {
+    async get() {
+      if (fault === 'down') throw new StoreUnavailableError('down');
+      return row;
+    },
+    query: async () => [],
+    async transact([write]) {
+      if (fault === 'down') throw new StoreUnavailableError('down');
+      if ((row?.version ?? 0) !== write?.condition.version) return 'conflict';
+      const { partition, sort, value = '' } = write;
+      row = { partition, sort, value, version: (row?.version ?? 0) + 1 };
+      if (fault === 'lost') throw new StoreReplyLostError('lost');
+      return 'committed';
+    },
+  };
+  return {
+    table,
+    setFault: (next: typeof fault) => {
+      fault = next;
+    },
+    deliver: (...claims: readonly ReturnType<typeof createOrderClaim>[]) => {
+      for (const claim of claims) if (row) claim.observe(row.value, row.version);
+    },
+  };
+}
+
+function setUp(clock: Clock = createManualClock()) {
+  const row = createRow();
+  const log = createNullLogger();
+  const create = (holder: string, own: Clock = clock) =>
+    createOrderClaim({ clock: own, log, table: row.table, holder, leaseMs });
+  return { row, create };
+}
+
+const take = (claim: ReturnType<typeof createOrderClaim>) => claim.take(noCancellation);
+
+describe('the claim of orders', () => {
+  it('goes to one of two that ask at the same time', async () => {
+    const { create } = setUp();
+    const numbers = await Promise.all([take(create('a')), take(create('b'))]);
+    expect(numbers.filter((number) => number !== undefined)).toEqual([1]);
+  });
+
+  it('keeps a second holder away until the orders of the first lie a lease back', async () => {
+    const clock = createManualClock();
+    const { row, create } = setUp(clock);
+    const [a, b] = [create('a'), create('b')];
+    expect(await take(a)).toBe(1);
+    row.deliver(a, b);
+    await clock.advance(leaseMs + orderWithinMs);
+    expect(await take(b)).toBeUndefined();
+    await clock.advance(500);
+    expect(await take(b)).toBe(2);
+  });
+
+  it('takes the claim from a holder that was overtaken', async () => {
+    const clock = createManualClock();
+    const { row, create } = setUp(clock);
+    const [a, b] = [create('a'), create('b')];
+    await take(a);
+    row.deliver(a, b);
+    await clock.advance(5_000);
+    expect(await take(b)).toBe(2);
+    expect(await take(a)).toBeUndefined();
+    row.deliver(a);
+    expect(a.isHolder).toBe(false);
+  });
+
+  it('is renewed before each order that comes later', async () => {
+    const clock = createManualClock();
+    const { row, create } = setUp(clock);
+    const [a, b] = [create('a'), create('b')];
+    for (let round = 0; round < 4; round += 1) {
+      expect(await take(a)).toBe(1);
+      row.deliver(a, b);
+      await clock.advance(2_000);
+      expect(await take(b)).toBeUndefined();
+    }
+  });
+
+  it('is not believed after a suspension that the monotonic clock did not count', async () => {
+    const base = createManualClock();
+    let suspendedMs = 0;
+    const clock: ManualClock = { ...base, wallTime: () => base.wallTime() + suspendedMs };
+    const { row, create } = setUp(clock);
+    const [a, b] = [create('a', clock), create('b', base)];
+    await take(a);
+    row.deliver(a, b);
+    await base.advance(5_000);
+    await take(b);
+    // The machine of the first holder stood still for all of that time.
+    suspendedMs = 5_000;
+    expect(await take(a)).toBeUndefined();
+  });
+
+  it('gives no number while the store is away, or when its answer was lost', async () => {
+    const { row, create } = setUp();
+    const a = create('a');
+    row.setFault('down');
+    expect(await take(a)).toBeUndefined();
+    row.setFault('lost');
+    expect(await take(a)).toBeUndefined();
+    row.setFault('none');
+    expect(await take(a)).toBeUndefined();
+    row.deliver(a);
+    expect(await take(a)).toBe(1);
+  });
+});
--- /dev/null
+++ b/test/platform/site.test.ts
@@ -0,0 +1,50 @@
+import { describe, expect, it } from 'vitest';
+import { siteDecoder } from '../../platform/site.js';
+import { configuration } from '../standins/platform/site.js';
+
+const decode = (value: unknown) =>
+  siteDecoder.configuration('config', typeof value === 'string' ? value : JSON.stringify(value));
+
+describe('the configuration of the operator', () => {
+  it('is decoded into the words of the product', () => {
+    const split = [
+      { service: 'llm', weight: 90 },
+      { service: 'desk', weight: 10 },
+    ];
+    const [first] = configuration(1).routes;
+    const store = { name: 'keep', kvStoreAddr: '10.0.0.9:80', zone: 'north', kvCapacity: 5_000 };
+    const changed = configuration(7, {
+      routes: [{ ...first, service: undefined, split }],
+      services: [...configuration(1).services, store],
+    });
+    expect(decode(changed)).toMatchSnapshot();
+  });
+
+  it.each<[string, unknown]>([
+    ['bytes that are no JSON', '{"version":'],
+    ['no object', '[1]'],
+    ['a version as text', { ...configuration(1), version: '1' }],
+    ['a route without a host', { ...configuration(1), routes: [{ name: 'x' }] }],
+    ['routes that are no list', { ...configuration(1), routes: {} }],
+    ['a service without a name', { ...configuration(1), services: [{}] }],
+    ['teams that are no list', { ...configuration(1), tenants: 'all' }],
+    ['a key that is no text', { ...configuration(1), tenants: [{ name: 'a', apiKeys: [1] }] }],
+  ])('is not believed with %s', (_name, value) => {
+    expect(decode(value)).toBeUndefined();
+  });
+
+  it('ignores fields that it does not know', () => {
+    expect(decode({ ...configuration(4), later: { a: 1 } })?.version).toBe(4);
+  });
+});
+
+describe('wanted weights', () => {
+  const value = JSON.stringify({ model: 'm', version: 3 });
+
+  it('are read from the row of their model only', () => {
+    expect(siteDecoder.weights('version/m', value)).toEqual({ model: 'm', version: 3 });
+    expect(siteDecoder.weights('version/other', value)).toBeUndefined();
+    expect(siteDecoder.weights('config', value)).toBeUndefined();
+    expect(siteDecoder.weights('version/m', '{"model":"m","version":2.5}')).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/test/platform/store.test.ts
@@ -0,0 +1,78 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { createCaller } from '../../src/base/call.js';
+import { noCancellation } from '../../src/base/cancellation.js';
+import { StoreReplyLostError, StoreUnavailableError } from '../../src/base/errors.js';
+import { createPlatformStore, type PlatformStore } from '../../platform/store.js';
+import { startStoreStandin, type StoreStandin } from '../standins/platform/store.js';
+
+let standin: StoreStandin;
+let store: PlatformStore;
+
+beforeEach(async () => {
+  standin = await startStoreStandin();
+  const address = { host: '127.0.0.1', port: standin.port };
+  store = createPlatformStore({ address, call: createCaller() });
+});
+
+afterEach(() => standin.close());
+
+const key = { partition: '', sort: 'row' };
+
+describe('the client of the platform store', () => {
+  it('writes under a condition and reads back', async () => {
+    const write = (value: string, version: number) =>
+      store.transact([{ ...key, value, condition: { version } }], noCancellation);
+    expect(await write('one', 0)).toBe('committed');
+    expect(await write('two', 0)).toBe('conflict');
+    const item = await store.get(key, noCancellation);
+    expect(item).toMatchObject({ ...key, value: 'one' });
+    expect(await write('three', item?.version ?? -1)).toBe('committed');
+    const removal = { ...key, remove: true, condition: { version: (item?.version ?? 0) + 1 } };
+    expect(await store.transact([removal], noCancellation)).toBe('committed');
+    expect(await store.get(key, noCancellation)).toBeUndefined();
+  });
+
+  it('reads tables of more than one page', async () => {
+    for (let count = 0; count < 620; count += 1) standin.put('big', `k${count}`, count);
+    const { rows, version } = await store.list('big', noCancellation);
+    expect([rows.length, version]).toEqual([620, 620]);
+  });
+
+  it('follows changes, removals and the loss of history', async () => {
+    standin.put('op', 'a', 1);
+    const { version } = await store.list('op', noCancellation);
+    standin.put('op', 'a', 2);
+    standin.remove('op', 'a');
+    const change = await store.changes('op', version, 500, noCancellation);
+    expect(change).toMatchObject({
+      rows: [{ value: '2' }, { value: undefined }],
+      version: version + 2,
+    });
+    standin.compact();
+    expect(await store.changes('op', version, 500, noCancellation)).toBe('history-lost');
+  });
+
+  it('returns without changes when its wait is over', async () => {
+    expect(await store.changes('op', 0, 30, noCancellation)).toEqual({ rows: [], version: 0 });
+  });
+
+  it.each(['busy', 'reset', 'silent'] as const)('reports a store that is %s', async (fault) => {
+    standin.fault = fault;
+    await expect(store.get(key, noCancellation)).rejects.toThrow(StoreUnavailableError);
+  });
+
+  it('reports a write whose answer was lost as one that may have taken effect', async () => {
+    standin.fault = 'late';
+    const write = store.transact(
+      [{ ...key, value: 'x', condition: { version: 0 } }],
+      noCancellation,
+    );
+    await expect(write).rejects.toThrow(StoreReplyLostError);
+    expect(standin.rows('cicadatide').get('row')).toBe('x');
+  });
+
+  it('reports a store that refuses connections', async () => {
+    await standin.close();
+    await expect(store.get(key, noCancellation)).rejects.toThrow(StoreUnavailableError);
+  });
+});
