--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -12,11 +12,12 @@
 import { createTargetReliability } from '../gateway/health.js';
 import { createKvStores } from '../gateway/kvstores.js';
 import { createPeers } from '../gateway/peers.js';
-import { createPlacer, recordUse } from '../gateway/placement.js';
+import { createPlacer } from '../gateway/placement.js';
 import { createRepeatBudget } from '../gateway/repeats.js';
 import { createRouteTable, type RouteTable } from '../gateway/routes.js';
 import { createGatewayServer } from '../gateway/server.js';
-import { createTargetDirectory } from '../gateway/targets.js';
+import { createTargetDirectory, type Target } from '../gateway/targets.js';
+import { createTransfers } from '../gateway/transfers.js';
 import { createOrderClaim } from '../orders/claim.js';
 import { createWeightsRollout } from '../orders/weightsrollout.js';
 import { type RowFeedPort } from '../ports/rows.js';
@@ -95,14 +96,25 @@
       instance,
       bind: settings.listen.peers,
       own: () => directory.all.map(({ id, outstanding }) => [id, outstanding] as const),
-      onUse: (use) => recordUse(cache, use),
-      onWeights: ({ targetId, model, version }) => {
-        directory.find(targetId)?.observeWeights(model, version);
-      },
     }),
   );
 
   const changing = new Set<string>();
+  const isChanging = ({ id }: Target): boolean => changing.has(id) || peers.isChanging(id);
+  const transfers = createTransfers({
+    cache,
+    stores,
+    directory,
+    reliability,
+    peers,
+    isChanging,
+  });
+  peers.listen({
+    onUse: (use) => transfers.record(use),
+    onWeights: ({ targetId, model, version }) => {
+      directory.find(targetId)?.observeWeights(model, version);
+    },
+  });
   const claim = createOrderClaim({
     clock,
     log,
@@ -152,8 +164,7 @@
     random,
     directory,
     reliability,
-    cache,
-    stores,
+    transfers,
     peers,
     dataCentre,
     service: (name) => routes?.configuration.services.find((spec) => spec.name === name),
@@ -162,7 +173,7 @@
       const ageMs = clock.now() - (wantedSince.get(model) ?? -Infinity);
       return version === undefined ? undefined : { version, ageMs };
     },
-    isChanging: ({ id }) => changing.has(id) || peers.isChanging(id),
+    isChanging,
     onUse: (use) => peers.tellUse(use),
   });
   const budget = createRepeatBudget(
@@ -226,7 +237,8 @@
       if (configuration && configuration.version > (routes?.configuration.version ?? -1)) {
         routes = createRouteTable(configuration);
         callers.setIdleTimeout(configuration.limits.idleTimeoutMs);
-        stores.configure(configuration.kvStores);
+        const engine = configuration.services.find((spec) => spec.engine)?.engine;
+        stores.configure(configuration.kvStores, engine?.bytesPerToken ?? 0);
         setCapacities();
         log.info(
           { version: configuration.version, routes: configuration.routes.length },
--- a/src/gateway/cachemodel.ts
+++ b/src/gateway/cachemodel.ts
@@ -11,14 +11,20 @@
   setCapacity(holder: string, tokens: number): void;
   /** Records that a holder reads or receives these parts, in this order. */
   use(holder: string, salt: string, parts: readonly PromptPart[]): void;
-  /** Leading tokens of a prompt that a holder has, or will have once it has read what it got. */
-  cachedTokens(holder: string, salt: string, parts: readonly PromptPart[]): number;
-  /** Leading tokens that a holder can already send to another one. */
-  sendableTokens(holder: string, salt: string, parts: readonly PromptPart[]): number;
+  /** Holders that have leading parts of a prompt. */
+  holding(salt: string, parts: readonly PromptPart[]): ReadonlyMap<string, Held>;
   /** Forgets a holder whose memory is empty. */
   forget(holder: string): void;
 }
 
+/** Leading tokens of a prompt at one holder. */
+export interface Held {
+  /** Tokens that it has, or will have once it has read what it got. */
+  readonly cached: number;
+  /** Tokens that it can already send to another holder. */
+  readonly sendable: number;
+}
+
 interface Entry {
   readonly tokens: number;
   /** When the part was first sent to the holder. */
@@ -65,22 +71,6 @@
     }
   };
 
-  const leadingTokens = (
-    name: string,
-    salt: string,
-    parts: readonly PromptPart[],
-    addedBefore: number,
-  ): number => {
-    const entries = holders.get(name)?.entries;
-    let total = 0;
-    for (const { id, tokens } of parts) {
-      const entry = entries?.get(keyOf(salt, id));
-      if (!entry || entry.addedAt > addedBefore) break;
-      total += tokens;
-    }
-    return total;
-  };
-
   return {
     setCapacity(name, tokens) {
       const holder = holderOf(name);
@@ -99,8 +89,25 @@
       }
       trim(holder);
     },
-    cachedTokens: (name, salt, parts) => leadingTokens(name, salt, parts, Infinity),
-    sendableTokens: (name, salt, parts) => leadingTokens(name, salt, parts, clock.now() - readMs),
+    holding(salt, parts) {
+      const keys = parts.map(({ id }) => keyOf(salt, id));
+      const readBefore = clock.now() - readMs;
+      const held = new Map<string, Held>();
+      for (const [name, { entries }] of holders) {
+        let cached = 0;
+        let sendable = 0;
+        let isRead = true;
+        for (const [index, { tokens }] of parts.entries()) {
+          const entry = entries.get(keys[index] as string);
+          if (!entry) break;
+          cached += tokens;
+          isRead &&= entry.addedAt <= readBefore;
+          if (isRead) sendable += tokens;
+        }
+        if (cached > 0) held.set(name, { cached, sendable });
+      }
+      return held;
+    },
     forget(name) {
       const holder = holders.get(name);
       if (!holder) return;
--- a/src/gateway/kvstores.ts
+++ b/src/gateway/kvstores.ts
@@ -19,9 +19,12 @@
 export interface KvStores extends Disposable {
   /** Stores that accepted the last connection. */
   readonly live: readonly KvStore[];
-  configure(specs: readonly KvStoreSpec[]): void;
-  /** Says that a request is about to use a store. */
-  touch(): void;
+  /** Takes over the stores of a configuration and the size of a token's memory. */
+  configure(specs: readonly KvStoreSpec[], bytesPerToken: number): void;
+  /** Records that a store sends or receives tokens. */
+  use(holder: string, tokens: number): void;
+  /** Time until a store's link is free, by the transfers of all entries. */
+  waitMs(holder: string): number;
 }
 
 export interface KvStoresOptions {
@@ -37,6 +40,9 @@
 const testIntervalMs = 1_000;
 
 interface Known extends KvStore {
+  readonly tokensPerMs: number;
+  /** End of the transfers that are under way or wait. */
+  busyUntil: number;
   isUp: boolean;
   readonly connections: ReturnType<typeof createConnections>;
 }
@@ -61,32 +67,53 @@
     rebuild();
   };
 
+  const testAll = (): void => {
+    if (clock.now() - testedAt < testIntervalMs) return;
+    testedAt = clock.now();
+    for (const store of stores) {
+      test(store).catch((err: unknown) => {
+        log.debug({ store: store.holder, err: errMessage(err) }, 'store was not tested');
+      });
+    }
+  };
+
   return {
     get live() {
       return live;
     },
-    configure(specs) {
+    configure(specs, bytesPerToken) {
       const known = new Map(stores.map((store) => [store.holder, store]));
       const next: Known[] = [];
-      for (const { address: text, dataCentre, kvTokens } of specs) {
+      for (const { address: text, dataCentre, kvTokens, linkMbps } of specs) {
         const address = parseHostPort(text);
         if (!address) continue;
         cache.setCapacity(text, kvTokens);
         const connections = createConnections(clock, address);
-        const fresh = { holder: text, address, dataCentre, isUp: true, connections };
+        const tokensPerMs = (linkMbps * 1_000) / 8 / Math.max(1, bytesPerToken);
+        const fresh = {
+          holder: text,
+          address,
+          dataCentre,
+          tokensPerMs,
+          busyUntil: -Infinity,
+          isUp: true,
+          connections,
+        };
         next.push(known.get(text) ?? fresh);
       }
       stores = next;
       rebuild();
     },
-    touch() {
-      if (clock.now() - testedAt < testIntervalMs) return;
-      testedAt = clock.now();
-      for (const store of stores) {
-        test(store).catch((err: unknown) => {
-          log.debug({ store: store.holder, err: errMessage(err) }, 'store was not tested');
-        });
-      }
+    use(holder, tokens) {
+      testAll();
+      const store = stores.find((known) => known.holder === holder);
+      if (!store) return;
+      const begin = Math.max(clock.now(), store.busyUntil);
+      store.busyUntil = begin + tokens / store.tokensPerMs;
+    },
+    waitMs(holder) {
+      const store = stores.find((known) => known.holder === holder);
+      return store ? Math.max(0, store.busyUntil - clock.now()) : Infinity;
     },
     dispose() {
       isDisposed = true;
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -13,7 +13,9 @@
   readonly parts: readonly PromptPart[];
   readonly targetId: string;
   /** Store that receives the parts too. */
-  readonly store: string | undefined;
+  readonly saveTo: string | undefined;
+  /** Tokens that come from a store. */
+  readonly fetch: { readonly store: string; readonly tokens: number } | undefined;
 }
 
 /** New weights that a peer saw at a target. */
@@ -23,6 +25,12 @@
   readonly version: number;
 }
 
+/** Takes over what peers tell. */
+export interface PeerListener {
+  onUse(use: CacheUse): void;
+  onWeights(seen: WeightsSeen): void;
+}
+
 /**
  * Exchanges hints between the entries over datagrams: requests at each target, targets that change
  * their weights, and which engine read which parts. A lost hint costs a worse placement and nothing
@@ -37,6 +45,7 @@
   isChanging(targetId: string): boolean;
   /** Time since a peer last said that any target changes its weights. */
   sinceChangeMs(): number;
+  listen(listener: PeerListener): void;
   setPeers(addresses: readonly HostPort[]): void;
   /** Tells that this process's own counts changed. */
   touch(): void;
@@ -52,8 +61,6 @@
   readonly bind: HostPort;
   /** This process's own requests by target. */
   own(): readonly (readonly [targetId: string, outstanding: Outstanding])[];
-  onUse(use: CacheUse): void;
-  onWeights(seen: WeightsSeen): void;
 }
 
 /** Hints that come together are sent together; a request takes tens of milliseconds. */
@@ -85,8 +92,18 @@
   readonly o: readonly (readonly [string, number, number])[];
   /** Targets that change their weights. */
   readonly c: readonly string[];
-  /** Salt, target, store or an empty text, and the parts with their tokens. */
-  readonly u: readonly (readonly [string, string, string, readonly (string | number)[]])[];
+  /**
+   * Salt, target, store that receives or an empty text, store that sends or an empty text, tokens
+   * that it sends, and the parts with their tokens.
+   */
+  readonly u: readonly (readonly [
+    string,
+    string,
+    string,
+    string,
+    number,
+    readonly (string | number)[],
+  ])[];
   /** Target, model, version. */
   readonly w: readonly (readonly [string, string, number])[];
 }
@@ -116,9 +133,10 @@
 }
 
 export function createPeers(options: PeersOptions): Peers {
-  const { clock, log, instance, bind, own, onUse, onWeights } = options;
+  const { clock, log, instance, bind, own } = options;
   const run = clock.wallTime();
   const states = new Map<string, PeerState>();
+  let listener: PeerListener | undefined;
   let addresses: readonly HostPort[] = [];
   let sequence = 0;
   let changing: readonly string[] = [];
@@ -145,7 +163,9 @@
         .map((use) => [
           use.salt,
           use.targetId,
-          use.store ?? '',
+          use.saveTo ?? '',
+          use.fetch?.store ?? '',
+          use.fetch?.tokens ?? 0,
           use.parts.flatMap(({ id, tokens }) => [id, tokens]),
         ]),
       w: weights.map(({ targetId, model, version }) => [targetId, model, version]),
@@ -181,10 +201,18 @@
       changing: new Set(hint.c),
       changingAt: hint.c.length > 0 ? clock.now() : (known?.changingAt ?? -Infinity),
     });
-    for (const [salt, targetId, store, flat] of hint.u) {
-      onUse({ salt, targetId, store: store || undefined, parts: readParts(flat) });
+    for (const [salt, targetId, saveTo, store, tokens, flat] of hint.u) {
+      const fetch = store ? { store, tokens } : undefined;
+      listener?.onUse({
+        salt,
+        targetId,
+        saveTo: saveTo || undefined,
+        fetch,
+        parts: readParts(flat),
+      });
     }
-    for (const [targetId, model, version] of hint.w) onWeights({ targetId, model, version });
+    for (const [targetId, model, version] of hint.w)
+      listener?.onWeights({ targetId, model, version });
   };
 
   socket.on('message', (bytes) => {
@@ -224,6 +252,9 @@
       for (const { changingAt } of states.values()) newest = Math.max(newest, changingAt);
       return clock.now() - newest;
     },
+    listen(next) {
+      listener = next;
+    },
     setPeers(next) {
       addresses = next;
     },
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,13 +1,13 @@
 import { type HostPort } from '../base/address.js';
 import { type Random } from '../base/random.js';
 import { type ServiceSpec, type TeamSpec } from '../ports/site.js';
-import { type CallerHead, type Dispatch, type PromptPart } from '../ports/wire.js';
-import { type CacheModel } from './cachemodel.js';
+import { type CallerHead, type Dispatch } from '../ports/wire.js';
 import { type TargetReliability } from './health.js';
-import { type KvStore, type KvStores } from './kvstores.js';
+import { type KvStore } from './kvstores.js';
 import { type CacheUse, type Peers } from './peers.js';
 import { type Candidate, engineSpeeds, pickCandidate, serviceSpeeds } from './scoring.js';
 import { type Target, type TargetDirectory } from './targets.js';
+import { noSource, type Transfers, type TransferView } from './transfers.js';
 
 /** A chosen target and what is sent along because of it. */
 export interface Placement {
@@ -43,8 +43,7 @@
   readonly random: Random;
   readonly directory: TargetDirectory;
   readonly reliability: TargetReliability;
-  readonly cache: CacheModel;
-  readonly stores: KvStores;
+  readonly transfers: Transfers;
   readonly peers: Pick<Peers, 'outstanding'>;
   readonly dataCentre: string;
   service(name: string): ServiceSpec | undefined;
@@ -59,42 +58,6 @@
 /** Load words of targets older than this say nothing of the present. */
 const loadFreshMs = 300;
 
-/** Fewer tokens are read faster than they are fetched. */
-const minFetchTokens = 500;
-
-/** Shared parts with fewer tokens are not worth their place in a store. */
-const minSaveTokens = 1_000;
-
-/** Transfers between data centres take twice as long. */
-const farSlowness = 2;
-
-/**
- * Runs at an engine that still takes copies. Copies push shared parts out: on full days 60% more of
- * these were read again, which cost more than the streams that were saved.
- */
-const maxBackupRuns = 6;
-
-/** A copy goes to another data centre only to an engine with this many runs less. */
-const farBackupRuns = 4;
-
-/** A store's link has a quarter of the speed of an engine's and serves all engines. */
-const storeSlowness = 8;
-
-/** Where a prompt's parts can be fetched from. */
-interface Source {
-  readonly tokens: number;
-  readonly slowness: number;
-  readonly address: HostPort | undefined;
-}
-
-const noSource: Source = { tokens: 0, slowness: 1, address: undefined };
-
-function tokensOf(parts: readonly PromptPart[]): number {
-  let total = 0;
-  for (const { tokens } of parts) total += tokens;
-  return total;
-}
-
 /**
  * An engine that still has older weights after this time is left out while others have the newer
  * ones. Operators allow 10 s, and a roll-out over all engines takes 3 s.
@@ -109,64 +72,8 @@
   return team?.isIsolated ? `v${version}.team.${team.name}` : `v${version}`;
 }
 
-/** Enters a placement into the model of the caches. */
-export function recordUse(cache: CacheModel, use: CacheUse): void {
-  cache.use(use.targetId, use.salt, use.parts);
-  if (use.store !== undefined) cache.use(use.store, use.salt, use.parts);
-}
-
 export function createPlacer(options: PlacerOptions): Placer {
-  const { random, directory, reliability, cache, stores, peers, dataCentre } = options;
-
-  /** Finds where the target gets the parts that it lacks itself. */
-  const findSource = (salt: string, head: CallerHead, target: Target, own: number): Source => {
-    let best = noSource;
-    const consider = (holder: string, address: HostPort, slowness: number): void => {
-      const tokens = cache.sendableTokens(holder, salt, head.parts) - own;
-      if (tokens < minFetchTokens || tokens < best.tokens) return;
-      if (tokens === best.tokens && slowness >= best.slowness) return;
-      best = { tokens, slowness, address };
-    };
-    for (const engine of directory.usable(target.entry.service)) {
-      if (engine === target || reliability.isDown(engine)) continue;
-      const isNear = engine.entry.dataCentre === target.entry.dataCentre;
-      consider(engine.id, engine.entry.address, isNear ? 1 : farSlowness);
-    }
-    for (const store of stores.live) {
-      const isNear = store.dataCentre === target.entry.dataCentre;
-      consider(store.holder, store.address, storeSlowness * (isNear ? 1 : farSlowness));
-    }
-    return best;
-  };
-
-  /** An engine with the same weights that is least busy, in the same data centre if possible. */
-  const findBackup = (target: Target, model: string): Target | undefined => {
-    const version = target.weightsVersion(model);
-    let best: Target | undefined;
-    let bestCost = Infinity;
-    for (const other of directory.usable(target.entry.service)) {
-      if (other === target || reliability.isDown(other) || options.isChanging(other)) continue;
-      if (version === undefined || other.weightsVersion(model) !== version) continue;
-      const isNear = other.entry.dataCentre === target.entry.dataCentre;
-      const runs = other.outstanding.runs + peers.outstanding(other.id).runs;
-      if (runs > maxBackupRuns) continue;
-      const cost = runs + (isNear ? 0 : farBackupRuns);
-      if (cost >= bestCost) continue;
-      best = other;
-      bestCost = cost;
-    }
-    return best;
-  };
-
-  /** A store that lacks the shared parts; the last part is the request's own. */
-  const findSaveTarget = (salt: string, { parts }: CallerHead): KvStore | undefined => {
-    const shared = parts.slice(0, -1);
-    const sharedTokens = tokensOf(shared);
-    if (sharedTokens < minSaveTokens) return undefined;
-    const [store] = stores.live;
-    if (!store) return undefined;
-    return cache.cachedTokens(store.holder, salt, shared) < sharedTokens ? store : undefined;
-  };
+  const { random, directory, reliability, transfers, peers, dataCentre } = options;
 
   return {
     place({ service, head, team, needsBackup }, excluded) {
@@ -177,17 +84,23 @@
         (target) => !excluded.has(target) && !reliability.isDown(target),
       );
       const wanted = isEngine ? options.wanted(head.model as string) : undefined;
+      const views = new Map<string, TransferView>();
+      const viewOf = (salt: string): TransferView => {
+        const view = views.get(salt) ?? transfers.view(service, salt, head.parts);
+        views.set(salt, view);
+        return view;
+      };
       const details = targets.map((target) => {
         const version = isEngine ? target.weightsVersion(head.model as string) : undefined;
-        const salt = version === undefined ? undefined : saltOf(version, team);
-        if (salt === undefined) {
+        if (version === undefined) {
           // Nothing is shared with an engine whose version is unknown, so that nothing can be stale.
-          const own = isEngine ? `request.${head.requestId}` : undefined;
-          const tokensToRead = head.promptTokens;
-          return { target, version, salt: own, source: noSource, tokensToRead };
+          const salt = isEngine ? `request.${head.requestId}` : undefined;
+          return { target, version, salt, source: noSource, tokensToRead: head.promptTokens };
         }
-        const cached = cache.cachedTokens(target.id, salt, head.parts);
-        const source = findSource(salt, head, target, cached);
+        const salt = saltOf(version, team);
+        const view = viewOf(salt);
+        const cached = view.cachedTokens(target.id);
+        const source = view.findSource(target, cached);
         const tokensToRead = Math.max(0, head.promptTokens - cached - source.tokens);
         return { target, version, salt, source, tokensToRead };
       });
@@ -204,6 +117,7 @@
           tokensToRead,
           tokensToFetch: source.tokens,
           fetchSlowness: source.slowness,
+          fetchWaitMs: source.waitMs,
           isNear: target.entry.dataCentre === dataCentre,
           failureShare: reliability.failureShare(target),
           slowness: fresh?.slowness ?? 1,
@@ -218,11 +132,12 @@
       const { target, salt, version, source, tokensToRead } = chosen;
       let saveTo: KvStore | undefined;
       if (salt !== undefined && version !== undefined && head.parts.length > 0) {
-        saveTo = findSaveTarget(salt, head);
-        if (saveTo || source.address) stores.touch();
-        const use = { salt, parts: head.parts, targetId: target.id, store: saveTo?.holder };
-        recordUse(cache, use);
-        options.onUse(use);
+        saveTo = transfers.findSaveTarget(salt, head.parts);
+        const use = { salt, parts: head.parts, targetId: target.id, saveTo: saveTo?.holder };
+        const { store, tokens } = source;
+        const fetch = store === undefined ? undefined : { store, tokens };
+        transfers.record({ ...use, fetch });
+        options.onUse({ ...use, fetch });
       }
       return {
         target,
@@ -230,7 +145,8 @@
         weightsVersion: version,
         fetchFrom: source.address,
         saveTo: saveTo?.address,
-        backup: isEngine && needsBackup ? findBackup(target, head.model as string) : undefined,
+        backup:
+          isEngine && needsBackup ? transfers.findBackup(target, head.model as string) : undefined,
         tokensToRead: isEngine ? tokensToRead : 0,
       };
     },
--- a/src/gateway/scoring.ts
+++ b/src/gateway/scoring.ts
@@ -13,6 +13,8 @@
   readonly tokensToFetch: number;
   /** Speed of the source relative to an engine in the same data centre. */
   readonly fetchSlowness: number;
+  /** Wait for the link of the source. */
+  readonly fetchWaitMs: number;
   readonly isNear: boolean;
   /** Recent share of failed requests, from 0 to 1. */
   readonly failureShare: number;
@@ -76,7 +78,7 @@
   const crowdMs = speeds.tokensPerMs === Infinity ? runs * farMs : runs * perRunMs;
   const workMs = (speeds.baseMs * (1 + queued) + readMs + crowdMs) * Math.max(1, slowness);
   const transferMs = (tokensToFetch / fetchedTokensPerMs) * candidate.fetchSlowness;
-  const moveMs = tokensToFetch > 0 ? fetchMs + transferMs : 0;
+  const moveMs = tokensToFetch > 0 ? fetchMs + transferMs + candidate.fetchWaitMs : 0;
   const otherMs =
     (candidate.isNear ? 0 : farMs) +
     (candidate.isOutdated ? outdatedMs : 0) +
--- a/src/ports/site.ts
+++ b/src/ports/site.ts
@@ -37,6 +37,7 @@
 export interface EngineSpec {
   /** Memory for tokens, running and cached together. */
   readonly kvTokens: number;
+  readonly bytesPerToken: number;
   /** Requests that one engine runs at once. */
   readonly slots: number;
   readonly models: readonly string[];
@@ -59,6 +60,7 @@
   readonly dataCentre: string;
   /** Tokens that it holds. */
   readonly kvTokens: number;
+  readonly linkMbps: number;
 }
 
 /** A team and its keys. */
--- a/test/gateway/cachemodel.test.ts
+++ b/test/gateway/cachemodel.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { type PromptPart } from '../../src/ports/wire.js';
 import { createCacheModel } from '../../src/gateway/cachemodel.js';
 import { createManualClock } from '../standins/clock.js';
 
@@ -10,48 +11,50 @@
   const clock = createManualClock();
   const model = createCacheModel(clock);
   model.setCapacity('engine', capacity);
-  return { clock, model };
+  const tokens = (salt: string, parts: readonly PromptPart[]): number =>
+    model.holding(salt, parts).get('engine')?.cached ?? 0;
+  return { clock, model, tokens };
 }
 
 describe('the model of a prompt cache', () => {
   it('counts leading parts only', () => {
-    const { model } = setUp();
+    const { model, tokens } = setUp();
     model.use('engine', 'v1', [general, sessionA]);
-    expect(model.cachedTokens('engine', 'v1', [general, sessionA])).toBe(6_000);
-    expect(model.cachedTokens('engine', 'v1', [general, sessionB])).toBe(2_000);
-    expect(model.cachedTokens('engine', 'v1', [sessionB, general])).toBe(0);
+    expect(tokens('v1', [general, sessionA])).toBe(6_000);
+    expect(tokens('v1', [general, sessionB])).toBe(2_000);
+    expect(tokens('v1', [sessionB, general])).toBe(0);
   });
 
   it('shares nothing between salts, so that neither old weights nor another team are used', () => {
-    const { model } = setUp();
+    const { model, tokens } = setUp();
     model.use('engine', 'v1', [general]);
-    expect(model.cachedTokens('engine', 'v2', [general])).toBe(0);
-    expect(model.cachedTokens('engine', 'v1.team.b', [general])).toBe(0);
+    expect(tokens('v2', [general])).toBe(0);
+    expect(tokens('v1.team.b', [general])).toBe(0);
   });
 
   it('drops the least recently used part when the memory is full', () => {
     // 85% of 12,000 tokens hold two of the three sessions beside the general part.
-    const { model } = setUp(12_000);
+    const { model, tokens } = setUp(12_000);
     model.use('engine', 'v1', [general, sessionA]);
     model.use('engine', 'v1', [general, sessionB]);
     model.use('engine', 'v1', [general, sessionA]);
     model.use('engine', 'v1', [{ id: 'own', tokens: 2_000 }]);
-    expect(model.cachedTokens('engine', 'v1', [general, sessionA])).toBe(6_000);
-    expect(model.cachedTokens('engine', 'v1', [general, sessionB])).toBe(2_000);
+    expect(tokens('v1', [general, sessionA])).toBe(6_000);
+    expect(tokens('v1', [general, sessionB])).toBe(2_000);
   });
 
   it('does not offer parts for fetching before they are read', async () => {
     const { clock, model } = setUp();
     model.use('engine', 'v1', [general]);
-    expect(model.sendableTokens('engine', 'v1', [general])).toBe(0);
+    expect(model.holding('v1', [general]).get('engine')).toEqual({ cached: 2_000, sendable: 0 });
     await clock.advance(250);
-    expect(model.sendableTokens('engine', 'v1', [general])).toBe(2_000);
+    expect(model.holding('v1', [general]).get('engine')?.sendable).toBe(2_000);
   });
 
   it('forgets an engine that restarted or changed its weights', () => {
-    const { model } = setUp();
+    const { model, tokens } = setUp();
     model.use('engine', 'v1', [general]);
     model.forget('engine');
-    expect(model.cachedTokens('engine', 'v1', [general])).toBe(0);
+    expect(tokens('v1', [general])).toBe(0);
   });
 });
--- a/test/gateway/scoring.test.ts
+++ b/test/gateway/scoring.test.ts
@@ -15,6 +15,7 @@
   tokensToRead: 3_000,
   tokensToFetch: 0,
   fetchSlowness: 1,
+  fetchWaitMs: 0,
   isNear: true,
   failureShare: 0,
   slowness: 1,
