--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -58,7 +58,7 @@
 const ownWaitMs = 25_000;
 
 /** Targets change together, so their changes are read together; it delays one by this much. */
-const targetPauseMs = 200;
+const targetPauseMs = 400;
 
 /** Part of the grace time that is kept for closing. */
 const closeMs = 600;
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -64,7 +64,13 @@
 }
 
 /** Hints that come together are sent together; a request takes tens of milliseconds. */
-const gatherMs = 8;
+const minGatherMs = 8;
+
+/**
+ * Longer gathering for each peer, so that the datagrams of one entry stay below about 400 a second
+ * whatever the number of its peers.
+ */
+const gatherMsPerPeer = 2.5;
 
 /** Counts are sent again this often while there are any, in case a datagram was lost. */
 const repeatMs = 500;
@@ -184,7 +190,9 @@
   };
 
   const touch = (): void => {
-    if (addresses.length > 0) timer ??= clock.setTimer(gatherMs, send);
+    if (addresses.length === 0) return;
+    const gatherMs = Math.max(minGatherMs, addresses.length * gatherMsPerPeer);
+    timer ??= clock.setTimer(gatherMs, send);
   };
 
   const accept = (hint: Hint): void => {
--- a/src/gateway/scoring.ts
+++ b/src/gateway/scoring.ts
@@ -51,8 +51,11 @@
 /** Tokens that an engine fetches in a millisecond, at 130 Gbit/s and 18 KB a token. */
 const fetchedTokensPerMs = 880;
 
-/** Two more crossings of the network, and the price of bytes between data centres. */
-const farMs = 3;
+/** Two more crossings of the network, and bytes between data centres, which are dear. */
+const farMs = 8;
+
+/** A plain service slows down a little with each call. */
+const perCallMs = 3;
 
 /** A step of an engine takes this much longer with each further run, over some 20 steps. */
 const perRunMs = 1.6;
@@ -75,7 +78,7 @@
   const tokens = candidate.waitingTokens + candidate.tokensToRead;
   const readMs = tokens / speeds.tokensPerMs;
   const queued = Math.max(0, runs + 1 - slots) / Math.max(1, slots);
-  const crowdMs = speeds.tokensPerMs === Infinity ? runs * farMs : runs * perRunMs;
+  const crowdMs = speeds.tokensPerMs === Infinity ? runs * perCallMs : runs * perRunMs;
   const workMs = (speeds.baseMs * (1 + queued) + readMs + crowdMs) * Math.max(1, slowness);
   const transferMs = (tokensToFetch / fetchedTokensPerMs) * candidate.fetchSlowness;
   const moveMs = tokensToFetch > 0 ? fetchMs + transferMs + candidate.fetchWaitMs : 0;
