Count how long weights are overdue from the first newer version; share a claim within a process

Ruled out: a wrong belief about the engine's version; the request named version 1 and was accepted.

Change: supersededMs counts from the first newer version; claims of one process are shared.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -18,10 +18,11 @@
 import { createGatewayServer } from '../gateway/server.js';
 import { createTargetDirectory, type Target } from '../gateway/targets.js';
 import { createTransfers } from '../gateway/transfers.js';
+import { createWantedWeightsLog } from '../gateway/wantedweights.js';
 import { createOrderClaim } from '../orders/claim.js';
 import { createWeightsRollout } from '../orders/weightsrollout.js';
 import { type RowFeedPort } from '../ports/rows.js';
-import { type SiteDecoder } from '../ports/site.js';
+import { type SiteConfiguration, type SiteDecoder } from '../ports/site.js';
 import { type TablePort } from '../ports/table.js';
 import { type EngineControl, type WireProtocol } from '../ports/wire.js';
 import { createGatewayMetrics } from './gatewaymetrics.js';
@@ -74,9 +75,7 @@
   const { instance, data_centre: dataCentre } = settings.process;
 
   let routes: RouteTable | undefined;
-  const wanted = new Map<string, number>();
-  /** When a wanted version was first seen; missing for those that were there at the start. */
-  const wantedSince = new Map<string, number>();
+  const weights = createWantedWeightsLog(clock);
   const watches: { operator?: TableWatch; targets?: TableWatch } = {};
   const cache = createCacheModel(clock);
   const directory = createTargetDirectory({
@@ -131,7 +130,7 @@
       control: platform.control,
       holder: instance,
       site: {
-        wanted: () => wanted,
+        wanted: () => weights.newest,
         engines: (model) =>
           directory.all
             .filter(({ entry }) => !entry.isLeaving && entry.weights.has(model))
@@ -168,11 +167,7 @@
     peers,
     dataCentre,
     service: (name) => routes?.configuration.services.find((spec) => spec.name === name),
-    wanted: (model) => {
-      const version = wanted.get(model);
-      const ageMs = clock.now() - (wantedSince.get(model) ?? -Infinity);
-      return version === undefined ? undefined : { version, ageMs };
-    },
+    weights,
     isChanging,
     onUse: (use) => peers.tellUse(use),
   });
@@ -229,28 +224,28 @@
     }
   };
 
+  const applyConfiguration = (configuration: SiteConfiguration): void => {
+    routes = createRouteTable(configuration);
+    callers.setIdleTimeout(configuration.limits.idleTimeoutMs);
+    const engine = configuration.services.find((spec) => spec.engine)?.engine;
+    stores.configure(configuration.kvStores, engine?.bytesPerToken ?? 0);
+    setCapacities();
+    const { version } = configuration;
+    log.info({ version, routes: configuration.routes.length }, 'configuration is in force');
+  };
+
   const onOperatorRows = ({ rows, isSnapshot }: RowChange): void => {
     for (const { key, value } of rows) {
       if (value === undefined) continue;
       const configuration = decoder.configuration(key, value);
-      const weights = decoder.weights(key, value);
+      const wanted = decoder.weights(key, value);
       if (configuration && configuration.version > (routes?.configuration.version ?? -1)) {
-        routes = createRouteTable(configuration);
-        callers.setIdleTimeout(configuration.limits.idleTimeoutMs);
-        const engine = configuration.services.find((spec) => spec.engine)?.engine;
-        stores.configure(configuration.kvStores, engine?.bytesPerToken ?? 0);
-        setCapacities();
-        log.info(
-          { version: configuration.version, routes: configuration.routes.length },
-          'configuration is in force',
-        );
-      } else if (weights && weights.version > (wanted.get(weights.model) ?? -1)) {
-        wanted.set(weights.model, weights.version);
-        if (!isSnapshot) wantedSince.set(weights.model, clock.now());
-        else wantedSince.delete(weights.model);
-        log.info({ ...weights }, 'weights are wanted');
+        applyConfiguration(configuration);
+      } else if (wanted && wanted.version > (weights.newest.get(wanted.model) ?? -1)) {
+        weights.want(wanted, isSnapshot);
+        log.info({ ...wanted }, 'weights are wanted');
         rollout.wake();
-      } else if (!configuration && !weights) {
+      } else if (!configuration && !wanted) {
         log.warn({ key }, 'row of the operator is not readable and is ignored');
       }
     }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -8,6 +8,7 @@
 import { type Candidate, engineSpeeds, pickCandidate, serviceSpeeds } from './scoring.js';
 import { type Target, type TargetDirectory } from './targets.js';
 import { noSource, type Transfers, type TransferView } from './transfers.js';
+import { type WantedWeightsLog } from './wantedweights.js';
 
 /** A chosen target and what is sent along because of it. */
 export interface Placement {
@@ -47,8 +48,7 @@
   readonly peers: Pick<Peers, 'outstanding'>;
   readonly dataCentre: string;
   service(name: string): ServiceSpec | undefined;
-  /** Version of a model's weights that the operator wants, and for how long. */
-  wanted(model: string): { readonly version: number; readonly ageMs: number } | undefined;
+  readonly weights: Pick<WantedWeightsLog, 'supersededMs'>;
   /** True while the target changes its weights or is about to. */
   isChanging(target: Target): boolean;
   /** Called with each placement that an engine will cache. */
@@ -83,7 +83,6 @@
       const targets = usable.filter(
         (target) => !excluded.has(target) && !reliability.isDown(target),
       );
-      const wanted = isEngine ? options.wanted(head.model as string) : undefined;
       const views = new Map<string, TransferView>();
       const viewOf = (salt: string): TransferView => {
         const view = views.get(salt) ?? transfers.view(service, salt, head.parts);
@@ -105,8 +104,10 @@
         return { target, version, salt, source, tokensToRead };
       });
       const candidates = details.map(({ target, version, source, tokensToRead }): Candidate => {
-        const isOutdated =
-          wanted !== undefined && version !== undefined && version < wanted.version;
+        const supersededMs =
+          version === undefined
+            ? undefined
+            : options.weights.supersededMs(head.model as string, version);
         const others = peers.outstanding(target.id);
         const own = target.outstanding;
         const fresh = target.loadAgeMs() < loadFreshMs ? target.load : undefined;
@@ -121,8 +122,8 @@
           isNear: target.entry.dataCentre === dataCentre,
           failureShare: reliability.failureShare(target),
           slowness: fresh?.slowness ?? 1,
-          isOutdated,
-          isOverdue: isOutdated && wanted.ageMs > overdueMs,
+          isOutdated: supersededMs !== undefined,
+          isOverdue: (supersededMs ?? 0) > overdueMs,
           isChanging: options.isChanging(target),
         };
       });
--- a/src/orders/claim.ts
+++ b/src/orders/claim.ts
@@ -72,6 +72,7 @@
   let seenAt = -Infinity;
   let validUntil = -Infinity;
   let clockGap = 0;
+  let taking: Promise<number | undefined> | undefined;
 
   const gapNow = (): number => clock.wallTime() - clock.now();
 
@@ -104,6 +105,7 @@
     const next: ClaimRow = { holder, fencingNumber };
     const expected = version;
     const startedAt = clock.now();
+    const unchangedMs = startedAt - seenAt;
     const gap = gapNow();
     const value = JSON.stringify(next);
     const result = await table.transact(
@@ -114,7 +116,8 @@
       await refresh(token);
       return undefined;
     }
-    if (!isOwn) log.info({ fencingNumber, unchangedMs: startedAt - seenAt }, 'orders are claimed');
+    if (!isOwn)
+      log.info({ fencingNumber, unchangedMs: Math.round(unchangedMs) }, 'orders are claimed');
     row = next;
     validUntil = startedAt + orderWithinMs;
     clockGap = gap;
@@ -123,6 +126,18 @@
     return isValid() ? fencingNumber : undefined;
   };
 
+  const takeOnce = async (token: CancellationToken): Promise<number | undefined> => {
+    try {
+      if (!isVersionKnown) await refresh(token);
+      if (row?.holder === holder && isValid()) return row.fencingNumber;
+      const isOpen = !row || row.holder === holder || clock.now() - seenAt >= takeoverMs;
+      return isOpen ? await write(token) : undefined;
+    } catch (err) {
+      log.warn({ err: errMessage(err) }, 'orders are not claimed; the store did not answer');
+      return undefined;
+    }
+  };
+
   return {
     key: claimKey.sort,
     get isHolder() {
@@ -130,16 +145,12 @@
     },
     unchangedMs: () => (row ? clock.now() - seenAt : Infinity),
     observe,
-    async take(token) {
-      try {
-        if (!isVersionKnown) await refresh(token);
-        if (row?.holder === holder && isValid()) return row.fencingNumber;
-        const isOpen = !row || row.holder === holder || clock.now() - seenAt >= takeoverMs;
-        return isOpen ? await write(token) : undefined;
-      } catch (err) {
-        log.warn({ err: errMessage(err) }, 'orders are not claimed; the store did not answer');
-        return undefined;
-      }
+    take(token) {
+      // Orders of one process share a claim; two writes at once would conflict with each other.
+      taking ??= takeOnce(token).finally(() => {
+        taking = undefined;
+      });
+      return taking;
     },
   };
 }
--- a/test/orders/claim.test.ts
+++ b/test/orders/claim.test.ts
@@ -108,6 +108,12 @@
     expect(await take(a)).toBeUndefined();
   });
 
+  it('is shared by orders of one process that come at the same time', async () => {
+    const { create } = setUp();
+    const a = create('a');
+    expect(await Promise.all([take(a), take(a), take(a)])).toEqual([1, 1, 1]);
+  });
+
   it('gives no number while the store is away, or when its answer was lost', async () => {
     const { row, create } = setUp();
     const a = create('a');
