--- a/src/daemon/settings/reference.ts
+++ b/src/daemon/settings/reference.ts
@@ -1,4 +1,5 @@
-import { type KeySpec, settingsSchema } from './schema.js';
+import { gatewaySchema } from './gateway.js';
+import { type KeySpec, type SettingsSchema, settingsSchema } from './schema.js';
 
 function describeDefault(spec: KeySpec): string {
   if (spec.required) return 'required';
@@ -6,11 +7,21 @@
   return spec.fallback === '' ? 'empty' : `\`${spec.fallback}\``;
 }
 
-function describeKey(name: string, spec: KeySpec): string {
-  const roles = spec.roles?.join(', ') ?? 'entry, agent';
+function describeKey(name: string, spec: KeySpec, allRoles: string): string {
+  const roles = spec.roles?.join(', ') ?? allRoles;
   return `| \`${name}\` | ${spec.type.description} | ${describeDefault(spec)} | ${roles} | ${spec.doc} |`;
 }
 
+function describeSections(schema: SettingsSchema, roles: string): readonly string[] {
+  const lines: string[] = [];
+  for (const [section, keys] of Object.entries(schema)) {
+    lines.push('', `## [${section}]`, '');
+    lines.push('| key | value | default | roles | meaning |', '|---|---|---|---|---|');
+    for (const [name, spec] of Object.entries(keys)) lines.push(describeKey(name, spec, roles));
+  }
+  return lines;
+}
+
 /** Returns the settings reference in Markdown, made from the schema. */
 export function settingsReference(): string {
   const lines = [
@@ -20,12 +31,12 @@
     '`cicadatided --config FILE --check-config`. This page is made from the schema in',
     '`src/daemon/settings/schema.ts` by `npm run reference`; CI compares the two.',
   ];
-  for (const [section, keys] of Object.entries(settingsSchema)) {
-    lines.push('', `## [${section}]`, '');
-    lines.push('| key | value | default | roles | meaning |', '|---|---|---|---|---|');
-    for (const [name, spec] of Object.entries(keys) as [string, KeySpec][]) {
-      lines.push(describeKey(name, spec));
-    }
-  }
+  lines.push(...describeSections(settingsSchema, 'entry, agent'));
+  lines.push('', '# Settings of a gateway', '');
+  lines.push(
+    "A gateway has a schema of its own, `src/daemon/settings/gateway.ts`. On the users' platform",
+  );
+  lines.push('the file is made from `deploy/gateway.ini`.');
+  lines.push(...describeSections(gatewaySchema, 'gateway'));
   return `${lines.join('\n')}\n`;
 }
