Wait for streams that may not run elsewhere, and split three long files

Cause (read-through): since copies of runs were introduced, a stream with a copy was given up after a second without a byte, also before its first event, when there is nothing to go on from; it ended with 502 although its engine might still answer.

Change: before the first event only a request that may be repeated moves on from a target that hangs. Types of calls, of the roll-out's site and of the platform, and what is learned from attempts, have files of their own.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -4,7 +4,6 @@
 import { type Clock, sleep, systemClock } from '../base/clock.js';
 import { errMessage } from '../base/errors.js';
 import { createDisposableStore } from '../base/lifecycle.js';
-import { type Logger } from '../base/logging.js';
 import { systemRandom } from '../base/random.js';
 import { type RowChange, type TableWatch, watchTable } from '../configuration/watch.js';
 import { createCacheModel } from '../gateway/cachemodel.js';
@@ -21,33 +20,13 @@
 import { createWantedWeightsLog } from '../gateway/wantedweights.js';
 import { createOrderClaim } from '../orders/claim.js';
 import { createWeightsRollout } from '../orders/weightsrollout.js';
-import { type RowFeedPort } from '../ports/rows.js';
-import { type SiteConfiguration, type SiteDecoder } from '../ports/site.js';
-import { type TablePort } from '../ports/table.js';
-import { type EngineControl, type WireProtocol } from '../ports/wire.js';
+import { type SiteConfiguration } from '../ports/site.js';
 import { createGatewayMetrics } from './gatewaymetrics.js';
 import { registerEntry } from './gatewaypeers.js';
+import { type GatewayOptions } from './gatewayplatform.js';
 import { closeHttp, listenHttp } from './listen.js';
 import { createOperatorServer, sendJson } from './operators/server.js';
 import { type DaemonProcess, waitUntilIdle } from './process.js';
-import { type GatewaySettings } from './settings/read.js';
-
-/** The platform that a gateway runs on. */
-export interface GatewayPlatform {
-  readonly decoder: SiteDecoder;
-  readonly protocol: WireProtocol;
-  readonly store: TablePort & RowFeedPort & { readonly ownTable: string };
-  readonly control: EngineControl;
-  /** Path at which the platform asks whether this process takes new connections. */
-  readonly readyPath: string;
-}
-
-export interface GatewayOptions {
-  readonly settings: GatewaySettings;
-  readonly platform: GatewayPlatform;
-  readonly log: Logger;
-  droppedLogLines(): number;
-}
 
 /**
  * Wait of one call for changes of configuration and targets. A connection that goes silent is
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -1,5 +1,5 @@
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
-import { type CallResult } from '../gateway/dispatcher.js';
+import { type CallResult } from '../gateway/calls.js';
 import { type TargetDirectory } from '../gateway/targets.js';
 
 /** One finished request of a caller. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -43,8 +43,10 @@
   readonly request: ExchangeRequest;
   readonly requestId: string;
   readonly isStream: boolean;
-  /** The request may run again elsewhere, so a silent target can be given up. */
+  /** The request may run again elsewhere, so a target that hangs can be given up. */
   readonly isRepeatable: boolean;
+  /** A copy of the run is kept elsewhere, so a stream that has begun can go on there. */
+  readonly hasBackup: boolean;
   readonly answer: Answer;
   readonly progress: Progress;
   /** Time until the caller's deadline or the route's timeout, in milliseconds. */
@@ -216,12 +218,14 @@
     res !== undefined || target.lastBegunSentAt - startedAt > overtakeMs;
 
   /**
-   * Gives up a repeatable request at a target that is gone or hangs. A target that loads weights or
+   * Gives up a request that can go on elsewhere at a target that is gone or hangs. A target that loads weights or
    * reads a long prompt is silent too, so silence alone says nothing while it accepts connections.
    */
   const checkSilence = async (): Promise<void> => {
     const silentMs = clock.now() - heardAt;
-    if (silentMs >= options.hangMs && isOvertaken()) {
+    // Before the first event only a request that may run elsewhere gains by moving on.
+    const mayHang = options.isRepeatable || progress.hasEvents;
+    if (mayHang && silentMs >= options.hangMs && isOvertaken()) {
       fail(`no byte came for ${Math.round(silentMs)} ms`);
       return;
     }
@@ -241,7 +245,8 @@
   }
 
   timers.push(clock.setTimer(options.remainingMs, () => fail('time is over')));
-  if (options.isRepeatable) timers.push(clock.setTimer(options.silenceMs, scheduleCheck));
+  if (options.isRepeatable || options.hasBackup)
+    timers.push(clock.setTimer(options.silenceMs, scheduleCheck));
   exchange.current = target.connections.start(options.request, {
     onHead,
     onData,
--- /dev/null
+++ b/src/gateway/calls.ts
@@ -0,0 +1,42 @@
+import { type CancellationToken } from '../base/cancellation.js';
+import { type Deadline } from '../base/deadline.js';
+import { type Route, type TeamSpec } from '../ports/site.js';
+import { type CallerHead } from '../ports/wire.js';
+import { type Answer, type OwnAnswer } from './answer.js';
+
+/** One request of a caller that may be forwarded. */
+export interface GatewayCall {
+  readonly head: CallerHead;
+  readonly method: string;
+  readonly path: string;
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer | undefined;
+  readonly route: Route;
+  readonly team: TeamSpec | undefined;
+  readonly service: string;
+  /** The caller's deadline. */
+  readonly deadline: Deadline;
+  /** The route's timeout. */
+  readonly timeout: Deadline;
+  readonly answer: Answer;
+  /** Cancelled when the caller leaves. */
+  readonly token: CancellationToken;
+}
+
+/** Why a request went to its target, for the log. */
+export interface PlacementNote {
+  readonly weightsVersion: number | undefined;
+  readonly tokensToRead: number;
+  readonly fetchFrom: string | undefined;
+}
+
+/** Result of one request, for log and metrics. */
+export interface CallResult {
+  readonly outcome: 'ok' | 'passed-failure' | 'broken' | 'left' | OwnAnswer;
+  readonly attempts: number;
+  readonly target: string | undefined;
+  /** Inputs of the last placement. */
+  readonly placement: PlacementNote | undefined;
+  /** Time from the arrival to the first byte of the answer. */
+  readonly firstByteMs: number | undefined;
+}
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,61 +1,17 @@
 import { type IncomingMessage } from 'node:http';
 import { type Clock, sleep } from '../base/clock.js';
-import { type CancellationToken } from '../base/cancellation.js';
-import { type Deadline } from '../base/deadline.js';
 import { type Logger } from '../base/logging.js';
-import { type Route, type TeamSpec } from '../ports/site.js';
-import { type CallerHead, type WireProtocol } from '../ports/wire.js';
+import { type WireProtocol } from '../ports/wire.js';
 import { type Answer, type OwnAnswer } from './answer.js';
-import {
-  type Attempt,
-  type AttemptEnd,
-  type KeptAnswer,
-  type NotRunCause,
-  type Progress,
-  startAttempt,
-} from './attempt.js';
+import { type Attempt, type KeptAnswer, type Progress, startAttempt } from './attempt.js';
+import { type CallResult, type GatewayCall } from './calls.js';
 import { type TargetReliability } from './health.js';
+import { continueAtBackup, learnFrom } from './outcomes.js';
 import { type Placement, type PlacementRequest, type Placer } from './placement.js';
 import { type RepeatBudget } from './repeats.js';
 import { type Target } from './targets.js';
 
-/** One request of a caller that may be forwarded. */
-export interface GatewayCall {
-  readonly head: CallerHead;
-  readonly method: string;
-  readonly path: string;
-  readonly rawHeaders: readonly string[];
-  readonly body: Buffer | undefined;
-  readonly route: Route;
-  readonly team: TeamSpec | undefined;
-  readonly service: string;
-  /** The caller's deadline. */
-  readonly deadline: Deadline;
-  /** The route's timeout. */
-  readonly timeout: Deadline;
-  readonly answer: Answer;
-  /** Cancelled when the caller leaves. */
-  readonly token: CancellationToken;
-}
-
-/** Why a request went to its target, for the log. */
-export interface PlacementNote {
-  readonly weightsVersion: number | undefined;
-  readonly tokensToRead: number;
-  readonly fetchFrom: string | undefined;
-}
-
-/** Result of one request, for log and metrics. */
-export interface CallResult {
-  readonly outcome: 'ok' | 'passed-failure' | 'broken' | 'left' | OwnAnswer;
-  readonly attempts: number;
-  readonly target: string | undefined;
-  /** Inputs of the last placement. */
-  readonly placement: PlacementNote | undefined;
-  /** Time from the arrival to the first byte of the answer. */
-  readonly firstByteMs: number | undefined;
-}
-
+/** Brings one request to targets until one answers it or none can. */
 export interface Dispatcher {
   dispatch(call: GatewayCall): Promise<CallResult>;
 }
@@ -123,7 +79,6 @@
     const isStream = route.kind === 'stream';
     // On the last target that it may run on, a request has nothing to gain from moving on.
     const mayRepeat = isRepeatable(call) && ranOn < route.maxTargets - 1;
-    const mayMove = mayRepeat || placement.backup !== undefined;
     const headers = protocol.toTarget(
       call.rawHeaders,
       {
@@ -148,7 +103,8 @@
       request: { method: call.method, path: call.path, headers, body: call.body },
       requestId: head.requestId,
       isStream,
-      isRepeatable: mayMove,
+      isRepeatable: mayRepeat,
+      hasBackup: placement.backup !== undefined,
       answer: call.answer,
       progress,
       remainingMs: remainingMs(call),
@@ -173,49 +129,6 @@
     answer.end();
   };
 
-  const learn = ({ head }: GatewayCall, target: Target, end: AttemptEnd): void => {
-    if (end.kind === 'done') reliability.observe(target, 'ok');
-    if (end.kind === 'failed' || end.kind === 'broken') reliability.observe(target, 'failed');
-    if (end.kind !== 'not-run') return;
-    if (end.cause === 'unreachable') reliability.observe(target, 'unreachable');
-    if (end.cause !== 'misdirected') return;
-    const answeredBy = end.head?.targetId;
-    if (answeredBy !== undefined && answeredBy !== target.id) {
-      reliability.observe(target, 'replaced');
-    } else if (head.model !== undefined && end.head?.weightsVersion === undefined) {
-      // The target has other weights and does not say which; its next answer does.
-      target.forgetWeights(head.model);
-    }
-  };
-
-  /**
-   * Goes on with a stream that broke off at the engine that has a copy of its run. It counts as the
-   * same run, so also a request that may run only once can go on. An engine that changed its weights
-   * meanwhile made the rest of the copy with others.
-   */
-  const continueAtBackup = (
-    { head }: GatewayCall,
-    { target, backup, salt, weightsVersion }: Placement,
-    progress: Progress,
-  ): Placement | undefined => {
-    if (!backup || backup.isGone || reliability.isDown(backup)) return undefined;
-    if (progress.lastEventId === undefined || head.model === undefined) return undefined;
-    const isSameVersion =
-      target.weightsVersion(head.model) === weightsVersion &&
-      backup.weightsVersion(head.model) === weightsVersion;
-    if (!isSameVersion) return undefined;
-    return {
-      target: backup,
-      salt,
-      weightsVersion,
-      fetchFrom: undefined,
-      saveTo: undefined,
-      backup: undefined,
-      tokensToRead: 0,
-      continueFrom: { address: backup.entry.address, handle: head.requestId },
-    };
-  };
-
   return {
     async dispatch(call) {
       const { answer, route, head, token } = call;
@@ -234,7 +147,6 @@
         team: call.team,
         needsBackup: route.kind === 'stream' && !route.isResumable,
       };
-      let cause: NotRunCause | string | undefined;
       budget.deposit();
 
       const result = (outcome: CallResult['outcome']): CallResult => ({
@@ -292,13 +204,12 @@
         const end = await attempt.ended;
         link.dispose();
         options.onLoadChange();
-        learn(call, target, end);
+        learnFrom(reliability, call.head, target, end);
         if (end.kind === 'done') {
           firstByteMs ??= clock.now() - arrivedAt;
           return result('ok');
         }
         if (end.kind === 'left') return result('left');
-        cause = end.cause;
         excluded.add(target);
         log.info(
           {
@@ -306,7 +217,7 @@
             target: target.id,
             attempt: attempts,
             end: end.kind,
-            cause,
+            cause: end.cause,
             remainingMs: Math.round(remainingMs(call)),
           },
           'attempt failed',
@@ -319,7 +230,7 @@
         }
         ranOn.add(target);
         if (end.kind === 'broken' && remainingMs(call) > minUsefulMs) {
-          next = continueAtBackup(call, placement, progress);
+          next = continueAtBackup(reliability, head, placement, progress);
           if (next) {
             budget.charge();
             continue;
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -8,7 +8,8 @@
 import { type Random } from '../base/random.js';
 import { type CallerHead, type WireProtocol } from '../ports/wire.js';
 import { type Answer, createAnswer, type OwnAnswer, ownAnswers } from './answer.js';
-import { type CallResult, type Dispatcher } from './dispatcher.js';
+import { type CallResult } from './calls.js';
+import { type Dispatcher } from './dispatcher.js';
 import { pickService, type RouteTable } from './routes.js';
 
 /** Listener for callers. */
--- a/src/orders/weightsrollout.ts
+++ b/src/orders/weightsrollout.ts
@@ -1,4 +1,3 @@
-import { type HostPort } from '../base/address.js';
 import { type CancellationToken, createCancellationSource } from '../base/cancellation.js';
 import { type Clock, sleep } from '../base/clock.js';
 import { errMessage } from '../base/errors.js';
@@ -7,32 +6,9 @@
 import { type Random } from '../base/random.js';
 import { type EngineControl, type RunPolicy } from '../ports/wire.js';
 import { type OrderClaim } from './claim.js';
+import { type RolloutEngine, type RolloutSite } from './rolloutsite.js';
 import { type EngineStep, planWeights, type PlannedEngine } from './weightsplan.js';
 
-/** An engine as the roll-out needs it. */
-export interface RolloutEngine {
-  readonly id: string;
-  readonly address: HostPort;
-  /** Requests of all entries there. */
-  readonly runs: number;
-  readonly isDown: boolean;
-  readonly version: number | undefined;
-}
-
-/** What the roll-out reads from and tells to the gateway. */
-export interface RolloutSite {
-  /** Models that the operator wants in a version. */
-  wanted(): ReadonlyMap<string, number>;
-  /** Engines that serve a model. */
-  engines(model: string): readonly RolloutEngine[];
-  /** Time since another process said that it changes weights. */
-  sincePeerChangeMs(): number;
-  setChanging(ids: readonly string[]): void;
-  onWeights(id: string, model: string, version: number): void;
-  /** Another run has the address of an engine. */
-  onReplaced(id: string): void;
-}
-
 /** Brings the engines to the wanted weights while this process holds the claim. */
 export interface WeightsRollout extends Disposable {
   /** Something that the roll-out reads has changed. */
--- a/test/orders/weightsrollout.test.ts
+++ b/test/orders/weightsrollout.test.ts
@@ -3,7 +3,8 @@
 import { createNullLogger } from '../../src/base/logging.js';
 import { createSeededRandom } from '../../src/base/random.js';
 import { type OrderClaim } from '../../src/orders/claim.js';
-import { createWeightsRollout, type RolloutEngine } from '../../src/orders/weightsrollout.js';
+import { type RolloutEngine } from '../../src/orders/rolloutsite.js';
+import { createWeightsRollout } from '../../src/orders/weightsrollout.js';
 import { type EngineControl, type OrderAnswer, type WeightsOrder } from '../../src/ports/wire.js';
 import { createManualClock } from '../standins/clock.js';
 
