Fetch KV cache only once its holder has read it

Cause: a part was offered for fetching 200 ms after it was sent to an engine.

Change: a placement tells the time at which its engine will have read the prompt, from the load at that moment, and stores add the wait for their link. The cache model and the hints carry it.

--- a/src/gateway/cachemodel.ts
+++ b/src/gateway/cachemodel.ts
@@ -12,10 +12,10 @@
   /** Sets the memory of a store, all of which is for prompts. */
   setStoreCapacity(store: string, tokens: number): void;
   /**
-   * Records that a holder reads or receives these parts, in this order. Returns the tokens that it
-   * did not have before.
+   * Records that a holder reads or receives these parts, in this order, and has them after
+   * `readyMs`. Returns the tokens that it did not have before.
    */
-  use(holder: string, salt: string, parts: readonly PromptPart[]): number;
+  use(holder: string, salt: string, parts: readonly PromptPart[], readyMs: number): number;
   /** Takes over what a holder says; what is already in the model is newer and stays. */
   learn(holder: string, changes: readonly CacheChange[]): void;
   /** Holders that have leading parts of a prompt. */
@@ -34,8 +34,8 @@
 
 interface Entry {
   readonly tokens: number;
-  /** When the part was first sent to the holder. */
-  readonly addedAt: number;
+  /** When the holder has read the part. */
+  readonly readyAt: number;
 }
 
 interface Holder {
@@ -57,9 +57,6 @@
 /** Holders keep whole blocks of tokens, so a part that is kept whole has a few less. */
 const wholeShare = 0.9;
 
-/** A prompt is read within this time of its arrival unless the engine is crowded. */
-const readMs = 200;
-
 export function createCacheModel(clock: Clock): CacheModel {
   const holders = new Map<string, Holder>();
 
@@ -92,7 +89,7 @@
   return {
     setCapacity: (name, tokens) => limit(name, tokens * cachePart),
     setStoreCapacity: limit,
-    use(name, salt, parts) {
+    use(name, salt, parts, readyMs) {
       const holder = holderOf(name);
       let added = 0;
       for (const { id, tokens } of parts) {
@@ -102,7 +99,7 @@
         // Inserted again, so that the map keeps the order of the last uses.
         if (known) holder.entries.delete(key);
         if (!isKept) added += tokens - (known?.tokens ?? 0);
-        holder.entries.set(key, isKept ? known : { tokens, addedAt: clock.now() });
+        holder.entries.set(key, isKept ? known : { tokens, readyAt: clock.now() + readyMs });
       }
       holder.tokens += added;
       trim(holder);
@@ -119,7 +116,7 @@
         if (entry) holder.entries.set(key, entry);
       };
       for (const { salt, partId, keptTokens } of changes) {
-        const entry = { tokens: keptTokens, addedAt: -Infinity };
+        const entry = { tokens: keptTokens, readyAt: -Infinity };
         put(keyOf(salt, partId), keptTokens > 0 ? entry : undefined);
       }
       for (const [key, entry] of newer) put(key, entry);
@@ -127,7 +124,7 @@
     },
     holding(salt, parts) {
       const keys = parts.map(({ id }) => keyOf(salt, id));
-      const readBefore = clock.now() - readMs;
+      const now = clock.now();
       const held = new Map<string, Held>();
       for (const [name, { entries }] of holders) {
         let cached = 0;
@@ -138,7 +135,7 @@
           if (!entry) break;
           const kept = Math.min(tokens, entry.tokens);
           cached += kept;
-          isRead &&= entry.addedAt <= readBefore;
+          isRead &&= entry.readyAt <= now;
           if (isRead) sendable += kept;
           if (!isWhole(entry, tokens)) break;
         }
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -12,6 +12,8 @@
   readonly salt: string;
   readonly parts: readonly PromptPart[];
   readonly targetId: string;
+  /** Time until the target has read the parts, in milliseconds. */
+  readonly readyMs: number;
   /** Store that receives the parts too. */
   readonly saveTo: string | undefined;
   /** Tokens that come from another engine or, where one is named, from a store. */
@@ -99,12 +101,13 @@
   /** Targets that change their weights. */
   readonly c: readonly string[];
   /**
-   * Salt, target, store that receives or an empty text, store that sends or an empty text, tokens
+   * Salt, target, time until the parts are read, store that receives or an empty text, store that sends or an empty text, tokens
    * that are fetched, and the parts with their tokens.
    */
   readonly u: readonly (readonly [
     string,
     string,
+    number,
     string,
     string,
     number,
@@ -169,6 +172,7 @@
         .map((use) => [
           use.salt,
           use.targetId,
+          Math.round(use.readyMs),
           use.saveTo ?? '',
           use.fetch?.store ?? '',
           use.fetch?.tokens ?? 0,
@@ -209,11 +213,12 @@
       changing: new Set(hint.c),
       changingAt: hint.c.length > 0 ? clock.now() : (known?.changingAt ?? -Infinity),
     });
-    for (const [salt, targetId, saveTo, store, tokens, flat] of hint.u) {
+    for (const [salt, targetId, readyMs, saveTo, store, tokens, flat] of hint.u) {
       const fetch = tokens > 0 ? { store: store || undefined, tokens } : undefined;
       listener?.onUse({
         salt,
         targetId,
+        readyMs,
         saveTo: saveTo || undefined,
         fetch,
         parts: readParts(flat),
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -78,6 +78,12 @@
  */
 const overdueMs = 5_000;
 
+/**
+ * Time after the expected first byte at which a target surely has the parts. A fetch that comes too
+ * early finds nothing, and the parts are read a second time.
+ */
+const readSlackMs = 100;
+
 /**
  * Cache entries are shared within one version of the weights and, for isolated teams, within the
  * team. The version is part of the text, because stores keep what they got under an older one.
@@ -148,6 +154,7 @@
       const chosen = index === undefined ? undefined : details[index];
       if (!chosen) return undefined;
       const { target, salt, version, source, tokensToRead } = chosen;
+      const expectedMs = firstByteMs(candidates[index as number] as Candidate, speeds);
       let saveTo: KvStore | undefined;
       let use: CacheUse | undefined;
       if (salt !== undefined && version !== undefined && head.parts.length > 0) {
@@ -155,7 +162,8 @@
         const { store, tokens } = source;
         const fetch = tokens > 0 ? { store, tokens } : undefined;
         const { parts } = head;
-        use = { salt, parts, targetId: target.id, saveTo: saveTo?.holder, fetch };
+        const readyMs = expectedMs + readSlackMs;
+        use = { salt, parts, targetId: target.id, readyMs, saveTo: saveTo?.holder, fetch };
       }
       return {
         target,
@@ -166,7 +174,7 @@
         backup:
           isEngine && needsBackup ? transfers.findBackup(target, head.model as string) : undefined,
         tokensToRead: isEngine ? tokensToRead : 0,
-        expectedMs: firstByteMs(candidates[index as number] as Candidate, speeds),
+        expectedMs,
         use,
       };
     },
--- a/src/gateway/transfers.ts
+++ b/src/gateway/transfers.ts
@@ -163,13 +163,13 @@
       }
       return best;
     },
-    record({ targetId, salt, parts, saveTo, fetch }) {
-      const added = cache.use(targetId, salt, parts);
+    record({ targetId, salt, parts, readyMs, saveTo, fetch }) {
+      const added = cache.use(targetId, salt, parts, readyMs);
       readLoad.add(targetId, Math.max(0, added - (fetch?.tokens ?? 0)));
       if (fetch?.store !== undefined) stores.use(fetch.store, fetch.tokens);
       if (saveTo === undefined) return;
-      cache.use(saveTo, salt, parts);
       stores.use(saveTo, tokensOf(parts));
+      cache.use(saveTo, salt, parts, readyMs + stores.waitMs(saveTo));
     },
   };
 }
--- a/test/gateway/cachemodel.test.ts
+++ b/test/gateway/cachemodel.test.ts
@@ -19,7 +19,7 @@
 describe('the model of a prompt cache', () => {
   it('counts leading parts only', () => {
     const { model, tokens } = setUp();
-    model.use('engine', 'v1', [general, sessionA]);
+    model.use('engine', 'v1', [general, sessionA], 0);
     expect(tokens('v1', [general, sessionA])).toBe(6_000);
     expect(tokens('v1', [general, sessionB])).toBe(2_000);
     expect(tokens('v1', [sessionB, general])).toBe(0);
@@ -27,7 +27,7 @@
 
   it('shares nothing between salts, so that neither old weights nor another team are used', () => {
     const { model, tokens } = setUp();
-    model.use('engine', 'v1', [general]);
+    model.use('engine', 'v1', [general], 0);
     expect(tokens('v2', [general])).toBe(0);
     expect(tokens('v1.team.b', [general])).toBe(0);
   });
@@ -35,17 +35,17 @@
   it('drops the least recently used part when the memory is full', () => {
     // 85% of 12,000 tokens hold two of the three sessions beside the general part.
     const { model, tokens } = setUp(12_000);
-    model.use('engine', 'v1', [general, sessionA]);
-    model.use('engine', 'v1', [general, sessionB]);
-    model.use('engine', 'v1', [general, sessionA]);
-    model.use('engine', 'v1', [{ id: 'own', tokens: 2_000 }]);
+    model.use('engine', 'v1', [general, sessionA], 0);
+    model.use('engine', 'v1', [general, sessionB], 0);
+    model.use('engine', 'v1', [general, sessionA], 0);
+    model.use('engine', 'v1', [{ id: 'own', tokens: 2_000 }], 0);
     expect(tokens('v1', [general, sessionA])).toBe(6_000);
     expect(tokens('v1', [general, sessionB])).toBe(2_000);
   });
 
   it('does not offer parts for fetching before they are read', async () => {
     const { clock, model } = setUp();
-    model.use('engine', 'v1', [general]);
+    model.use('engine', 'v1', [general], 200);
     expect(model.holding('v1', [general]).get('engine')).toEqual({ cached: 2_000, sendable: 0 });
     await clock.advance(250);
     expect(model.holding('v1', [general]).get('engine')?.sendable).toBe(2_000);
@@ -53,7 +53,7 @@
 
   it('forgets an engine that restarted or changed its weights', () => {
     const { model, tokens } = setUp();
-    model.use('engine', 'v1', [general]);
+    model.use('engine', 'v1', [general], 0);
     model.forget('engine');
     expect(tokens('v1', [general])).toBe(0);
   });
@@ -74,13 +74,13 @@
     const { model, tokens } = setUp();
     model.learn('engine', [change('general', 1_000), change('session-a', 4_000)]);
     expect(tokens('v1', [general, sessionA])).toBe(1_000);
-    expect(model.use('engine', 'v1', [general, sessionA])).toBe(1_000);
+    expect(model.use('engine', 'v1', [general, sessionA], 0)).toBe(1_000);
     expect(tokens('v1', [general, sessionA])).toBe(6_000);
   });
 
   it('is older than what the model has and is dropped first', () => {
     const { model, tokens } = setUp(8_000);
-    model.use('engine', 'v1', [sessionB]);
+    model.use('engine', 'v1', [sessionB], 0);
     model.learn('engine', [change('session-a', 4_000)]);
     expect(tokens('v1', [sessionB])).toBe(4_000);
     expect(tokens('v1', [sessionA])).toBe(0);
