Ask the store less often the more entries there are

Ruled out: longer waits for the targets. Their entries lapse while the store is silent, and an entry that does not notice the silence would take living targets for gone.

Change: the entries tell each other the newest change of each table that they saw. One whose own call is silent about it asks again over another connection. So the wait for the configuration grows with the number of entries (27: 7 to 15 s), and all together ask twice a second. The pause after a change of the targets grows from 0.4 to 1 s. The feeds have a module of their own.

--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -21,6 +21,10 @@
   ageMs(): number;
   /** Time since a call last failed, in milliseconds; Infinity when none has. */
   sinceFailureMs(): number;
+  /** Version of the newest change of a row; undefined before the first read. */
+  readonly changedAt: number | undefined;
+  /** Another process saw a change at this version; asks again if this one does not hear of it. */
+  expect(version: number): void;
 }
 
 export interface TableWatchOptions {
@@ -29,10 +33,10 @@
   readonly log: Logger;
   readonly feed: RowFeedPort;
   readonly table: string;
-  /** How long one call waits for changes. */
-  readonly waitMs: number;
+  /** How long the next call waits for changes. */
+  waitMs(): number;
   /** Pause after a change, so that changes that come together are read together. */
-  readonly pauseMs?: number;
+  pauseMs?(): number;
   onChange(change: RowChange): void;
 }
 
@@ -41,11 +45,21 @@
 
 const maxRetryMs = 400;
 
+/**
+ * Time in which an open call tells of a change that another process has seen. The store tells all
+ * within a few milliseconds; a call that is silent for longer hangs on a connection that is gone.
+ */
+const expectGraceMs = 250;
+
 /** Reads a table and follows its changes for as long as the watch is not disposed. */
 export function watchTable(options: TableWatchOptions): TableWatch {
-  const { clock, random, log, feed, table, waitMs, pauseMs = 0, onChange } = options;
+  const { clock, random, log, feed, table, onChange } = options;
   const source = createCancellationSource();
   let position: number | undefined;
+  let changedAt: number | undefined;
+  let expected = -Infinity;
+  let openCall = createCancellationSource();
+  let graceTimer: Disposable | undefined;
   let confirmedAt = -Infinity;
   let failedAt = -Infinity;
   let failures = 0;
@@ -56,16 +70,29 @@
     failures = 0;
   };
 
+  const noteChanges = (rows: readonly Row[]): void => {
+    for (const { version } of rows) changedAt = Math.max(changedAt ?? version, version);
+  };
+
+  const isBehind = (): boolean => position !== undefined && position < expected;
+
   const step = async (token: CancellationToken): Promise<void> => {
     if (position === undefined) {
       const { rows, version } = await feed.list(table, token);
       confirm();
       position = version;
+      noteChanges(rows);
       onChange({ rows, isSnapshot: true });
       return;
     }
     // A store that was away is asked briefly, so that its return is not missed by a long wait.
-    const result = await feed.changes(table, position, failures > 0 ? 0 : waitMs, token);
+    openCall = createCancellationSource();
+    const link = token.onCancellationRequested((reason) => openCall.cancel(reason));
+    // There is a change that this process has not seen, so the answer comes at once.
+    const waitMs = failures > 0 || isBehind() ? 0 : options.waitMs();
+    const result = await feed
+      .changes(table, position, waitMs, openCall.token)
+      .finally(() => link.dispose());
     confirm();
     if (result === 'history-lost') {
       log.warn({ table, position }, 'store dropped its history; the table is read again');
@@ -74,7 +101,9 @@
     }
     position = Math.max(position, result.version);
     if (result.rows.length === 0) return;
+    noteChanges(result.rows);
     onChange({ rows: result.rows, isSnapshot: false });
+    const pauseMs = options.pauseMs?.() ?? 0;
     if (pauseMs > 0) await sleep(clock, pauseMs, token);
   };
 
@@ -83,7 +112,10 @@
       try {
         await step(token);
       } catch (err) {
-        if (err instanceof CancelledError || token.isCancellationRequested) return;
+        if (token.isCancellationRequested) return;
+        // Asked again at once, over a new connection.
+        if (openCall.token.isCancellationRequested) continue;
+        if (err instanceof CancelledError) return;
         failedAt = clock.now();
         failures += 1;
         if (failures === 1) {
@@ -106,6 +138,22 @@
     },
     ageMs: () => clock.now() - confirmedAt,
     sinceFailureMs: () => clock.now() - failedAt,
-    dispose: () => source.cancel('watch closed'),
+    get changedAt() {
+      return changedAt;
+    },
+    expect(version) {
+      expected = Math.max(expected, version);
+      if (!isBehind() || failures > 0 || graceTimer) return;
+      graceTimer = clock.setTimer(expectGraceMs + (options.pauseMs?.() ?? 0), () => {
+        graceTimer = undefined;
+        if (!isBehind() || failures > 0) return;
+        log.warn({ table, position, expected }, 'store is silent about a change; asking again');
+        openCall.cancel('another process saw a change');
+      });
+    },
+    dispose() {
+      graceTimer?.dispose();
+      source.cancel('watch closed');
+    },
   };
 }
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -5,7 +5,7 @@
 import { errMessage } from '../base/errors.js';
 import { createDisposableStore } from '../base/lifecycle.js';
 import { systemRandom } from '../base/random.js';
-import { type RowChange, type TableWatch, watchTable } from '../configuration/watch.js';
+import { type RowChange } from '../configuration/watch.js';
 import { createCacheModel } from '../gateway/cachemodel.js';
 import { importCaches } from '../gateway/cacheimport.js';
 import { createDispatcher } from '../gateway/dispatcher.js';
@@ -24,6 +24,7 @@
 import { createOrderClaim } from '../orders/claim.js';
 import { createWeightsRollout } from '../orders/weightsrollout.js';
 import { type SiteConfiguration } from '../ports/site.js';
+import { followTables, type GatewayFeeds } from './gatewayfeeds.js';
 import { createGatewayMetrics } from './gatewaymetrics.js';
 import { registerEntry } from './gatewaypeers.js';
 import { type GatewayOptions } from './gatewayplatform.js';
@@ -31,18 +32,6 @@
 import { createOperatorServer, sendJson } from './operators/server.js';
 import { type DaemonProcess, waitUntilIdle } from './process.js';
 
-/**
- * Wait of one call for changes of configuration and targets. A connection that goes silent is
- * noticed after this and a second, before a change that follows has to be in force.
- */
-const siteWaitMs = 3_000;
-
-/** Wait for changes of the system's own rows; a missed one only delays a takeover. */
-const ownWaitMs = 25_000;
-
-/** Targets change together, so their changes are read together; it delays one by this much. */
-const targetPauseMs = 400;
-
 /** Part of the grace time that is kept for closing. */
 const closeMs = 600;
 
@@ -58,13 +47,13 @@
 
   let routes: RouteTable | undefined;
   const weights = createWantedWeightsLog(clock);
-  const watches: { operator?: TableWatch; targets?: TableWatch } = {};
+  let feeds: GatewayFeeds | undefined;
   const cache = createCacheModel(clock);
   const directory = createTargetDirectory({
     clock,
     log,
     decoder,
-    sinceStoreFailureMs: () => watches.targets?.sinceFailureMs() ?? Infinity,
+    sinceStoreFailureMs: () => feeds?.targets.sinceFailureMs() ?? Infinity,
     onEmptied: (id) => cache.forget(id),
   });
   const readLoad = createReadLoad(clock, engineSpeeds.tokensPerMs);
@@ -97,6 +86,7 @@
     onWeights: ({ targetId, model, version }) => {
       directory.find(targetId)?.observeWeights(model, version);
     },
+    onTables: (versions) => feeds?.expect(versions),
   });
   const claim = createOrderClaim({
     clock,
@@ -179,7 +169,7 @@
   const metrics = createGatewayMetrics(registry, {
     directory,
     configurationVersion: () => routes?.configuration.version ?? 0,
-    configurationAgeMs: () => watches.operator?.ageMs() ?? Infinity,
+    configurationAgeMs: () => feeds?.configuration.ageMs() ?? Infinity,
     droppedLogLines: options.droppedLogLines,
   });
   const callers = createGatewayServer({
@@ -265,7 +255,7 @@
 
   let isDraining = false;
   const isReady = (): boolean =>
-    !isDraining && routes !== undefined && (watches.targets?.isSynced ?? false);
+    !isDraining && routes !== undefined && (feeds?.targets.isSynced ?? false);
   const operators = createOperatorServer({
     log,
     registry,
@@ -277,18 +267,23 @@
       },
     ],
   });
-  const watch = (table: string, waitMs: number, pauseMs: number, onChange: typeof onOwnRows) =>
-    resources.add(
-      watchTable({ clock, random, log, feed: store, table, waitMs, pauseMs, onChange }),
-    );
-  watches.operator = watch(decoder.configurationTable, siteWaitMs, 0, onOperatorRows);
   resources.add(directory.onChange(() => rollout.wake()));
-  watches.targets = watch(decoder.targetTable, siteWaitMs, targetPauseMs, (change) => {
-    directory.apply(change);
-    setCapacities();
-    importOnce();
-  });
-  watch(store.ownTable, ownWaitMs, 0, onOwnRows);
+  feeds = resources.add(
+    followTables({
+      clock,
+      random,
+      log,
+      platform,
+      peers,
+      onConfiguration: onOperatorRows,
+      onTargets(change) {
+        directory.apply(change);
+        setCapacities();
+        importOnce();
+      },
+      onOwnRows,
+    }),
+  );
 
   const callersAddress = await listenHttp(callers.server, settings.listen.callers);
   const operatorsAddress = await listenHttp(operators, settings.listen.operators);
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -31,6 +31,8 @@
 export interface PeerListener {
   onUse(use: CacheUse): void;
   onWeights(seen: WeightsSeen): void;
+  /** Newest change of each of the platform's tables that a peer saw. */
+  onTables(versions: readonly number[]): void;
 }
 
 /**
@@ -54,6 +56,8 @@
   setChanging(targetIds: readonly string[]): void;
   tellUse(use: CacheUse): void;
   tellWeights(seen: WeightsSeen): void;
+  /** Tells the newest change of each of the platform's tables that this process saw. */
+  tellTables(versions: readonly number[]): void;
 }
 
 export interface PeersOptions {
@@ -115,6 +119,8 @@
   ])[];
   /** Target, model, version. */
   readonly w: readonly (readonly [string, string, number])[];
+  /** Newest change of each table. */
+  readonly v: readonly number[];
 }
 
 interface PeerState {
@@ -130,7 +136,7 @@
   const hint = value as Partial<Hint> | null;
   if (typeof hint !== 'object' || hint === null || typeof hint.n !== 'string') return false;
   if (typeof hint.q !== 'number' || typeof hint.b !== 'number') return false;
-  return [hint.o, hint.c, hint.u, hint.w].every((list) => Array.isArray(list));
+  return [hint.o, hint.c, hint.u, hint.w, hint.v].every((list) => Array.isArray(list));
 };
 
 function readParts(flat: readonly (string | number)[]): readonly PromptPart[] {
@@ -151,6 +157,7 @@
   let changing: readonly string[] = [];
   let uses: CacheUse[] = [];
   let weights: WeightsSeen[] = [];
+  let tables: readonly number[] = [];
   let timer: Disposable | undefined;
   let repeatTimer: Disposable | undefined;
 
@@ -179,6 +186,7 @@
           use.parts.flatMap(({ id, tokens }) => [id, tokens]),
         ]),
       w: weights.map(({ targetId, model, version }) => [targetId, model, version]),
+      v: tables,
     };
     uses = uses.slice(maxUses, 4 * maxUses);
     weights = [];
@@ -226,6 +234,7 @@
     }
     for (const [targetId, model, version] of hint.w)
       listener?.onWeights({ targetId, model, version });
+    listener?.onTables(hint.v);
   };
 
   socket.on('message', (bytes) => {
@@ -284,6 +293,10 @@
       weights.push(seen);
       touch();
     },
+    tellTables(versions) {
+      tables = versions;
+      touch();
+    },
     dispose() {
       timer?.dispose();
       repeatTimer?.dispose();
--- a/test/configuration/watch.test.ts
+++ b/test/configuration/watch.test.ts
@@ -27,13 +27,19 @@
     rows.set(key, row);
     history.push(row);
   };
+  let isSilent = false;
   const feed: RowFeedPort = {
     async list() {
       if (isDown) throw new StoreUnavailableError('down');
       return { rows: [...rows.values()].filter(({ value }) => value !== undefined), version };
     },
-    async changes(_table, after, waitMs) {
+    async changes(_table, after, waitMs, token) {
       waits.push(waitMs);
+      if (isSilent) {
+        return new Promise((_resolve, reject) => {
+          token.onCancellationRequested((reason) => reject(new StoreUnavailableError(reason)));
+        });
+      }
       if (isDown) throw new StoreUnavailableError('down');
       if (after < firstKept) return 'history-lost';
       const changed = history.filter((row) => row.version > after);
@@ -53,7 +59,7 @@
     log: createNullLogger(),
     feed,
     table: 't',
-    waitMs: 3_000,
+    waitMs: () => 3_000,
     onChange: (change) => changes.push(change),
   });
   open.push(watch);
@@ -63,11 +69,15 @@
     changes,
     waits,
     put,
+    version: () => version,
     compact() {
       history = [];
       version += 1;
       firstKept = version;
     },
+    setSilent(value: boolean) {
+      isSilent = value;
+    },
     setDown(value: boolean) {
       isDown = value;
     },
@@ -120,4 +130,29 @@
     // Calls during the outage do not wait, so that none of them is still open at its end.
     expect(site.waits.slice(2, -1).every((waitMs) => waitMs === 0)).toBe(true);
   });
+
+  it('asks again over another connection when a peer saw a change that it did not hear of', async () => {
+    const site = setUp();
+    site.setSilent(true);
+    await site.clock.advance(10);
+    site.setSilent(false);
+    site.put('a', 'new');
+    await site.clock.advance(1_000);
+    expect(site.seen()).toEqual([['all']]);
+    site.watch.expect(site.version());
+    await site.clock.advance(400);
+    expect(site.seen().at(-1)).toEqual(['some', 'a=new']);
+    expect(site.watch.changedAt).toBe(site.version());
+  });
+
+  it('does not ask again for a change that it knows', async () => {
+    const site = setUp();
+    await site.clock.advance(10);
+    site.put('a', 'new');
+    await site.clock.advance(3_100);
+    const calls = site.waits.length;
+    site.watch.expect(site.version());
+    await site.clock.advance(1_000);
+    expect(site.waits.length).toBe(calls);
+  });
 });
