Drain no engine for orders that can't be given

It went on draining engines, could not take the claim, let them go after the timeout and drained the next ones. Its hints held the takeover back too. When engines with old weights were overdue after 5 s, the few that had the new ones got all requests.

Change: a drain begins only under a claim that holds. An engine with old weights is left out after 8 s instead of 5; operators allow 10.

A test drains no engine while the claim is lost; it fails before the change.

--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -74,9 +74,10 @@
 
 /**
  * An engine that still has older weights after this time is left out while others have the newer
- * ones. Operators allow 10 s, and a roll-out over all engines takes 3 s.
+ * ones. Operators allow 10 s until a request begins. Not sooner: when a roll-out is late because its
+ * holder lost the store, the few engines that are done would get all requests.
  */
-const overdueMs = 5_000;
+const overdueMs = 8_000;
 
 /**
  * Time after the expected first byte at which a target surely has the parts. A fetch that comes too
--- a/src/orders/weightsrollout.ts
+++ b/src/orders/weightsrollout.ts
@@ -202,6 +202,10 @@
       planned.push({ ...engine, isDown, step: stepOf(engine.id) });
     }
     const actions = planWeights(planned, wanted);
+    // An engine that drains for an order that can't be given only leaves its load to the others, so
+    // a holder that has lost the store drains none.
+    const mayDrain =
+      actions.some(({ kind }) => kind === 'drain') && (await claim.take(token)) !== undefined;
     const handlers = {
       drain: (id: string) => {
         changes.set(id, {
@@ -230,6 +234,7 @@
       },
     };
     for (const action of actions) {
+      if (action.kind === 'drain' && !mayDrain) continue;
       if (action.kind === 'order') handlers.order(action.id, action.runs);
       else handlers[action.kind](action.id);
     }
@@ -264,7 +269,7 @@
     }
     outdatedSince ??= clock.now();
     if (!mayAct()) return idleStepMs * (0.5 + random.next());
-    if (!claim.isHolder && changes.size === 0 && (await claim.take(token)) === undefined) {
+    if (changes.size === 0 && (await claim.take(token)) === undefined) {
       return idleStepMs * (0.5 + random.next());
     }
     for (const [model, wanted] of site.wanted()) await stepModel(model, wanted, token);
--- a/test/orders/weightsrollout.test.ts
+++ b/test/orders/weightsrollout.test.ts
@@ -155,6 +155,18 @@
     expect(site.orders).toEqual([]);
   });
 
+  it('drains no engine while the holder has lost the store, so that all of them serve', async () => {
+    let isAway = false;
+    const site = setUp(12, () => !isAway);
+    isAway = true;
+    site.name(2);
+    await site.clock.advance(5_000);
+    expect(site.changing.filter((ids) => ids.length > 0)).toEqual([]);
+    isAway = false;
+    await site.clock.advance(8_000);
+    expect(site.versions()).toEqual(Array.from({ length: 12 }, () => 2));
+  });
+
   it('orders again when a late order took an engine back', async () => {
     const site = setUp(1);
     site.name(2);
