--- a/src/scheduling/monitor.ts
+++ b/src/scheduling/monitor.ts
@@ -74,6 +74,8 @@
       updateState(await engine.state(call.token));
       load = await engine.load(call.token);
     } catch (err) {
+      // A call that is cut by the monitor's own end says nothing of the engine.
+      if (source.token.isCancellationRequested) return;
       if (state) log.warn({ err: errMessage(err) }, 'engine is not reachable');
       updateState(undefined);
     } finally {
