Show whether a gateway keeps up with its sockets

Cause: for a caller that left, logs could not tell whether the gateway learned of it late or acted late, nor where the time passed.

Change: once a second the gateway counts iterations of its event loop, their utilization and the connections that it accepted; above 0.9 it logs them with the number of active requests. New connections to targets have a histogram of their time, which grows with the queue of the own link.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -31,6 +31,7 @@
 import { closeHttp, listenHttp } from './listen.js';
 import { createOperatorServer, sendJson } from './operators/server.js';
 import { type DaemonProcess, waitUntilIdle } from './process.js';
+import { type ProcessLoad, watchProcessLoad } from './processload.js';
 
 /** Part of the grace time that is kept for closing. */
 const closeMs = 600;
@@ -48,6 +49,7 @@
   let routes: RouteTable | undefined;
   const weights = createWantedWeightsLog(clock);
   let feeds: GatewayFeeds | undefined;
+  let load: ProcessLoad | undefined;
   const cache = createCacheModel(clock);
   const directory = createTargetDirectory({
     clock,
@@ -55,6 +57,7 @@
     decoder,
     sinceStoreFailureMs: () => feeds?.targets.sinceFailureMs() ?? Infinity,
     onEmptied: (id) => cache.forget(id),
+    onConnected: (durationMs) => load?.observeConnect(durationMs),
   });
   const readLoad = createReadLoad(clock, engineSpeeds.tokensPerMs);
   const reliability = createTargetReliability({ clock, log, token: lifetime.token });
@@ -182,6 +185,15 @@
     routes: () => routes,
     onResult: metrics,
   });
+  load = resources.add(
+    watchProcessLoad({
+      clock,
+      log,
+      registry,
+      callers: callers.server,
+      active: () => callers.active,
+    }),
+  );
   const entryRows = registerEntry({
     clock,
     random,
--- /dev/null
+++ b/src/daemon/processload.ts
@@ -0,0 +1,95 @@
+import { type Server } from 'node:http';
+import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
+import { type Clock } from '../base/clock.js';
+import { createLoopMeter } from '../base/eventloop.js';
+import { type Disposable } from '../base/lifecycle.js';
+import { type Logger } from '../base/logging.js';
+
+/** Watches whether a process keeps up with its sockets. */
+export interface ProcessLoad extends Disposable {
+  /** Records how long a new connection to a target took. */
+  observeConnect(durationMs: number): void;
+}
+
+export interface ProcessLoadOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly registry: Registry;
+  readonly callers: Server;
+  /** Requests that are being answered. */
+  active(): number;
+}
+
+const sampleMs = 1_000;
+
+/** Above this utilization sockets wait for the process, and a line a second says so. */
+const busyUtilization = 0.9;
+
+/** Upper bounds in seconds; a connection within a site takes 2 to 3 ms and is given up after 300. */
+const connectBuckets = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.3];
+
+/**
+ * Measures the event loop once a second. Node accepts one connection in each iteration, so callers
+ * wait in the queue of new connections where connections and iterations are about as many.
+ */
+export function watchProcessLoad(options: ProcessLoadOptions): ProcessLoad {
+  const { clock, log, registry, callers, active } = options;
+  const registers = [registry];
+  const meter = createLoopMeter();
+  let accepted = 0;
+  let timer: Disposable | undefined;
+  const utilization = new Gauge({
+    name: 'cicadatide_event_loop_utilization',
+    help: 'Share of the last second in which the event loop had work.',
+    registers,
+  });
+  const iterations = new Counter({
+    name: 'cicadatide_event_loop_iterations_total',
+    help: 'Iterations of the event loop.',
+    registers,
+  });
+  const connections = new Counter({
+    name: 'cicadatide_connections_total',
+    help: 'Connections accepted from callers.',
+    registers,
+  });
+  const connects = new Histogram({
+    name: 'cicadatide_connect_seconds',
+    help: 'Time until a new connection to a target was established.',
+    buckets: connectBuckets,
+    registers,
+  });
+  const onConnection = (): void => {
+    accepted += 1;
+  };
+  callers.on('connection', onConnection);
+
+  const sample = (): void => {
+    const usage = meter.read();
+    utilization.set(usage.utilization);
+    iterations.inc(usage.iterations);
+    connections.inc(accepted);
+    if (usage.utilization >= busyUtilization) {
+      log.warn(
+        {
+          utilization: Number(usage.utilization.toFixed(2)),
+          iterations: usage.iterations,
+          connections: accepted,
+          active: active(),
+        },
+        'event loop is busy; sockets wait to be read',
+      );
+    }
+    accepted = 0;
+    timer = clock.setTimer(sampleMs, sample);
+  };
+  timer = clock.setTimer(sampleMs, sample);
+
+  return {
+    observeConnect: (durationMs) => connects.observe(durationMs / 1_000),
+    dispose() {
+      timer?.dispose();
+      callers.off('connection', onConnection);
+    },
+  };
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -115,7 +115,11 @@
   return socket.remoteAddress === undefined;
 }
 
-export function createConnections(clock: Clock, address: HostPort): Connections {
+export function createConnections(
+  clock: Clock,
+  address: HostPort,
+  onConnected: (durationMs: number) => void = () => undefined,
+): Connections {
   const agent = createAgent(clock);
   let heardAt = -Infinity;
 
@@ -154,9 +158,11 @@
         isSent = true;
         return;
       }
+      const startedAt = clock.now();
       timer = clock.setTimer(connectTimeoutMs, () => fail(new Error('connection timed out')));
       socket.once('connect', () => {
         timer?.dispose();
+        onConnected(clock.now() - startedAt);
         isSent = true;
         heardAt = clock.now();
         socket.setNoDelay(true);
--- a/src/gateway/targets.ts
+++ b/src/gateway/targets.ts
@@ -62,6 +62,8 @@
   sinceStoreFailureMs(): number;
   /** Called when a target is gone or has new weights, so that its memory is empty. */
   onEmptied(id: string): void;
+  /** Called with the time that a new connection to a target took. */
+  onConnected?(durationMs: number): void;
 }
 
 /**
@@ -78,7 +80,12 @@
   close(): void;
 }
 
-function createTarget(clock: Clock, first: TargetEntry, onWeightsChange: () => void): ListedTarget {
+function createTarget(
+  clock: Clock,
+  first: TargetEntry,
+  onWeightsChange: () => void,
+  onConnected: TargetDirectoryOptions['onConnected'],
+): ListedTarget {
   let entry = first;
   let isGone = false;
   let lastBegunSentAt = -Infinity;
@@ -88,7 +95,7 @@
   let loadAt = -Infinity;
   const weights = new Map<string, { readonly version: number; readonly at: number }>();
   for (const [model, version] of first.weights) weights.set(model, { version, at: -Infinity });
-  const connections = createConnections(clock, first.address);
+  const connections = createConnections(clock, first.address, onConnected);
   return {
     id: first.id,
     get entry() {
@@ -239,7 +246,7 @@
     if (known) drop(id, 'it started again');
     targets.set(
       id,
-      createTarget(clock, entry, () => onWeightsChange(id)),
+      createTarget(clock, entry, () => onWeightsChange(id), options.onConnected),
     );
     const { service, dataCentre, isLeaving } = entry;
     log.info({ target: id, service, dataCentre, isLeaving }, 'target is listed');
--- a/test/daemon/gatewaycaches.test.ts
+++ b/test/daemon/gatewaycaches.test.ts
@@ -1,7 +1,7 @@
 import { request } from 'node:http';
-import { Writable } from 'node:stream';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createLogger } from '../../src/base/logging.js';
+import { createLineStream } from '../standins/lines.js';
 import { model, type PlatformSite, startPlatformSite, until } from '../standins/platform/site.js';
 
 let site: PlatformSite;
@@ -44,13 +44,7 @@
     for (const id of ['other-1', 'other-2', 'other-3']) {
       await site.startTarget('llm', { id, model });
     }
-    const lines: string[] = [];
-    const stream = new Writable({
-      write(chunk, _encoding, done) {
-        lines.push(String(chunk));
-        done();
-      },
-    });
+    const { stream, lines } = createLineStream();
     const gateway = await site.startGateway('gw-1', createLogger('gw-1', 'info', stream));
     await until(() => lines.some((line) => line.includes('cache model was filled')));
     // Each prompt comes once, so that the gateway learns nothing of it from an earlier request.
