Give up targets that send bytes without end

What callers saw: an answer of a target in trouble may go on without end until the caller closes. An event without its end was copied and searched whole at each chunk, so one target held every request of a gateway (5.8 s for 25 MB, by the users' measurement); failures were kept without a bound.

Cause: no limit on what is kept of one answer, and a search that began from the start of the kept bytes. Ruled out: heads (Node's parser stops at 16 KB), bytes behind a complete answer (the connection is destroyed), and calls of reports and of the store (8 MB, and a time limit).

Change: an attempt keeps 256 KB of an event or of a failure at most and then closes the connection; the splitter searches new bytes only. The request goes on elsewhere where it may, else it ends with 502 at once.

The property test of the splitter also cuts streams with carriage returns.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -75,7 +75,11 @@
   leave(): void;
 }
 
-/** Part of a plain answer that is kept back until it is known to be whole. */
+/**
+ * Most bytes of an answer that are kept: the part of a plain answer that goes to the caller only
+ * once it is known to be whole, a failure, and an event without its end. Events of the sheets have
+ * up to 390 bytes. A target in trouble sends bytes without end until its connection is closed.
+ */
 const maxHeldBytes = 262_144;
 
 /** Requests that are sent this close to each other may be answered in any order. */
@@ -142,6 +146,10 @@
 
   const onEvents = (chunk: Buffer): void => {
     const batch = splitter.push(chunk);
+    if (splitter.pendingBytes > maxHeldBytes) {
+      fail(`event has no end within ${maxHeldBytes} bytes`);
+      return;
+    }
     if (!batch) return;
     run.begun();
     if (!progress.hasEvents) options.onFirstByte();
@@ -192,7 +200,9 @@
     }
     held.push(chunk);
     heldBytes += chunk.length;
-    if (heldBytes > maxHeldBytes && isOk()) passHeld();
+    if (heldBytes <= maxHeldBytes) return;
+    if (isOk()) passHeld();
+    else fail(`failure has no end within ${maxHeldBytes} bytes`);
   };
 
   const onEnd = (): void => {
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -13,8 +13,6 @@
   readonly pendingBytes: number;
   /** Returns the events that this chunk completes. */
   push(chunk: Buffer): EventBatch | undefined;
-  /** Forgets the incomplete event. */
-  reset(): void;
 }
 
 const lineFeed = 0x0a;
@@ -41,22 +39,45 @@
   return bytes.toString('latin1', at + 3, end < 0 ? bytes.length : end).trim();
 }
 
+/** Bytes of the rest in which a blank line may begin that the next chunk ends: LF, CR, LF. */
+const overlapBytes = 2;
+
 export function createEventSplitter(): EventSplitter {
-  let rest: Buffer | undefined;
+  let rest: Buffer[] = [];
+  let pendingBytes = 0;
+  let overlap: Buffer = Buffer.alloc(0);
+
+  const keep = (bytes: Buffer): void => {
+    if (bytes.length === 0) return;
+    rest.push(bytes);
+    pendingBytes += bytes.length;
+    const tail = bytes.subarray(-overlapBytes);
+    overlap = Buffer.concat([overlap, tail]).subarray(-overlapBytes);
+  };
+
+  const forget = (): void => {
+    rest = [];
+    pendingBytes = 0;
+    overlap = Buffer.alloc(0);
+  };
+
   return {
     get pendingBytes() {
-      return rest?.length ?? 0;
+      return pendingBytes;
     },
     push(chunk) {
-      const bytes = rest ? Buffer.concat([rest, chunk]) : chunk;
-      const end = endOfEvents(bytes);
-      rest = end < bytes.length ? bytes.subarray(end) : undefined;
-      if (end === 0) return undefined;
-      const complete = bytes.subarray(0, end);
-      return { bytes: complete, lastId: lastIdOf(complete) };
-    },
-    reset() {
-      rest = undefined;
+      // Only the new bytes are searched, so an event in many chunks costs no more than one in few.
+      const searched = overlap.length > 0 ? Buffer.concat([overlap, chunk]) : chunk;
+      const end = endOfEvents(searched) - overlap.length;
+      if (end <= 0) {
+        keep(chunk);
+        return undefined;
+      }
+      const last = chunk.subarray(0, end);
+      const bytes = rest.length > 0 ? Buffer.concat([...rest, last]) : last;
+      forget();
+      keep(chunk.subarray(end));
+      return { bytes, lastId: lastIdOf(bytes) };
     },
   };
 }
--- a/test/gateway/events.test.ts
+++ b/test/gateway/events.test.ts
@@ -2,12 +2,14 @@
 import { describe, expect, it } from 'vitest';
 import { createEventSplitter } from '../../src/gateway/events.js';
 
-const stream = [1, 2, 3, 40]
-  .map((id) => `x-note: 1\nid: ${id}\ndata: text with id: 9 inside\n\n`)
-  .join('');
+const toStream = (lineEnd: string): string =>
+  [1, 2, 3, 40]
+    .map((id) => ['x-note: 1', `id: ${id}`, 'data: text with id: 9 inside', '', ''].join(lineEnd))
+    .join('');
 
 describe('the splitter of events', () => {
-  it('passes on whole events only, however the bytes are cut', () => {
+  it.each(['\n', '\r\n'])('passes on whole events only, however bytes are cut (%j)', (lineEnd) => {
+    const stream = toStream(lineEnd);
     fc.assert(
       fc.property(fc.array(fc.integer({ min: 1, max: 40 }), { maxLength: 20 }), (sizes) => {
         const splitter = createEventSplitter();
@@ -20,7 +22,7 @@
           if (!batch) continue;
           passed += batch.bytes.toString();
           lastId = batch.lastId ?? lastId;
-          expect(passed.endsWith('\n\n')).toBe(true);
+          expect(passed.endsWith(`${lineEnd}${lineEnd}`)).toBe(true);
         }
         expect(passed).toBe(stream);
         expect(lastId).toBe('40');
--- a/test/standins/platform/target.ts
+++ b/test/standins/platform/target.ts
@@ -21,7 +21,11 @@
     /** Answers without a signature. */
     | 'unsigned'
     /** Answers with the id of another request. */
-    | 'foreign';
+    | 'foreign'
+    /** Sends bytes until its connection is closed: a head, an event or a failure without end. */
+    | 'endlessHead'
+    | 'endlessEvent'
+    | 'endlessFailure';
 }
 
 /** One request that a target began to work on. */
@@ -61,6 +65,24 @@
 
 const calm: TargetBehaviour = { firstMs: 5, events: 4, gapMs: 5, fault: 'none' };
 
+/** Beginning of the answers that have no end. */
+const endless: Readonly<Record<string, readonly string[]>> = {
+  endlessHead: ['HTTP/1.1 200 OK', 'X-Filler: '],
+  endlessEvent: ['HTTP/1.1 200 OK', 'X-Server-Stamp: stamp', '', 'id: 1', 'data: '],
+  endlessFailure: ['HTTP/1.1 500 Internal Server Error', 'X-Server-Stamp: stamp', '', ''],
+};
+
+/** Sends bytes until the other side closes the connection. */
+function sendEndlessly(socket: Socket, beginning: readonly string[]): void {
+  const filler = Buffer.alloc(65_536, 'a');
+  const sendMore = (): void => {
+    while (!socket.destroyed && socket.write(filler));
+  };
+  socket.on('drain', sendMore);
+  socket.write(beginning.join('\r\n'));
+  sendMore();
+}
+
 const pause = (durationMs: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, durationMs);
@@ -154,6 +176,8 @@
     });
     await pause(behaviour.firstMs);
     if (behaviour.fault === 'mute' || res.destroyed) return undefined;
+    const beginning = endless[behaviour.fault];
+    if (beginning) return sendEndlessly(req.socket, beginning);
     res.setHeader('X-Request-Id', behaviour.fault === 'foreign' ? 'other' : requestId);
     if (behaviour.fault !== 'unsigned') res.setHeader('X-Server-Stamp', `stamp.${id}`);
     res.setHeader('X-Load', '1,0,8,100');
