Give up engines of the OpenAI adapter that send bytes without end

The same fault as in the gateway, at the agent's adapter: a failure, a report or an event without its end was read until the request's time was over, and kept whole.

Change: events are kept up to 256 K characters, failures up to the part that the error message shows, answers up to 8 MB; then the connection is closed. Exported cache blocks have no bound yet: their size follows from the request, and no agent uses them.

--- a/src/adapters/openai/engine.ts
+++ b/src/adapters/openai/engine.ts
@@ -46,10 +46,36 @@
   return BigInt(`0x${hex}`);
 }
 
+/** Most characters of an event without its end; an event of a completion has less than 1,000. */
+const maxEventChars = 262_144;
+
+/** Largest answer that is read whole, beside exported cache blocks. */
+const maxAnswerBytes = 8 * 1_048_576;
+
+/** Part of a failure that goes into the error's message. */
+const maxDetailBytes = 200;
+
+/** Reads a body up to a limit; an engine in trouble sends bytes until its connection is closed. */
+async function readStart(body: AsyncIterable<Uint8Array>, maxBytes: number): Promise<Buffer> {
+  const parts: Uint8Array[] = [];
+  let size = 0;
+  for await (const part of body) {
+    parts.push(part);
+    size += part.length;
+    if (size > maxBytes) break;
+  }
+  return Buffer.concat(parts).subarray(0, maxBytes + 1);
+}
+
 async function* readEvents(body: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
   const pending: string[] = [];
   const parser = createParser({
+    maxBufferSize: maxEventChars,
     onEvent: (event: EventSourceMessage) => pending.push(event.data),
+    onError(err) {
+      if (err.type !== 'max-buffer-size-exceeded') return;
+      throw new TargetFailedError(`event has no end within ${maxEventChars} characters`);
+    },
   });
   const decoder = new TextDecoder();
   for await (const bytes of body) {
@@ -81,7 +107,7 @@
         ...(body !== undefined && { body, headers: { 'content-type': type } }),
       });
       if (res.statusCode < 400) return res;
-      const detail = (await res.body.text()).slice(0, 200);
+      const detail = (await readStart(res.body, maxDetailBytes)).toString();
       const ErrorKind = res.statusCode === 409 ? TargetRefusedError : TargetFailedError;
       throw new ErrorKind(`engine answered ${res.statusCode}: ${detail}`);
     } catch (err) {
@@ -99,7 +125,11 @@
   ): Promise<T> => {
     const text = body === undefined ? undefined : JSON.stringify(body);
     const res = await send(method, path, token, text);
-    return (await res.body.json()) as T;
+    const answer = await readStart(res.body, maxAnswerBytes);
+    if (answer.length > maxAnswerBytes) {
+      throw new TargetFailedError(`answer of ${path} has no end within ${maxAnswerBytes} bytes`);
+    }
+    return JSON.parse(answer.toString()) as T;
   };
 
   async function* complete(
