Bound the work of requests that wait for room in a small gateway

Cause: each waiting request looks for room every 20 to 60 ms, and a look compares all engines. front-lj-north-7 made 200 to 450 looks a second (from sentAfterMs of its log, an upper estimate) at 0.75 ms of a whole core each, of the 0.24 core that it has. The work grew with the queue, as its core ran out.

Ruled out: hints between the gateways, 0.2 to 0.3 s of 6.2 s in a profile of a gateway with 26 peers, 34 engines and 60 requests a second.

Change: all waiting requests of a process together look 50 times a second, and each before its deadline leaves no more time. The sums over the peers' counts are made once for each hint, not for each engine; the search for a source makes no copies.

Tests: test/gateway/deferral.test.ts bounds the looks for 1 to 200 waiting requests, and plays the end of the wait.

--- a/src/gateway/deferral.ts
+++ b/src/gateway/deferral.ts
@@ -1,3 +1,5 @@
+import { type Random } from '../base/random.js';
+
 /** What is known of a request that could be sent now. */
 export interface Sendable {
   /** Time until its answer begins if it is sent now, by the load of the best target. */
@@ -27,6 +29,21 @@
 /** Time kept free beside the tokens, for the network and a moment in which the engine is slow. */
 const reservedMs = 400;
 
+/** Least mean time between two looks of a request; a request takes tens of milliseconds. */
+const minLookMs = 40;
+
+/**
+ * Mean time between two looks of all waiting requests of a process. A look takes 0.75 ms of a whole
+ * core. Without this bound 30 requests that wait need more than the quarter of a core that a small
+ * gateway has, and its callers wait to be read. It sends a few long prompts a second.
+ */
+const looksEveryMs = 20;
+
+/** Time that a request can still wait and be answered before its deadline. */
+function spareMs({ expectedMs, remainingMs, outputTokens }: Sendable): number {
+  return remainingMs - expectedMs - outputTokens * reservedMsPerToken - reservedMs;
+}
+
 /**
  * Decides whether a request waits at this process while the engines have more prompts to read than
  * they can within the objective. It answers a burst of some seconds: without it, each request waits
@@ -34,9 +51,18 @@
  * its deadline allows, for those that can still be on time.
  */
 export function shouldDefer(request: Sendable): boolean {
-  const { expectedMs, objectiveMs, waitedMs, remainingMs, outputTokens } = request;
+  const { expectedMs, objectiveMs, waitedMs } = request;
   if (waitedMs + expectedMs <= objectiveMs) return false;
   if (expectedMs <= objectiveMs * freeShare) return false;
-  const spareMs = remainingMs - expectedMs - outputTokens * reservedMsPerToken - reservedMs;
-  return spareMs > 0;
+  return spareMs(request) > 0;
+}
+
+/**
+ * Time until a request that waits looks for room again, for the number of requests that wait in this
+ * process. It answers crowded small processes: their looks stay within a share of their core.
+ */
+export function lookAgainMs(request: Sendable, waiting: number, random: Random): number {
+  const meanMs = Math.max(minLookMs, waiting * looksEveryMs);
+  const pauseMs = meanMs * (0.5 + random.next());
+  return Math.min(pauseMs, Math.max(minLookMs / 2, spareMs(request)));
 }
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -6,7 +6,7 @@
 import { type Answer, type OwnAnswer } from './answer.js';
 import { type Attempt, type KeptAnswer, type Progress, startAttempt } from './attempt.js';
 import { type CallResult, type GatewayCall } from './calls.js';
-import { shouldDefer } from './deferral.js';
+import { lookAgainMs, type Sendable, shouldDefer } from './deferral.js';
 import { type TargetReliability } from './health.js';
 import { continueAtBackup, learnFrom } from './outcomes.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
@@ -61,6 +61,8 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { clock, random, log, protocol, placer, reliability, budget } = options;
+  /** Requests that wait for room at the targets. */
+  let deferred = 0;
 
   const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
 
@@ -203,21 +205,21 @@
           await sleep(clock, retryPauseMs, token).catch(() => undefined);
           continue;
         }
-        const isDeferred =
-          choice !== undefined &&
-          attempts === 0 &&
-          route.kind === 'stream' &&
-          shouldDefer({
+        if (choice && attempts === 0 && route.kind === 'stream') {
+          const sendable: Sendable = {
             expectedMs: choice.expectedMs,
             objectiveMs: route.objectiveMs,
             waitedMs,
             remainingMs: remainingMs(call),
             outputTokens: head.expectedOutputTokens,
-          });
-        if (isDeferred) {
-          const pauseMs = retryPauseMs * (0.5 + random.next());
-          await sleep(clock, pauseMs, token).catch(() => undefined);
-          continue;
+          };
+          if (shouldDefer(sendable)) {
+            deferred += 1;
+            const pauseMs = lookAgainMs(sendable, deferred, random);
+            await sleep(clock, pauseMs, token).catch(() => undefined);
+            deferred -= 1;
+            continue;
+          }
         }
         const placement = next ?? placer.place(placementRequest, choice as Choice);
         next = undefined;
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -93,6 +93,11 @@
 
 const maxDatagramBytes = 16_384;
 
+const noneOutstanding: Outstanding = { runs: 0, tokens: 0 };
+
+/** Age after which the sums over the peers are made again without a new hint, so that lapsed counts go. */
+const sumsStaleMs = 100;
+
 interface PeerState {
   run: number;
   sequence: number;
@@ -113,12 +118,28 @@
   let uses: CacheUse[] = [];
   let weights: WeightsSeen[] = [];
   let tables: readonly number[] = [];
+  /** Counts of all peers by target; undefined after a new hint. */
+  let sums: Map<string, Outstanding> | undefined;
+  let sumsAt = -Infinity;
   let timer: Disposable | undefined;
   let repeatTimer: Disposable | undefined;
 
   const socket = createSocket('udp4');
   socket.on('error', (err) => log.warn({ err: errMessage(err) }, 'peer hints are not exchanged'));
 
+  /** Adds up the counts of the peers, once for all targets of a placement. */
+  const addUp = (): void => {
+    sumsAt = clock.now();
+    sums = new Map();
+    for (const { heardAt, outstanding } of states.values()) {
+      if (sumsAt - heardAt > staleMs) continue;
+      for (const [targetId, { runs, tokens }] of outstanding) {
+        const known = sums.get(targetId) ?? noneOutstanding;
+        sums.set(targetId, { runs: known.runs + runs, tokens: known.tokens + tokens });
+      }
+    }
+  };
+
   const send = (): void => {
     timer = undefined;
     sequence += 1;
@@ -168,6 +189,7 @@
     const isOlder =
       known && (hint.b < known.run || (hint.b === known.run && hint.q <= known.sequence));
     if (isOlder) return;
+    sums = undefined;
     states.set(hint.n, {
       run: hint.b,
       sequence: hint.q,
@@ -208,15 +230,8 @@
       return addresses.length + 1;
     },
     outstanding(targetId) {
-      let runs = 0;
-      let tokens = 0;
-      for (const state of states.values()) {
-        if (clock.now() - state.heardAt > staleMs) continue;
-        const counts = state.outstanding.get(targetId);
-        runs += counts?.runs ?? 0;
-        tokens += counts?.tokens ?? 0;
-      }
-      return { runs, tokens };
+      if (!sums || clock.now() - sumsAt > sumsStaleMs) addUp();
+      return sums?.get(targetId) ?? noneOutstanding;
     },
     isChanging(targetId) {
       for (const { heardAt, changing: ids } of states.values()) {
--- a/src/gateway/transfers.ts
+++ b/src/gateway/transfers.ts
@@ -121,16 +121,22 @@
       return {
         cachedTokens: (targetId) => held.get(targetId)?.cached ?? 0,
         findSource(target, own) {
-          let best = noSource;
-          for (const { id, dataCentre, ...source } of sources) {
+          let best: Source | undefined;
+          let bestTokens = 0;
+          let bestSlowness = 1;
+          for (const source of sources) {
             const tokens = source.tokens - own;
-            if (id === target.id || tokens < minFetchTokens || tokens < best.tokens) continue;
-            const isNear = dataCentre === target.entry.dataCentre;
+            if (source.id === target.id || tokens < minFetchTokens || tokens < bestTokens) continue;
+            const isNear = source.dataCentre === target.entry.dataCentre;
             const slowness = source.slowness * (isNear ? 1 : farSlowness);
-            if (tokens === best.tokens && slowness >= best.slowness) continue;
-            best = { ...source, tokens, slowness };
+            if (tokens === bestTokens && slowness >= bestSlowness) continue;
+            best = source;
+            bestTokens = tokens;
+            bestSlowness = slowness;
           }
-          return best;
+          if (!best) return noSource;
+          const { waitMs, address, store } = best;
+          return { tokens: bestTokens, slowness: bestSlowness, waitMs, address, store };
         },
       };
     },
--- a/test/gateway/deferral.test.ts
+++ b/test/gateway/deferral.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { type Sendable, shouldDefer } from '../../src/gateway/deferral.js';
+import { lookAgainMs, type Sendable, shouldDefer } from '../../src/gateway/deferral.js';
 import { createSeededRandom } from '../../src/base/random.js';
 
 const request: Sendable = {
@@ -85,3 +85,25 @@
     expect(plain.served).toBe(requests);
   });
 });
+
+describe('requests that wait in one process', () => {
+  it.each([1, 10, 50, 200])('look for room 60 times a second at most (%i requests)', (waiting) => {
+    const random = createSeededRandom(waiting);
+    let looksPerSecond = 0;
+    for (let index = 0; index < waiting; index += 1) {
+      let looks = 0;
+      for (let at = 0; at < 60_000; looks += 1) {
+        at += lookAgainMs({ ...request, remainingMs: 60_000 }, waiting, random);
+      }
+      looksPerSecond += looks / 60;
+    }
+    expect(looksPerSecond).toBeLessThan(60);
+  });
+
+  it('look again before their deadline leaves no more time', () => {
+    const random = createSeededRandom(1);
+    // 2,500 ms less the expected time, 70 tokens and what is kept free: 220 ms.
+    const pauseMs = lookAgainMs({ ...request, remainingMs: 2_500 }, 100, random);
+    expect(Math.round(pauseMs)).toBe(220);
+  });
+});
