Let slow answers of the store arrive, although peers tell of changes

Cause: a process that a peer told of a change gave up its open call after 0.25 s and asked again, as long as peers told it. An answer that takes longer never arrives: after a cut of seconds in a storm of configurations it holds every version since, hundreds of KB on a link of 0.9 MB/s.

Change: a call that began behind is answered at once or ends by its own time limit, so peers don't end it. If its answer does not arrive in time, the table is read whole, which is smaller than its history.

Tests: test/configuration/watch.test.ts, a slow answer and changes that are too many; both failed before.

--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -51,6 +51,12 @@
  */
 const expectGraceMs = 250;
 
+/**
+ * Time of a call beyond its wait from which its answer counts as too large for the link. The changes
+ * of a table since an outage can be many times larger than the table.
+ */
+const slowAnswerMs = 800;
+
 /** Reads a table and follows its changes for as long as the watch is not disposed. */
 export function watchTable(options: TableWatchOptions): TableWatch {
   const { clock, random, log, feed, table, onChange } = options;
@@ -59,6 +65,10 @@
   let changedAt: number | undefined;
   let expected = -Infinity;
   let openCall = createCancellationSource();
+  /** The open call began when this process knew that it was behind, so it is answered at once. */
+  let isCatchingUp = false;
+  /** Changes did not arrive in time, so the table is read whole. */
+  let isTooSlow = false;
   let graceTimer: Disposable | undefined;
   let confirmedAt = -Infinity;
   let failedAt = -Infinity;
@@ -76,23 +86,36 @@
 
   const isBehind = (): boolean => position !== undefined && position < expected;
 
+  /** A call that began before the change was known should have told of it. */
+  const mayBeSilent = (): boolean => isBehind() && failures === 0 && !isCatchingUp;
+
   const step = async (token: CancellationToken): Promise<void> => {
-    if (position === undefined) {
+    openCall = createCancellationSource();
+    if (position === undefined || isTooSlow) {
       const { rows, version } = await feed.list(table, token);
       confirm();
+      isTooSlow = false;
       position = version;
       noteChanges(rows);
       onChange({ rows, isSnapshot: true });
       return;
     }
     // A store that was away is asked briefly, so that its return is not missed by a long wait.
-    openCall = createCancellationSource();
     const link = token.onCancellationRequested((reason) => openCall.cancel(reason));
     // There is a change that this process has not seen, so the answer comes at once.
-    const waitMs = failures > 0 || isBehind() ? 0 : options.waitMs();
+    isCatchingUp = isBehind();
+    const waitMs = failures > 0 || isCatchingUp ? 0 : options.waitMs();
+    const startedAt = clock.now();
     const result = await feed
       .changes(table, position, waitMs, openCall.token)
-      .finally(() => link.dispose());
+      .catch((err: unknown) => {
+        isTooSlow = clock.now() - startedAt - waitMs >= slowAnswerMs;
+        throw err;
+      })
+      .finally(() => {
+        link.dispose();
+        isCatchingUp = false;
+      });
     confirm();
     if (result === 'history-lost') {
       log.warn({ table, position }, 'store dropped its history; the table is read again');
@@ -145,10 +168,10 @@
     },
     expect(version) {
       expected = Math.max(expected, version);
-      if (!isBehind() || failures > 0 || graceTimer) return;
+      if (!mayBeSilent() || graceTimer) return;
       graceTimer = clock.setTimer(expectGraceMs + (options.pauseMs?.() ?? 0), () => {
         graceTimer = undefined;
-        if (!isBehind() || failures > 0) return;
+        if (!mayBeSilent()) return;
         log.warn({ table, position, expected }, 'store is silent about a change; asking again');
         openCall.cancel('another process saw a change');
       });
--- a/test/configuration/watch.test.ts
+++ b/test/configuration/watch.test.ts
@@ -9,6 +9,9 @@
 
 const open: Disposable[] = [];
 
+/** Time that a call has for its answer beyond its wait. */
+const timeoutMs = 1_000;
+
 afterEach(() => {
   for (const item of open.splice(0)) item.dispose();
 });
@@ -28,6 +31,7 @@
     history.push(row);
   };
   let isSilent = false;
+  let answerMs = 0;
   const feed: RowFeedPort = {
     async list() {
       if (isDown) throw new StoreUnavailableError('down');
@@ -50,6 +54,13 @@
           clock.setTimer(waitMs, resolve);
         });
       }
+      if (answerMs > 0) {
+        await new Promise<void>((resolve, reject) => {
+          clock.setTimer(Math.min(answerMs, timeoutMs), resolve);
+          token.onCancellationRequested((reason) => reject(new StoreUnavailableError(reason)));
+        });
+        if (answerMs >= timeoutMs) throw new StoreUnavailableError('no answer in time');
+      }
       if (after < firstKept) return 'history-lost';
       return { rows: history.filter((row) => row.version > after), version };
     },
@@ -80,6 +91,9 @@
     setSilent(value: boolean) {
       isSilent = value;
     },
+    setAnswerMs(value: number) {
+      answerMs = value;
+    },
     setDown(value: boolean) {
       isDown = value;
     },
@@ -147,6 +161,33 @@
     expect(site.watch.changedAt).toBe(site.version());
   });
 
+  it('lets a slow answer arrive, however often peers tell of the change', async () => {
+    const site = setUp();
+    await site.clock.advance(10);
+    site.setSilent(true);
+    await site.clock.advance(3_100);
+    site.setSilent(false);
+    site.setAnswerMs(600);
+    site.put('a', 'new');
+    for (let told = 0; told < 30; told += 1) {
+      site.watch.expect(site.version());
+      await site.clock.advance(70);
+    }
+    expect(site.seen().at(-1)).toEqual(['some', 'a=new']);
+  });
+
+  it('reads the table whole when its changes are too many to arrive in time', async () => {
+    const site = setUp();
+    await site.clock.advance(10);
+    site.setDown(true);
+    await site.clock.advance(5_000);
+    site.put('a', 'new');
+    site.setAnswerMs(timeoutMs);
+    site.setDown(false);
+    await site.clock.advance(3_000);
+    expect(site.seen().at(-1)).toEqual(['all', 'a=new']);
+  });
+
   it('does not ask again for a change that it knows', async () => {
     const site = setUp();
     await site.clock.advance(10);
