Start calls of an entry only once their callers are known to be there

The same cause as in the gateway, found when looking for it elsewhere: an entry handled requests as it read them. The new test keeps the process busy while 10 callers send and leave; before the change all 10 calls ran at the service, now none.

Change: the start queue and the detection of callers that leave move to src/base, and the entry's listener uses both. Agents are called by entries over one HTTP/2 connection each and learn of a cancellation on it, so they have no queue of connections; not tested beyond that.

--- a/src/gateway/startqueue.ts
+++ b/src/base/startqueue.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '../base/clock.js';
+import { type Clock } from './clock.js';
 
 /**
  * Requests that were read and wait to be started. Each waits until the sockets were polled once
--- a/src/daemon/callers/context.ts
+++ b/src/daemon/callers/context.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { type IncomingMessage, type ServerResponse } from 'node:http';
-import { type CancellationSource, createCancellationSource } from '../../base/cancellation.js';
+import { type CancellationSource } from '../../base/cancellation.js';
 import { type Clock } from '../../base/clock.js';
 import { type Deadline, createDeadline } from '../../base/deadline.js';
 import { refusal } from '../../base/refusals.js';
@@ -46,15 +46,6 @@
   return team;
 }
 
-/** Creates a source that is cancelled when the caller leaves before the response is finished. */
-export function cancelOnClose(res: ServerResponse): CancellationSource {
-  const source = createCancellationSource();
-  res.once('close', () => {
-    if (!res.writableFinished) source.cancel('caller closed the connection');
-  });
-  return source;
-}
-
 export function readDeadline(req: IncomingMessage, defaultMs: number, clock: Clock): Deadline {
   const given = req.headers[headerNames.deadline];
   if (given === undefined) return createDeadline(clock, defaultMs);
--- a/src/daemon/callers/server.ts
+++ b/src/daemon/callers/server.ts
@@ -1,10 +1,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
+import { cancelOnClose } from '../../base/callerclose.js';
 import { type Clock } from '../../base/clock.js';
 import { type Logger } from '../../base/logging.js';
 import { refusal } from '../../base/refusals.js';
+import { createStartQueue } from '../../base/startqueue.js';
 import { type ConfigurationReplica } from '../../configuration/replica.js';
-import { authenticateTeam, type CallerContext, cancelOnClose, readRequestId } from './context.js';
+import { authenticateTeam, type CallerContext, readRequestId } from './context.js';
 import { type EntryMetrics } from '../metrics.js';
 import { headerNames, sendRefusal, toRefusal } from './errors.js';
 
@@ -84,6 +86,7 @@
   const { clock, log, replica, routes, maxHeaderBytes, metrics } = options;
   let active = 0;
   let accepting = true;
+  const starts = createStartQueue(clock);
 
   const handle = async (
     req: IncomingMessage,
@@ -102,11 +105,15 @@
     if (route.methods && !route.methods.includes(req.method ?? '')) {
       throw refusal('methodNotAllowed', `method ${req.method} is not allowed here`);
     }
-    const source = cancelOnClose(res);
+    const source = cancelOnClose(req, res);
     const setOutcome = (code: string): void => {
       record.outcome = code;
     };
-    await route.handler({ requestId: record.requestId, team, req, res, url, source, setOutcome });
+    const { requestId } = record;
+    await starts.enter(async () => {
+      source.token.throwIfCancelled();
+      await route.handler({ requestId, team, req, res, url, source, setOutcome });
+    });
   };
 
   const finish = (res: ServerResponse, record: RequestRecord, startedAt: number): void => {
@@ -126,7 +133,8 @@
       const record: RequestRecord = { requestId: '', team: '', path: '', outcome: 'ok' };
       handle(req, res, record)
         .catch((err: unknown) => {
-          if (res.destroyed) {
+          if (res.destroyed || req.socket.readableEnded) {
+            res.destroy();
             record.outcome = 'cancelled';
             return;
           }
@@ -140,6 +148,11 @@
         });
     },
   );
+  server.on('connection', (socket) => {
+    // Each request of a connection listens for its end; callers may send many ahead.
+    socket.setMaxListeners(0);
+    starts.noteConnection();
+  });
   server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
     answerParseError(err, socket as Socket),
   );
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,17 +1,17 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
-import { type CancellationSource, createCancellationSource } from '../base/cancellation.js';
+import { cancelOnClose } from '../base/callerclose.js';
 import { type Clock } from '../base/clock.js';
 import { createDeadline } from '../base/deadline.js';
 import { errMessage } from '../base/errors.js';
 import { type Logger } from '../base/logging.js';
 import { type Random } from '../base/random.js';
+import { createStartQueue } from '../base/startqueue.js';
 import { type CallerHead, type WireProtocol } from '../ports/wire.js';
 import { type Answer, createAnswer, type OwnAnswer, ownAnswers } from './answer.js';
 import { type CallResult, type GatewayCall } from './calls.js';
 import { type Dispatcher } from './dispatcher.js';
 import { pickService, type RouteTable } from './routes.js';
-import { createStartQueue } from './startqueue.js';
 
 /** Listener for callers. */
 export interface GatewayServer {
@@ -78,24 +78,6 @@
   });
 }
 
-/** Cancels when the caller closes its connection before the whole answer was handed over. */
-function watchCaller(
-  { socket }: IncomingMessage,
-  res: ServerResponse,
-  answer: Answer,
-  source: CancellationSource,
-): void {
-  const onLeft = (): void => {
-    if (!res.writableFinished && !answer.isOver) source.cancel('the caller left');
-  };
-  // The end of what the caller sends is known some iterations of the event loop before the close.
-  socket.once('end', onLeft);
-  res.once('close', () => {
-    socket.off('end', onLeft);
-    onLeft();
-  });
-}
-
 const hasNoBody = (req: IncomingMessage): boolean =>
   req.headers['transfer-encoding'] === undefined && (req.headers['content-length'] ?? '0') === '0';
 
@@ -138,8 +120,7 @@
     note.team = team?.name ?? '';
     const timeout = createDeadline(clock, route.timeoutMs);
     const deadline = createDeadline(clock, head.waitMs ?? route.timeoutMs);
-    const source = createCancellationSource();
-    watchCaller(req, res, answer, source);
+    const source = cancelOnClose(req, res, () => answer.isOver);
     let body: Buffer | undefined;
     if (!hasNoBody(req)) {
       body = await readBody(req, configuration.limits.maxBodyBytes);
--- a/test/gateway/startqueue.test.ts
+++ b/test/base/startqueue.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { createStartQueue } from '../../src/gateway/startqueue.js';
+import { createStartQueue } from '../../src/base/startqueue.js';
 import { createManualClock } from '../standins/clock.js';
 
 interface Play {
--- a/test/daemon/left.test.ts
+++ b/test/daemon/left.test.ts
@@ -1,24 +1,22 @@
-import { Worker } from 'node:worker_threads';
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { createLogger } from '../../src/base/logging.js';
+import { sendAndLeaveWhileBusy } from '../standins/leavingcallers.js';
 import { createLineStream } from '../standins/lines.js';
 import { model, type PlatformSite, startPlatformSite, until } from '../standins/platform/site.js';
+import { startService } from '../standins/service.js';
+import {
+  siteRecords,
+  startSiteAgent,
+  startSiteEntry,
+  teamKey,
+  waitForRoute,
+} from '../standins/site.js';
 
 const callers = 10;
 
-/** Sends one request on each connection and leaves, in a thread of its own. */
-const callerThread = `
-  const { connect } = require('node:net');
-  const { parentPort, workerData } = require('node:worker_threads');
-  parentPort.once('message', () => {
-    for (const { port, request } of workerData) {
-      const socket = connect(port, '127.0.0.1', () => socket.write(request, () => socket.destroy()));
-      socket.on('error', () => undefined);
-    }
-  });
-`;
+const busyMs = 600;
 
-const prompt = [`X-Model: ${model}`, 'X-Token-Count: 900,40', 'X-Prompt-Prefix: a:500,b:400'];
+const portOf = (url: string | undefined): number => Number(new URL(url ?? '').port);
 
 let site: PlatformSite;
 
@@ -28,21 +26,14 @@
 
 afterEach(() => site.close());
 
-function toRequest(route: string, id: number): string {
-  const head = [
-    `POST /${route}/x HTTP/1.1`,
-    'Host: site.test',
-    `X-Request-Id: ${route}-${id}`,
-    'X-Deadline-Ms: 4000',
-    'X-Api-Key: key-a',
-    ...(route === 'order' ? [] : prompt),
-    'Content-Length: 4',
-  ];
-  return `${head.join('\r\n')}\r\n\r\nbody`;
-}
+const prompt = {
+  'X-Model': model,
+  'X-Token-Count': '900,40',
+  'X-Prompt-Prefix': 'a:500,b:400',
+};
 
 it.each(['order', 'fit', 'reply'])(
-  'runs no request (%s) whose caller left while the process was busy',
+  'a gateway runs no request (%s) whose caller left while the process was busy',
   async (route) => {
     const targets = [
       await site.startTarget('desk', { id: 'desk-1' }),
@@ -50,20 +41,57 @@
     ];
     const { stream, lines } = createLineStream();
     const gateway = await site.startGateway('gw-1', createLogger('gw-1', 'info', stream));
-    const port = Number(new URL(gateway.addresses.callers as string).port);
-    const workerData = Array.from({ length: callers }, (_, id) => ({
-      port,
-      request: toRequest(route, id),
+    const requests = Array.from({ length: callers }, (_, id) => ({
+      port: portOf(gateway.addresses.callers),
+      path: `/${route}/x`,
+      headers: {
+        Host: 'site.test',
+        'X-Request-Id': `${route}-${id}`,
+        'X-Deadline-Ms': '4000',
+        'X-Api-Key': 'key-a',
+        ...(route === 'order' ? {} : prompt),
+      },
+      body: 'body',
     }));
-    const thread = new Worker(callerThread, { eval: true, workerData });
-    await new Promise((resolve) => {
-      thread.once('online', resolve);
-    });
-    thread.postMessage('go');
-    const end = performance.now() + 600;
-    while (performance.now() < end);
+    await sendAndLeaveWhileBusy(requests, busyMs);
     await until(() => lines.filter((line) => line.includes('request ended')).length === callers);
-    await thread.terminate();
     expect(targets.flatMap(({ runs }) => runs.map(({ requestId }) => requestId))).toEqual([]);
   },
 );
+
+it('an entry runs no call whose caller left while the process was busy', async () => {
+  const service = await startService();
+  const agent = await startSiteAgent({
+    name: 'desk-1',
+    kind: 'service',
+    url: service.url,
+    service: 'desk',
+  });
+  const entry = await startSiteEntry({
+    name: 'entry-1',
+    agents: [agent.addresses.internal],
+    configuration: siteRecords(['red'], [], ['desk']),
+  });
+  await waitForRoute(entry.addresses.callers ?? '', 'red', '/services/desk/ready', {});
+  const before = new Map(service.runs);
+  const requests = Array.from({ length: callers }, (_, id) => ({
+    port: portOf(entry.addresses.callers),
+    path: '/services/desk/reserve',
+    headers: {
+      Host: 'entry.test',
+      Authorization: `Bearer ${teamKey('red')}`,
+      'X-Request-Id': `request-${id}`,
+      'Content-Type': 'application/json',
+    },
+    body: '{}',
+  }));
+  await sendAndLeaveWhileBusy(requests, busyMs);
+  await until(() => entry.active === 0);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 300);
+  });
+  expect(service.runs).toEqual(before);
+  entry.stop();
+  agent.stop();
+  await service.close();
+});
