--- a/test/docs/operators.test.ts
+++ b/test/docs/operators.test.ts
@@ -1,13 +1,19 @@
 import { readdirSync, readFileSync } from 'node:fs';
+import { createServer } from 'node:http';
 import { Registry } from 'prom-client';
 import { expect, test } from 'vitest';
+import { createNullLogger } from '../../src/base/logging.js';
 import { recordSchemas, schemaVersions } from '../../src/configuration/records.js';
 import { createConfigurationReplica } from '../../src/configuration/replica.js';
 import { type Submission, validateSubmission } from '../../src/configuration/validation.js';
+import { createGatewayMetrics } from '../../src/daemon/gatewaymetrics.js';
 import { createEntryMetrics, registerAgentMetrics } from '../../src/daemon/metrics.js';
+import { watchProcessLoad } from '../../src/daemon/processload.js';
 import { outcomesReference } from '../../src/daemon/reference.js';
 import { readSettings } from '../../src/daemon/settings/read.js';
+import { type TargetDirectory } from '../../src/gateway/targets.js';
 import { type AgentDirectory } from '../../src/membership/directory.js';
+import { createManualClock } from '../standins/clock.js';
 
 const folder = 'docs/operators';
 const page = (name: string): string => readFileSync(`${folder}/${name}`, 'utf8');
@@ -45,6 +51,17 @@
   const roles = [
     registered((registry) => createEntryMetrics(registry, directory, replica)),
     registered((registry) => registerAgentMetrics(registry, replica, load)),
+    registered((registry) => {
+      createGatewayMetrics(registry, {
+        directory: { all: [] } as unknown as TargetDirectory,
+        configurationVersion: () => 0,
+        configurationAgeMs: () => 0,
+        droppedLogLines: () => 0,
+      });
+      const clock = createManualClock();
+      const log = createNullLogger();
+      watchProcessLoad({ clock, log, registry, callers: createServer(), active: () => 0 });
+    }),
   ];
   const tables = page('metrics.md')
     .split(/^## /m)
