Weights rollouts keep the deployment's deadline

(1) A holder that froze with a renewed lease leaves its successor 1.8 s of 8 s; the plan still loaded two engines at a time with a drain before each pair (2.7 s for six). (3) The time from which old weights were avoided, 8 s, stood in the code; this deployment allows 8 s in all, others 10 and 12 s. (4) A whole read of the table counted a new version as desired for ever. Ruled out: the takeover (`unchangedMs` 4286, of which 4200 are required by the lease); slower loads by concurrency (six at once end at 397, 771 and 1235 ms: two at a time, but without the gaps between rounds). The plan loads as many engines at once as their remaining times require, takes the oldest weights first, and learns how long a load takes. `gateway/weightsage.ts` decides whether a request may still begin on an engine: not when it would begin after the deadline, unless the store was away. A watch reports how old a change may be.

--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -11,6 +11,11 @@
   readonly rows: readonly Row[];
   /** True when `rows` has all rows of the table; keys that are missing no longer exist. */
   readonly isSnapshot: boolean;
+  /**
+   * Time before this reply in which the rows may have changed, in milliseconds: Infinity for the first
+   * snapshot, 0 for changes that the store sends when they happen.
+   */
+  readonly maxAgeMs: number;
 }
 
 export interface TableWatch extends Disposable {
@@ -73,6 +78,8 @@
   let shouldReadWholeTable = false;
   let expectTimer: Disposable | undefined;
   let confirmedAt = -Infinity;
+  /** When this process last had all rows; a reply without the history confirms no rows. */
+  let completeAt = -Infinity;
   let failedAt = -Infinity;
   let failures = 0;
 
@@ -96,11 +103,13 @@
     openCallSource = createCancellationSource();
     if (position === undefined || shouldReadWholeTable) {
       const { rows, version } = await feed.list(table, token);
+      const maxAgeMs = clock.now() - completeAt;
       recordSuccess();
+      completeAt = clock.now();
       shouldReadWholeTable = false;
       position = version;
       updateNewestRowVersion(rows);
-      onChange({ rows, isSnapshot: true });
+      onChange({ rows, isSnapshot: true, maxAgeMs });
       return;
     }
     const link = token.onCancellationRequested((reason) => openCallSource.cancel(reason));
@@ -119,18 +128,20 @@
         link.dispose();
         isCatchingUp = false;
       });
+    const maxAgeMs = failures > 0 ? clock.now() - completeAt : 0;
     recordSuccess();
     if (result === 'history-lost') {
       log.warn({ table, position }, 'store dropped its history; the table is read again');
       position = undefined;
       return;
     }
+    completeAt = clock.now();
     position = Math.max(position, result.version);
     // The store's version overrides a peer's, which may come from a store that started anew.
     expected = Math.min(expected, position);
     if (result.rows.length === 0) return;
     updateNewestRowVersion(result.rows);
-    onChange({ rows: result.rows, isSnapshot: false });
+    onChange({ rows: result.rows, isSnapshot: false, maxAgeMs });
     const pauseMs = options.pauseMs?.() ?? 0;
     if (pauseMs > 0) await sleep(clock, pauseMs, token);
   };
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -20,6 +20,7 @@
 import { createTargetDirectory, type Target } from '../gateway/targets.js';
 import { createTransfers } from '../gateway/transfers.js';
 import { createDesiredWeightsHistory } from '../gateway/desiredweights.js';
+import { startMarginMs } from '../gateway/weightsage.js';
 import { createOnDemandOrderLease } from '../orders/ondemandlease.js';
 import { createWeightsRollout } from '../orders/weightsrollout.js';
 import { type SiteConfiguration } from '../ports/site.js';
@@ -114,13 +115,20 @@
             .filter(
               ({ registration }) => !registration.isLeaving && registration.weights.has(model),
             )
-            .map((target) => ({
-              id: target.id,
-              address: target.registration.address,
-              inFlightRequests: target.inFlight.requests + peers.inFlight(target.id).requests,
-              isDown: failureTracker.isDown(target),
-              version: target.weightsVersion(model),
-            })),
+            .map((target) => {
+              const version = target.weightsVersion(model);
+              const superseded =
+                version === undefined ? undefined : desiredWeights.superseded(model, version);
+              return {
+                id: target.id,
+                address: target.registration.address,
+                inFlightRequests: target.inFlight.requests + peers.inFlight(target.id).requests,
+                isDown: failureTracker.isDown(target),
+                version,
+                remainingMs:
+                  settings.weights.deadline - startMarginMs - (superseded?.minMs ?? -Infinity),
+              };
+            }),
         sinceWeightsChangeMs: () => peers.sinceWeightsChangeMs(),
         observeReplacement: (id) => {
           const target = directory.find(id);
@@ -149,6 +157,11 @@
     dataCentre,
     service: (name) => routes?.configuration.services.find((spec) => spec.name === name),
     desiredWeights,
+    weightsBounds: {
+      deadlineMs: settings.weights.deadline,
+      storeGraceMs: settings.weights.store_grace,
+    },
+    sinceStoreFailureMs: () => feeds?.sinceFailureMs() ?? Infinity,
     isChangingWeights,
     onCacheUse: (use) => peers.publishCacheUse(use),
   });
@@ -224,7 +237,7 @@
     log.info({ version, routes: configuration.routes.length }, 'configuration is in force');
   };
 
-  const onOperatorRows = ({ rows, isSnapshot }: RowChange): void => {
+  const onOperatorRows = ({ rows, maxAgeMs }: RowChange): void => {
     for (const { key, value } of rows) {
       if (value === undefined) continue;
       const configuration = decoder.configuration(key, value);
@@ -232,7 +245,7 @@
       if (configuration && configuration.version > (routes?.configuration.version ?? -1)) {
         applyConfiguration(configuration);
       } else if (desired && desired.version > (desiredWeights.newest.get(desired.model) ?? -1)) {
-        desiredWeights.record(desired, isSnapshot);
+        desiredWeights.record(desired, maxAgeMs);
         log.info({ ...desired }, 'desired weights changed');
         rollout.requestStep();
       } else if (!configuration && !desired) {
--- a/src/daemon/gatewayfeeds.ts
+++ b/src/daemon/gatewayfeeds.ts
@@ -10,6 +10,8 @@
 export interface GatewayFeeds extends Disposable {
   readonly configuration: TableWatch;
   readonly targets: TableWatch;
+  /** Time since a call for the configuration or the targets last failed, in milliseconds. */
+  sinceFailureMs(): number;
   /** Applies table versions from a peer, in the order of `Peers.publishTableVersions`. */
   expectVersions(versions: readonly number[]): void;
 }
@@ -128,6 +130,7 @@
   return {
     configuration,
     targets,
+    sinceFailureMs: () => Math.min(configuration.sinceFailureMs(), targets.sinceFailureMs()),
     expectVersions([configurationVersion = 0, targetsVersion = 0]) {
       configuration.expectVersion(configurationVersion);
       targets.expectVersion(targetsVersion);
--- a/src/daemon/settings/gateway.ts
+++ b/src/daemon/settings/gateway.ts
@@ -35,6 +35,18 @@
       doc: 'Minimum time between the orders of two lease holders.',
     },
   },
+  weights: {
+    deadline: {
+      type: types.duration,
+      fallback: '10s',
+      doc: 'Time after which no request may begin on weights older than the desired ones.',
+    },
+    store_grace: {
+      type: types.duration,
+      fallback: '3s',
+      doc: 'Time after a failed call of the store in which `deadline` does not apply.',
+    },
+  },
   repeats: {
     share: {
       type: types.ratio,
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -16,6 +16,7 @@
 import { type Target, type TargetDirectory } from './targets.js';
 import { noSource, type FetchSource, type Transfers, type TransferView } from './transfers.js';
 import { type DesiredWeightsHistory } from './desiredweights.js';
+import { weightsAge, type WeightsBounds } from './weightsage.js';
 
 /** Target of an attempt, with the cache and backup instructions that are sent along. */
 export interface Placement {
@@ -72,7 +73,10 @@
   readonly prefillLoad: PrefillLoad;
   readonly dataCentre: string;
   service(name: string): ServiceSpec | undefined;
-  readonly desiredWeights: Pick<DesiredWeightsHistory, 'supersededMs'>;
+  readonly desiredWeights: Pick<DesiredWeightsHistory, 'superseded'>;
+  readonly weightsBounds: WeightsBounds;
+  /** Time since a call to the store last failed, in milliseconds; Infinity when none has. */
+  sinceStoreFailureMs(): number;
   /** True while the target loads other weights or is about to. */
   isChangingWeights(target: Target): boolean;
   /** Called for each placement whose prompt the engine will cache. */
@@ -82,13 +86,6 @@
 /** A load report of a target is ignored once it is older than this. */
 const maxLoadAgeMs = 300;
 
-/**
- * An engine that still serves older weights after this time is excluded while other candidates
- * remain. Operators allow 10 s until a request starts. A shorter time would send all requests to
- * the few finished engines when a rollout is late because its lease holder lost the store.
- */
-const weightsOverdueMs = 8_000;
-
 /**
  * Delay after the expected first byte until the parts count as cached at the target: four prefill
  * chunks. A fetch that comes too early finds nothing, and the parts are prefilled a second time.
@@ -135,15 +132,12 @@
         const prefillTokens = Math.max(0, head.promptTokens - cached - source.tokens);
         return { target, version, salt, source, prefillTokens };
       });
+      const speeds = isEngine ? engineSpeeds : serviceSpeeds;
       const candidates = details.map(({ target, version, source, prefillTokens }): Candidate => {
-        const supersededMs =
-          version === undefined
-            ? undefined
-            : options.desiredWeights.supersededMs(head.model as string, version);
         const others = peers.inFlight(target.id);
         const own = target.inFlight;
         const freshLoad = target.loadAgeMs() < maxLoadAgeMs ? target.load : undefined;
-        return {
+        const candidate: Candidate = {
           inFlightRequests: own.requests + others.requests,
           pendingPrefillTokens: own.prefillTokens + others.prefillTokens,
           slots: target.registration.slots,
@@ -156,12 +150,17 @@
           isSameDataCentre: target.registration.dataCentre === dataCentre,
           failureRate: failureTracker.failureRate(target),
           slowness: freshLoad?.slowness ?? 1,
-          isOutdated: supersededMs !== undefined,
-          isOverdue: (supersededMs ?? 0) > weightsOverdueMs,
+          weightsAge: 'current',
           isChangingWeights: options.isChangingWeights(target),
         };
+        if (version === undefined) return candidate;
+        const use = {
+          superseded: options.desiredWeights.superseded(head.model as string, version),
+          expectedMs: estimateFirstByteMs(candidate, speeds),
+          sinceStoreFailureMs: options.sinceStoreFailureMs(),
+        };
+        return { ...candidate, weightsAge: weightsAge(use, options.weightsBounds) };
       });
-      const speeds = isEngine ? engineSpeeds : serviceSpeeds;
       const index = pickCandidate(candidates, speeds, random);
       const chosen = index === undefined ? undefined : details[index];
       if (!chosen) return undefined;
--- a/src/gateway/scoring.ts
+++ b/src/gateway/scoring.ts
@@ -1,4 +1,5 @@
 import { type Random } from '../base/random.js';
+import { type WeightsAge } from './weightsage.js';
 
 /** Properties of one target that the placement of a request depends on. */
 export interface Candidate {
@@ -24,10 +25,7 @@
   readonly failureRate: number;
   /** Processing time relative to normal; 1 is normal. */
   readonly slowness: number;
-  /** Serves older weights than the operator desires. */
-  readonly isOutdated: boolean;
-  /** Serves older weights although newer ones have been desired for a while. */
-  readonly isOverdue: boolean;
+  readonly weightsAge: WeightsAge;
   /** Loads other weights, or is about to. */
   readonly isChangingWeights: boolean;
 }
@@ -116,7 +114,7 @@
   const fetchCostMs = candidate.tokensToFetch > 0 ? fetchPenaltyMs : 0;
   const penaltyMs =
     (candidate.isSameDataCentre ? 0 : crossDataCentrePenaltyMs) +
-    (candidate.isOutdated ? outdatedPenaltyMs : 0) +
+    (candidate.weightsAge === 'current' ? 0 : outdatedPenaltyMs) +
     candidate.failureRate * failurePenaltyMs;
   return (
     estimateFirstByteMs(candidate, speeds) +
@@ -127,15 +125,19 @@
   );
 }
 
-/** Rank of a candidate; one of a higher rank is used only when there is none of a lower rank. */
-function exclusionRank({ isOverdue, isChangingWeights }: Candidate): number {
-  if (isOverdue) return 2;
+/**
+ * Rank of a candidate; one of a higher rank is used only when there is none of a lower rank, and one
+ * of infinite rank never.
+ */
+function exclusionRank({ weightsAge, isChangingWeights }: Candidate): number {
+  if (weightsAge === 'expired') return Infinity;
+  if (weightsAge === 'overdue') return 2;
   return isChangingWeights ? 1 : 0;
 }
 
 /**
  * Returns the index of a random one of the cheapest candidates of the lowest exclusion rank;
- * undefined when there are no candidates.
+ * undefined when there is none that may be used.
  */
 export function pickCandidate(
   candidates: readonly Candidate[],
@@ -143,11 +145,11 @@
   random: Random,
 ): number | undefined {
   const lowestRank = Math.min(...candidates.map(exclusionRank));
+  if (lowestRank === Infinity) return undefined;
   const scores = candidates.map((candidate) =>
     exclusionRank(candidate) > lowestRank ? Infinity : estimateCostMs(candidate, speeds),
   );
   const best = Math.min(...scores);
-  if (best === Infinity) return undefined;
   const tied: number[] = [];
   for (const [index, score] of scores.entries())
     if (score <= best + scoreToleranceMs) tied.push(index);
--- a/src/orders/rolloutgateway.ts
+++ b/src/orders/rolloutgateway.ts
@@ -8,6 +8,8 @@
   readonly inFlightRequests: number;
   readonly isDown: boolean;
   readonly version: number | undefined;
+  /** Time until its weights are too old to be used, in milliseconds; Infinity for the desired ones. */
+  readonly remainingMs: number;
 }
 
 /** Gateway state that the rollout reads and updates. */
--- a/src/orders/weightsplan.ts
+++ b/src/orders/weightsplan.ts
@@ -8,6 +8,8 @@
   /** In-flight requests of all gateways at the engine. */
   readonly inFlightRequests: number;
   readonly isDown: boolean;
+  /** Time until its weights are too old to be used, in milliseconds; Infinity for the desired ones. */
+  readonly remainingMs: number;
   readonly step: EngineStep;
 }
 
@@ -35,10 +37,10 @@
 const enginesPerConcurrentLoad = 3.7;
 
 /**
- * Time into a load after which the next engine starts to drain, so that no load slot is idle; a
- * load takes 760 ms, most requests less than 400 ms.
+ * Fraction of a load after which the next engine starts to drain, so that no load slot is idle;
+ * draining takes about half as long as a load.
  */
-const nextDrainAfterMs = 350;
+const nextDrainFraction = 0.45;
 
 /**
  * Maximum drain time at low load. Streams that are interrupted by a change are late, but a draining
@@ -58,8 +60,8 @@
 /** In-flight requests up to which an engine counts as drained. */
 const maxRequestsWhenDrained = 0;
 
-/** Time into a load after which the engine is polled for completion. */
-const checkAfterMs = 600;
+/** Fraction of a load after which the engine is polled for completion. */
+const firstCheckFraction = 0.8;
 
 /** Interval between polls of one engine, whose reports lag by some hundred milliseconds anyway. */
 const checkIntervalMs = 80;
@@ -70,21 +72,48 @@
   return highLoadDrainMs + (lowLoadDrainMs - highLoadDrainMs) * Math.min(1, Math.max(0, ratio));
 }
 
-/** Returns the actions that are due for one model; an engine appears in at most one. */
+/**
+ * Number of engines that load at once, for the remaining times of the outdated ones in ascending
+ * order. A rollout that began late, because the last holder of the lease was frozen or cut off,
+ * updates as many at once as the deadlines require: until then they serve fewer requests, and
+ * afterwards they may serve none.
+ */
+export function maxConcurrentLoads(
+  upCount: number,
+  remainingTimesMs: readonly number[],
+  loadMs: number,
+): number {
+  let loads = Math.max(1, Math.round(upCount / enginesPerConcurrentLoad));
+  for (const [index, remainingMs] of remainingTimesMs.entries()) {
+    const rounds = Math.max(1, Math.floor(remainingMs / (loadMs + highLoadDrainMs)));
+    loads = Math.max(loads, Math.ceil((index + 1) / rounds));
+  }
+  return loads;
+}
+
+/**
+ * Returns the actions that are due for one model; an engine appears in at most one. Engines whose
+ * weights expire first come first: where a version is desired before the last one is loaded
+ * everywhere, the busiest engine would otherwise keep its old weights through several versions.
+ */
 export function planWeightsRollout(
   engines: readonly PlannedEngine[],
   desiredVersion: number,
+  loadMs: number,
 ): readonly PlanAction[] {
   const actions: PlanAction[] = [];
   let upCount = 0;
   let totalRequests = 0;
-  for (const { isDown, inFlightRequests } of engines) {
+  const remainingTimesMs: number[] = [];
+  for (const { isDown, inFlightRequests, remainingMs } of engines) {
     if (isDown) continue;
     upCount += 1;
     totalRequests += inFlightRequests;
+    if (remainingMs !== Infinity) remainingTimesMs.push(remainingMs);
   }
-  const drainMs = maxDrainMs(totalRequests / Math.max(1, upCount));
-  const maxLoads = Math.max(1, Math.round(upCount / enginesPerConcurrentLoad));
+  remainingTimesMs.sort((a, b) => a - b);
+  const maxLoads = maxConcurrentLoads(upCount, remainingTimesMs, loadMs);
+  const loadMaxDrainMs = maxDrainMs(totalRequests / Math.max(1, upCount));
   let loading = 0;
   let draining = 0;
   let nearlyLoaded = 0;
@@ -92,26 +121,29 @@
     if (step.kind === 'draining') draining += 1;
     if (step.kind !== 'loading') continue;
     loading += 1;
-    if (step.sinceMs >= nextDrainAfterMs) nearlyLoaded += 1;
+    if (step.sinceMs >= loadMs * nextDrainFraction) nearlyLoaded += 1;
   }
-  for (const { id, step, inFlightRequests } of engines) {
+  for (const { id, step, inFlightRequests, remainingMs } of engines) {
     if (step.kind === 'loading') {
-      const isDue = step.sinceMs >= checkAfterMs && step.sinceCheckMs >= checkIntervalMs;
+      const isDue =
+        step.sinceMs >= loadMs * firstCheckFraction && step.sinceCheckMs >= checkIntervalMs;
       if (isDue) actions.push({ kind: 'check', id });
     }
     if (step.kind !== 'draining' || loading >= maxLoads) continue;
     const isDrained = inFlightRequests <= maxRequestsWhenDrained;
+    const drainMs = Math.min(loadMaxDrainMs, remainingMs - loadMs);
     if (!isDrained && step.sinceMs < drainMs) continue;
     loading += 1;
     draining -= 1;
     actions.push({ kind: 'order', id, inFlightPolicy: isDrained ? 'finish' : 'keep' });
   }
-  const outdated = engines
-    .filter(
-      ({ step, isDown, version }) =>
-        step.kind === 'serving' && !isDown && version !== undefined && version < desiredVersion,
-    )
-    .sort((a, b) => a.inFlightRequests - b.inFlightRequests);
+  const outdated: (PlannedEngine & { readonly version: number })[] = [];
+  for (const engine of engines) {
+    const { step, isDown, version } = engine;
+    if (step.kind !== 'serving' || isDown) continue;
+    if (version !== undefined && version < desiredVersion) outdated.push({ ...engine, version });
+  }
+  outdated.sort((a, b) => a.version - b.version || a.inFlightRequests - b.inFlightRequests);
   const newDrains = Math.max(0, maxLoads - loading) + nearlyLoaded - draining;
   for (const { id } of outdated.slice(0, Math.max(0, newDrains)))
     actions.push({ kind: 'drain', id });
--- a/src/orders/weightsrollout.ts
+++ b/src/orders/weightsrollout.ts
@@ -49,6 +49,16 @@
 /** Time after which the change of an engine that fails to report is dropped and planned again. */
 const reportTimeoutMs = 6_000;
 
+/** Duration of a load that is assumed until loads were observed, and its bounds, in milliseconds. */
+const initialLoadMs = 800;
+
+const minLoadMs = 200;
+
+const maxLoadMs = 3_000;
+
+/** Weight of the newest load in the mean duration. */
+const loadSmoothing = 0.25;
+
 interface EngineChange {
   readonly model: string;
   version: number;
@@ -66,6 +76,7 @@
   const acceptedOrderCounts = new Map<string, number>();
   const retryAt = new Map<string, number>();
   let outdatedSince: number | undefined;
+  let meanLoadMs = initialLoadMs;
   let resumeLoop: () => void = () => undefined;
   /** True when a step was requested since the last one started. */
   let isStepRequested = false;
@@ -97,6 +108,11 @@
     publishChanging();
   };
 
+  const observeLoad = ({ since }: EngineChange): void => {
+    const loadMs = Math.min(maxLoadMs, Math.max(minLoadMs, clock.now() - since));
+    meanLoadMs += (loadMs - meanLoadMs) * loadSmoothing;
+  };
+
   /** Ends a change and delays the engine's next one, so that a failure is not repeated at once. */
   const postpone = (id: string, reason: string): void => {
     retryAt.set(id, clock.now() + retryDelayMs);
@@ -182,6 +198,7 @@
       if (report.isExecutingOrder || version === undefined) return;
       acceptedOrderCounts.set(id, report.acceptedOrders);
       if (version === change.version) {
+        observeLoad(change);
         gateway.observeWeights(id, change.model, version);
         finishChange(id, 'engine reports the new version');
       } else if (clock.now() - change.since > ignoredOrderTimeoutMs)
@@ -213,13 +230,14 @@
       const change = changes.get(engine.id);
       // The engine restarted with these weights, or a response has shown that it loaded them.
       if (change?.step === 'loading' && engine.version === change.version) {
+        observeLoad(change);
         finishChange(engine.id, 'engine serves the new version');
       }
       const isPostponed = clock.now() < (retryAt.get(engine.id) ?? -Infinity);
       const isDown = engine.isDown || isPostponed;
       planned.push({ ...engine, isDown, step: stepOf(engine.id) });
     }
-    const actions = planWeightsRollout(planned, desiredVersion);
+    const actions = planWeightsRollout(planned, desiredVersion, meanLoadMs);
     // Draining an engine for an order that can't be given only moves its load to the others, so a
     // process that can't acquire the lease, such as one that can't reach the store, drains none.
     const mayDrain =
--- a/test/configuration/watch.test.ts
+++ b/test/configuration/watch.test.ts
@@ -124,6 +124,28 @@
     expect(site.received().at(-1)).toEqual(['all', 'a=1']);
   });
 
+  it('reports how old a change may be', async () => {
+    const site = setUp();
+    await site.clock.advance(10);
+    site.put('a', '1');
+    await site.clock.advance(100);
+    site.setDown(true);
+    await site.clock.advance(4_000);
+    site.put('a', '2');
+    site.setDown(false);
+    await site.clock.advance(1_000);
+    site.put('a', '3');
+    site.compact();
+    await site.clock.advance(6_500);
+    const [first, prompt, afterOutage, afterLoss] = site.changes.map(({ maxAgeMs }) => maxAgeMs);
+    expect([first, prompt]).toEqual([Infinity, 0]);
+    // Not longer than since the store last confirmed that the rows were unchanged.
+    for (const maxAgeMs of [afterOutage, afterLoss]) {
+      expect(maxAgeMs).toBeGreaterThan(0);
+      expect(maxAgeMs).toBeLessThan(7_500);
+    }
+  });
+
   it('is not synced before the first read, and reports the time since the last failure', async () => {
     const site = setUp(true);
     await site.clock.advance(2_000);
--- a/test/daemon/settings/gateway.test.ts
+++ b/test/daemon/settings/gateway.test.ts
@@ -14,6 +14,10 @@
 address = 10.200.1.7:8784
 [orders]
 lease = 3000ms
+[weights]
+deadline = 8000ms
+store_grace = 4s
+
 [repeats]
 share = 0.2
 slack = 58
--- a/test/gateway/scoring.test.ts
+++ b/test/gateway/scoring.test.ts
@@ -21,8 +21,7 @@
   isSameDataCentre: true,
   failureRate: 0,
   slowness: 1,
-  isOutdated: false,
-  isOverdue: false,
+  weightsAge: 'current',
   isChangingWeights: false,
 };
 
@@ -51,11 +50,11 @@
     [
       'newer weights over older ones',
       { ...idle, inFlightRequests: 10 },
-      { ...idle, isOutdated: true },
+      { ...idle, weightsAge: 'outdated' },
     ],
     [
       'older weights over a long wait',
-      { ...idle, isOutdated: true },
+      { ...idle, weightsAge: 'outdated' },
       { ...idle, pendingPrefillTokens: 20_000 },
     ],
     [
@@ -66,7 +65,7 @@
     [
       'an engine that changes its weights over an overdue one',
       { ...idle, isChangingWeights: true },
-      { ...idle, isOverdue: true },
+      { ...idle, weightsAge: 'overdue' },
     ],
     [
       'an engine without prefill load for a long response',
@@ -86,7 +85,17 @@
   });
 
   it('uses an overdue engine when there is no other', () => {
-    expect(pick([{ ...idle, isOverdue: true }])).toBe(0);
+    expect(pick([{ ...idle, weightsAge: 'overdue' }])).toBe(0);
+  });
+
+  it('uses no engine on which the request would begin too late for its weights', () => {
+    expect(pick([{ ...idle, weightsAge: 'expired' }])).toBeUndefined();
+    expect(
+      pick([
+        { ...idle, weightsAge: 'expired' },
+        { ...idle, isChangingWeights: true },
+      ]),
+    ).toBe(1);
   });
 
   it('returns undefined without candidates', () => {
--- a/test/gateway/targets.test.ts
+++ b/test/gateway/targets.test.ts
@@ -27,7 +27,7 @@
     onCacheCleared: (id) => emptied.push(id),
   });
   const apply = (key: string, value: string | undefined, isSnapshot = false): void =>
-    directory.apply({ rows: [{ key, value, version: 1 }], isSnapshot });
+    directory.apply({ rows: [{ key, value, version: 1 }], isSnapshot, maxAgeMs: 0 });
   return {
     clock,
     directory,
--- a/test/orders/weightsplan.test.ts
+++ b/test/orders/weightsplan.test.ts
@@ -1,8 +1,9 @@
 import { describe, expect, it } from 'vitest';
 import {
+  maxConcurrentLoads,
   maxDrainMs,
   type PlannedEngine,
-  planWeightsRollout,
+  planWeightsRollout as planWithLoadTime,
 } from '../../src/orders/weightsplan.js';
 
 const engine = (id: number, more: Partial<PlannedEngine> = {}): PlannedEngine => ({
@@ -10,12 +11,16 @@
   version: 1,
   inFlightRequests: 3,
   isDown: false,
+  remainingMs: 9_000,
   step: { kind: 'serving' },
   ...more,
 });
 
 const six = [1, 2, 3, 4, 5, 6].map((id) => engine(id, { inFlightRequests: id }));
 
+const planWeightsRollout = (engines: readonly PlannedEngine[], desiredVersion: number) =>
+  planWithLoadTime(engines, desiredVersion, 760);
+
 const draining = (sinceMs: number) => ({ step: { kind: 'draining', sinceMs } }) as const;
 
 const loading = (sinceMs: number, sinceCheckMs = 0) =>
@@ -92,4 +97,44 @@
   it('shortens the maximum drain time as the engines get busier', () => {
     expect([2, 7, 10.5, 14, 40].map(maxDrainMs)).toEqual([1_000, 1_000, 650, 300, 300]);
   });
+
+  // Load: a holder froze with a renewed lease, and its successor has the rest of the time.
+  it.each([
+    [8, 6, 9_000, 400, 2],
+    [8, 6, 1_500, 400, 3],
+    [8, 6, 600, 400, 6],
+    [55, 55, 9_000, 800, 15],
+    [55, 40, 2_300, 800, 20],
+    [8, 6, -500, 400, 6],
+  ])(
+    'of %i engines, %i have %i ms left and a load takes %i ms: %i load at once',
+    (up, outdated, remainingMs, loadMs, expected) => {
+      const remainingTimesMs = Array.from({ length: outdated }, () => remainingMs);
+      expect(maxConcurrentLoads(up, remainingTimesMs, loadMs)).toBe(expected);
+    },
+  );
+
+  it('hurries only for the engines whose deadline is near', () => {
+    expect(maxConcurrentLoads(8, [600, 8_000, 8_000, 8_000, 8_000], 400)).toBe(2);
+  });
+
+  it('orders all outdated engines without draining once their weights may not be used', () => {
+    const late = six.map((item) => ({ ...item, remainingMs: -1 }));
+    expect(planWeightsRollout(late, 2)).toHaveLength(6);
+    const orders = planWeightsRollout(
+      late.map((item) => ({ ...item, ...draining(0) })),
+      2,
+    );
+    expect(orders).toHaveLength(6);
+    expect(new Set(orders.map(({ kind }) => kind))).toEqual(new Set(['order']));
+  });
+
+  it('updates the oldest weights first, also on the busiest engine', () => {
+    const engines = [
+      engine(1, { version: 2, inFlightRequests: 0 }),
+      engine(2, { version: 2, inFlightRequests: 1 }),
+      engine(3, { version: 1, inFlightRequests: 9 }),
+    ];
+    expect(planWeightsRollout(engines, 3)[0]).toEqual({ kind: 'drain', id: 'e3' });
+  });
 });
--- a/test/orders/weightsrollout.test.ts
+++ b/test/orders/weightsrollout.test.ts
@@ -23,8 +23,15 @@
   for (const item of open.splice(0)) item.dispose();
 });
 
-function setUp(count: number, canAcquire: () => boolean = () => true) {
+/** `deadlineMs`: time from the start of the test after which version 1 may not be used. */
+function setUp(
+  count: number,
+  canAcquire: () => boolean = () => true,
+  deadlineMs = Infinity,
+  loadMs = 760,
+) {
   const clock = createManualClock();
+  const startedAt = clock.now();
   const desiredVersions = new Map<string, number>();
   const engines = new Map<string, EngineState>();
   for (let id = 1; id <= count; id += 1) {
@@ -59,8 +66,8 @@
       if (reply !== 'accepted') return reply;
       if (order.acceptedOrders !== engine.accepted) return 'conflict';
       engine.accepted += 1;
-      engine.busyUntil = clock.now() + 760;
-      clock.setTimer(760, () => {
+      engine.busyUntil = clock.now() + loadMs;
+      clock.setTimer(loadMs, () => {
         engine.version = order.version;
       });
       return 'accepted';
@@ -89,6 +96,7 @@
           inFlightRequests: inFlightRequests,
           isDown: false,
           version: observedVersions.get(id) ?? 1,
+          remainingMs: startedAt + deadlineMs - clock.now(),
         })),
       sinceWeightsChangeMs: () => Infinity,
       setChangingEngines: (ids) => changing.push(ids),
@@ -106,6 +114,7 @@
       desiredVersions.set('m', version);
       rollout.requestStep();
     },
+    observed: () => [...engines.keys()].map((id) => observedVersions.get(id)),
     versions: () => [...engines.values()].map(({ version }) => version),
   };
 }
@@ -183,4 +192,37 @@
     expect(site.versions()).toEqual([3]);
     expect(site.orders.map(({ order }) => order.acceptedOrders)).toEqual([0, 1]);
   });
+
+  it('updates the engines before the deadline when it starts late', async () => {
+    const site = setUp(8, () => true, 2_000);
+    site.setDesired(2);
+    await site.clock.advance(2_000);
+    expect(site.versions()).toEqual(Array.from({ length: 8 }, () => 2));
+  });
+
+  // Load: versions follow each other faster than they can be loaded, and one engine is busier than
+  // the others.
+  it('does not leave the busiest engine with its old weights through several versions', async () => {
+    const site = setUp(12);
+    const busiest = site.engines.get('e5') as EngineState;
+    busiest.inFlightRequests = 20;
+    for (let version = 2; version <= 6; version += 1) {
+      site.setDesired(version);
+      await site.clock.advance(1_400);
+    }
+    expect(busiest.version).toBeGreaterThan(1);
+  });
+
+  it('learns how long a load takes and polls quicker engines sooner', async () => {
+    const site = setUp(6, () => true, Infinity, 300);
+    for (let version = 2; version < 6; version += 1) {
+      site.setDesired(version);
+      await site.clock.advance(4_000);
+    }
+    const startedAt = site.clock.now();
+    site.setDesired(6);
+    await site.clock.advance(1_700);
+    expect(site.observed()).toEqual(Array.from({ length: 6 }, () => 6));
+    expect(site.clock.now() - startedAt).toBe(1_700);
+  });
 });
