Learn the speeds of targets instead of carrying one site's

Cause: base time, prefill speed, transfer speed, chunk time and the share of a KV store's link stood in the code as figures of one data sheet. Change: `gateway/speeds.ts` learns them for each service from first bytes of requests that have an engine's prefill to themselves, with stated start values, bounds and bounded errors. Transfers between engines and stores take their speed from the configuration.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -15,9 +15,9 @@
 import { createPrefillLoad } from '../gateway/prefillload.js';
 import { createRetryBudget } from '../gateway/retrybudget.js';
 import { createRouteTable, type RouteTable } from '../gateway/routes.js';
-import { engineSpeeds } from '../gateway/scoring.js';
 import { createGatewayServer } from '../gateway/server.js';
 import { createTargetDirectory, type Target } from '../gateway/targets.js';
+import { createSpeedModel } from '../gateway/speeds.js';
 import { createTransfers } from '../gateway/transfers.js';
 import { createDesiredWeightsHistory } from '../gateway/desiredweights.js';
 import { startMarginMs } from '../gateway/weightsage.js';
@@ -60,7 +60,8 @@
     onCacheCleared: (id) => cache.clear(id),
     onConnected: (durationMs) => processLoad?.observeConnect(durationMs),
   });
-  const prefillLoad = createPrefillLoad(clock, engineSpeeds.prefillTokensPerMs);
+  const speeds = createSpeedModel();
+  const prefillLoad = createPrefillLoad(clock);
   const failureTracker = createFailureTracker({ clock, log, token: stopSource.token });
   const stores = resources.add(createKvStores({ clock, log, cache }));
 
@@ -84,6 +85,7 @@
     failureTracker,
     peers,
     prefillLoad,
+    speeds,
     isChangingWeights,
   });
   peers.listen({
@@ -154,6 +156,7 @@
     transfers,
     peers,
     prefillLoad,
+    speeds,
     dataCentre,
     service: (name) => routes?.configuration.services.find((spec) => spec.name === name),
     desiredWeights,
@@ -182,6 +185,7 @@
     placer,
     failureTracker,
     budget,
+    speeds,
     onLoadChange: () => peers.scheduleHint(),
   });
 
@@ -230,6 +234,7 @@
   const applyConfiguration = (configuration: SiteConfiguration): void => {
     routes = createRouteTable(configuration);
     callerServer.setIdleTimeout(configuration.limits.idleTimeoutMs);
+    speeds.configure(configuration.services);
     const engine = configuration.services.find((spec) => spec.engine)?.engine;
     stores.configure(configuration.kvStores, engine?.bytesPerToken ?? 0);
     cacheModelUpdater.update(configuration);
--- a/src/gateway/deferral.ts
+++ b/src/gateway/deferral.ts
@@ -11,6 +11,8 @@
   readonly remainingMs: number;
   /** Tokens that it is expected to generate. */
   readonly outputTokens: number;
+  /** Time per generated token while the engine also prefills prompts, in milliseconds. */
+  readonly crowdedTokenMs: number;
 }
 
 /**
@@ -20,11 +22,10 @@
 const idleObjectiveRatio = 0.35;
 
 /**
- * Time that is reserved for each token of the response: a step takes 5 ms, and a prefill chunk in
- * every third step 25 ms more. Half of the requests generate more tokens than their callers
- * estimate, so the time is nearly twice that mean.
+ * Reserved time for a response in relation to the time that its expected tokens take: half of the
+ * requests generate more tokens than their callers estimate.
  */
-const reservedMsPerToken = 24;
+const reservedOutputRatio = 1.8;
 
 /** Time that is reserved in addition, for the network and short slowdowns of the engine. */
 const reservedMs = 400;
@@ -41,8 +42,10 @@
 const processRecheckIntervalMs = 20;
 
 /** Time that a request can still be deferred and complete before its deadline. */
-function spareMs({ expectedMs, remainingMs, outputTokens }: DeferrableRequest): number {
-  return remainingMs - expectedMs - outputTokens * reservedMsPerToken - reservedMs;
+function spareMs(request: DeferrableRequest): number {
+  const { expectedMs, remainingMs, outputTokens, crowdedTokenMs } = request;
+  const outputMs = outputTokens * crowdedTokenMs * reservedOutputRatio;
+  return remainingMs - expectedMs - outputMs - reservedMs;
 }
 
 /**
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -11,6 +11,7 @@
 import { placeAtBackup, recordAttemptEnd } from './outcomes.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
 import { type RetryBudget } from './retrybudget.js';
+import { type SpeedModel } from './speeds.js';
 import { type Target } from './targets.js';
 
 /** Forwards one request to targets until one succeeds or no further attempt is possible. */
@@ -26,6 +27,7 @@
   readonly placer: Placer;
   readonly failureTracker: FailureTracker;
   readonly budget: RetryBudget;
+  readonly speeds: Pick<SpeedModel, 'observe'>;
   /** Called when this process's in-flight requests at targets change. */
   onLoadChange(): void;
 }
@@ -224,6 +226,7 @@
             waitedMs,
             remainingMs: remainingMs(call),
             outputTokens: head.expectedOutputTokens,
+            crowdedTokenMs: choice.crowdedTokenMs,
           };
           if (shouldDefer(deferrable)) {
             deferredCount += 1;
@@ -239,8 +242,15 @@
         sentAfterMs ??= waitedMs;
         lastPlacement = placement;
         attempts += 1;
+        const startedAt = clock.now();
+        const observeFirstByte = (): void => {
+          if (!placement.soleWork) return;
+          const attemptMs = clock.now() - startedAt;
+          options.speeds.observe(call.service, { ...placement.soleWork, firstByteMs: attemptMs });
+        };
         const attempt = start(call, placement, progress, ranOn.size, () => {
           firstByteMs ??= clock.now() - arrivedAt;
+          observeFirstByte();
         });
         options.onLoadChange();
         const cancelListener = token.onCancellationRequested(() => attempt.cancel());
@@ -250,6 +260,7 @@
         recordAttemptEnd(failureTracker, call.head, target, attemptEnd);
         if (attemptEnd.kind === 'done') {
           firstByteMs ??= clock.now() - arrivedAt;
+          if (route.kind !== 'stream') observeFirstByte();
           return toResult('ok');
         }
         if (attemptEnd.kind === 'left') return toResult('left');
--- a/src/gateway/kvstores.ts
+++ b/src/gateway/kvstores.ts
@@ -26,6 +26,8 @@
   configure(specs: readonly KvStoreSpec[], bytesPerToken: number): void;
   /** Records that a store sends or receives tokens, and probes all stores when that is due. */
   recordTransfer(locationName: string, tokens: number): void;
+  /** Tokens that a store sends or receives in a millisecond; Infinity if unknown. */
+  tokensPerMs(locationName: string): number;
   /** Time until a store's link is free, from the transfers of all gateways; Infinity if unknown. */
   linkWaitMs(locationName: string): number;
 }
@@ -120,6 +122,8 @@
       const startsAt = Math.max(clock.now(), store.busyUntil);
       store.busyUntil = startsAt + tokens / store.tokensPerMs;
     },
+    tokensPerMs: (locationName) =>
+      stores.find((known) => known.locationName === locationName)?.tokensPerMs ?? Infinity,
     linkWaitMs(locationName) {
       const store = stores.find((known) => known.locationName === locationName);
       return store ? Math.max(0, store.busyUntil - clock.now()) : Infinity;
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -6,13 +6,8 @@
 import { type KvStore } from './kvstores.js';
 import { type CacheUse, type Peers } from './peers.js';
 import { type PrefillLoad } from './prefillload.js';
-import {
-  type Candidate,
-  engineSpeeds,
-  estimateFirstByteMs,
-  pickCandidate,
-  serviceSpeeds,
-} from './scoring.js';
+import { type Candidate, estimateFirstByteMs, pickCandidate } from './scoring.js';
+import { crowdedTokenMs, type FirstByteSample, prefillChunkMs, type SpeedModel } from './speeds.js';
 import { type Target, type TargetDirectory } from './targets.js';
 import { noSource, type FetchSource, type Transfers, type TransferView } from './transfers.js';
 import { type DesiredWeightsHistory } from './desiredweights.js';
@@ -31,6 +26,8 @@
   readonly continueFrom?: Dispatch['continueFrom'];
   /** Prompt tokens that the target has to prefill. */
   readonly prefillTokens: number;
+  /** Work before the first byte, if nothing of another request adds to it. */
+  readonly soleWork?: Omit<FirstByteSample, 'firstByteMs'> | undefined;
 }
 
 /** Best target for a request at the time of the call. */
@@ -42,6 +39,9 @@
   readonly prefillTokens: number;
   /** Expected time to the first byte. */
   readonly expectedMs: number;
+  /** Time per generated token while the target also prefills prompts, in milliseconds. */
+  readonly crowdedTokenMs: number;
+  readonly soleWork: Placement['soleWork'];
 }
 
 /** Properties of a request that placement depends on. */
@@ -71,6 +71,7 @@
   readonly transfers: Transfers;
   readonly peers: Pick<Peers, 'inFlight'>;
   readonly prefillLoad: PrefillLoad;
+  readonly speeds: SpeedModel;
   readonly dataCentre: string;
   service(name: string): ServiceSpec | undefined;
   readonly desiredWeights: Pick<DesiredWeightsHistory, 'superseded'>;
@@ -87,10 +88,10 @@
 const maxLoadAgeMs = 300;
 
 /**
- * Delay after the expected first byte until the parts count as cached at the target: four prefill
- * chunks. A fetch that comes too early finds nothing, and the parts are prefilled a second time.
+ * Prefill chunks after the expected first byte until the parts count as cached at the target. A fetch
+ * that comes too early finds nothing, and the parts are prefilled a second time.
  */
-const prefillMarginMs = 100;
+const readyMarginChunks = 4;
 
 /**
  * Returns the cache salt of a team. Cache entries are shared within one version of the weights and,
@@ -101,6 +102,17 @@
   return team?.isIsolated ? `v${version}.team.${team.name}` : `v${version}`;
 }
 
+/**
+ * Work of a target before the first byte of a request; undefined when the prompts of other requests,
+ * a full batch, a transfer or a change of weights add to it.
+ */
+function soleWorkOf(candidate: Candidate): Placement['soleWork'] {
+  const { pendingPrefillTokens, tokensToFetch, isChangingWeights } = candidate;
+  const { prefillTokens, inFlightRequests, slots, slowness } = candidate;
+  if (pendingPrefillTokens > 0 || tokensToFetch > 0 || isChangingWeights) return undefined;
+  return inFlightRequests < slots ? { prefillTokens, inFlightRequests, slowness } : undefined;
+}
+
 export function createPlacer(options: PlacerOptions): Placer {
   const { random, directory, failureTracker, transfers, peers, dataCentre } = options;
 
@@ -132,7 +144,7 @@
         const prefillTokens = Math.max(0, head.promptTokens - cached - source.tokens);
         return { target, version, salt, source, prefillTokens };
       });
-      const speeds = isEngine ? engineSpeeds : serviceSpeeds;
+      const speeds = options.speeds.speedsOf(service);
       const candidates = details.map(({ target, version, source, prefillTokens }): Candidate => {
         const others = peers.inFlight(target.id);
         const own = target.inFlight;
@@ -142,7 +154,7 @@
           pendingPrefillTokens: own.prefillTokens + others.prefillTokens,
           slots: target.registration.slots,
           prefillTokens,
-          prefillShare: options.prefillLoad.prefillShare(target.id),
+          prefillShare: options.prefillLoad.prefillShare(target.id, speeds.prefillTokensPerMs),
           outputTokens: head.expectedOutputTokens,
           tokensToFetch: source.tokens,
           fetchSlowness: source.slowness,
@@ -164,17 +176,25 @@
       const index = pickCandidate(candidates, speeds, random);
       const chosen = index === undefined ? undefined : details[index];
       if (!chosen) return undefined;
-      const expectedMs = estimateFirstByteMs(candidates[index as number] as Candidate, speeds);
-      return { ...chosen, prefillTokens: isEngine ? chosen.prefillTokens : 0, expectedMs };
+      const candidate = candidates[index as number] as Candidate;
+      return {
+        ...chosen,
+        prefillTokens: isEngine ? chosen.prefillTokens : 0,
+        expectedMs: estimateFirstByteMs(candidate, speeds),
+        crowdedTokenMs: crowdedTokenMs(speeds),
+        soleWork: soleWorkOf(candidate),
+      };
     },
-    place({ head, needsBackup }, { target, salt, version, source, prefillTokens, expectedMs }) {
+    place({ service, head, needsBackup }, choice) {
+      const { target, salt, version, source, prefillTokens, expectedMs } = choice;
       const { parts, model } = head;
       let saveTo: KvStore | undefined;
       if (salt !== undefined && version !== undefined && parts.length > 0) {
-        saveTo = transfers.findSaveTarget(salt, parts);
+        saveTo = transfers.findSaveTarget(service, salt, parts);
         const { store, tokens } = source;
         const fetch = tokens > 0 ? { store, tokens } : undefined;
-        const readyMs = expectedMs + prefillMarginMs;
+        const marginMs = readyMarginChunks * prefillChunkMs(options.speeds.speedsOf(service));
+        const readyMs = expectedMs + marginMs;
         const use = {
           salt,
           parts,
@@ -197,6 +217,7 @@
             ? transfers.findBackup(target, model)
             : undefined,
         prefillTokens,
+        soleWork: choice.soleWork,
       };
     },
   };
--- a/src/gateway/prefillload.ts
+++ b/src/gateway/prefillload.ts
@@ -9,7 +9,7 @@
   /** Records prompt tokens that an engine has to prefill. */
   add(targetId: string, tokens: number): void;
   /** Recent fraction of time, from 0 to 1. */
-  prefillShare(targetId: string): number;
+  prefillShare(targetId: string, prefillTokensPerMs: number): number;
 }
 
 /** Time constant of the decay: short enough to follow a burst, yet some dozen prefills long. */
@@ -20,7 +20,7 @@
   updatedAt: number;
 }
 
-export function createPrefillLoad(clock: Clock, prefillTokensPerMs: number): PrefillLoad {
+export function createPrefillLoad(clock: Clock): PrefillLoad {
   const records = new Map<string, PrefillRecord>();
 
   const decayedTokens = ({ tokens, updatedAt }: PrefillRecord): number =>
@@ -32,7 +32,7 @@
       const remaining = known ? decayedTokens(known) : 0;
       records.set(targetId, { tokens: remaining + tokens, updatedAt: clock.now() });
     },
-    prefillShare(targetId) {
+    prefillShare(targetId, prefillTokensPerMs) {
       const known = records.get(targetId);
       return known ? Math.min(1, decayedTokens(known) / (timeConstantMs * prefillTokensPerMs)) : 0;
     },
--- a/src/gateway/scoring.ts
+++ b/src/gateway/scoring.ts
@@ -1,4 +1,5 @@
 import { type Random } from '../base/random.js';
+import { prefillChunkMs, type TargetSpeeds } from './speeds.js';
 import { type WeightsAge } from './weightsage.js';
 
 /** Properties of one target that the placement of a request depends on. */
@@ -30,50 +31,21 @@
   readonly isChangingWeights: boolean;
 }
 
-/** Speeds of a kind of target. */
-export interface TargetSpeeds {
-  /** Time to the first byte without prefill and queueing, in milliseconds. */
-  readonly baseMs: number;
-  /** Prompt tokens that are prefilled in a millisecond; Infinity for plain services. */
-  readonly prefillTokensPerMs: number;
-}
-
-/** Speeds of model engines, from the operators' data sheet of the site. */
-export const engineSpeeds: TargetSpeeds = { baseMs: 41, prefillTokensPerMs: 81.9 };
-
-/** Speeds of plain services, from the operators' data sheet of the site. */
-export const serviceSpeeds: TargetSpeeds = { baseMs: 43, prefillTokensPerMs: Infinity };
-
 /**
  * Cost of a fetch. It occupies the links of both sides and makes a copy that evicts other parts,
  * so a short wait at an engine that has the parts is preferred.
  */
 const fetchPenaltyMs = 40;
 
-/** Tokens that an engine fetches in a millisecond, at 130 Gbit/s and 18 KiB per token. */
-const fetchTokensPerMs = 880;
-
 /** Cost of another data centre: two more network crossings, and traffic that is expensive. */
 const crossDataCentrePenaltyMs = 8;
 
-/** A plain service slows down by this much with each concurrent call. */
-const delayPerCallMs = 3;
-
-/** Delay of the first byte that each concurrent request at an engine adds, over some 20 steps. */
-const delayPerRequestMs = 1.6;
-
 /**
  * A response from older weights loses a fifth of its value and a late one most of it, so a wait of
  * about a third of the usual objective is accepted for newer weights.
  */
 const outdatedPenaltyMs = 120;
 
-/**
- * Time of one prefill chunk of 2,048 tokens. While an engine has prompts to prefill, each token that
- * it generates waits for one chunk.
- */
-const prefillChunkMs = 25;
-
 /**
  * Cost of a millisecond by which prefill at the engine delays the tokens of this request. Under
  * full load the pauses in a stream exceed their limit when its engine prefills all the time. For
@@ -96,19 +68,16 @@
   const tokens = candidate.pendingPrefillTokens + candidate.prefillTokens;
   const prefillMs = tokens / speeds.prefillTokensPerMs;
   const queuedRounds = Math.max(0, inFlightRequests + 1 - slots) / Math.max(1, slots);
-  const contentionMs =
-    speeds.prefillTokensPerMs === Infinity
-      ? inFlightRequests * delayPerCallMs
-      : inFlightRequests * delayPerRequestMs;
+  const contentionMs = inFlightRequests * speeds.delayPerRequestMs;
   const workMs =
     (speeds.baseMs * (1 + queuedRounds) + prefillMs + contentionMs) * Math.max(1, slowness);
-  const transferMs = (tokensToFetch / fetchTokensPerMs) * candidate.fetchSlowness;
+  const transferMs = (tokensToFetch / speeds.fetchTokensPerMs) * candidate.fetchSlowness;
   return workMs + (tokensToFetch > 0 ? transferMs + candidate.fetchWaitMs : 0);
 }
 
 /** Estimates the cost of a candidate: the time to the first byte and penalties, in milliseconds. */
 export function estimateCostMs(candidate: Candidate, speeds: TargetSpeeds): number {
-  const ownDelayMs = candidate.outputTokens * candidate.prefillShare * prefillChunkMs;
+  const ownDelayMs = candidate.outputTokens * candidate.prefillShare * prefillChunkMs(speeds);
   const othersDelayMs =
     candidate.inFlightRequests * (candidate.prefillTokens / speeds.prefillTokensPerMs);
   const fetchCostMs = candidate.tokensToFetch > 0 ? fetchPenaltyMs : 0;
--- /dev/null
+++ b/src/gateway/speeds.ts
@@ -0,0 +1,149 @@
+import { type ServiceSpec } from '../ports/site.js';
+
+/** Speeds of the targets of one service. */
+export interface TargetSpeeds {
+  /** Time to the first byte without prefill and other requests, in milliseconds. */
+  readonly baseMs: number;
+  /** Delay of the first byte that each concurrent request adds, in milliseconds. */
+  readonly delayPerRequestMs: number;
+  /** Prompt tokens that are prefilled in a millisecond; Infinity for plain services. */
+  readonly prefillTokensPerMs: number;
+  /** Tokens that an engine receives from another one in a millisecond. */
+  readonly fetchTokensPerMs: number;
+}
+
+/** One first byte, and what the target had to do before it. */
+export interface FirstByteSample {
+  readonly firstByteMs: number;
+  /** Prompt tokens that the target prefilled, without any other prompts before them. */
+  readonly prefillTokens: number;
+  /** Other requests at the target. */
+  readonly inFlightRequests: number;
+  /** Processing time relative to normal; 1 is normal. */
+  readonly slowness: number;
+}
+
+/** Learns the speeds of each service from its own requests; no operator has to configure them. */
+export interface SpeedModel {
+  /** Applies what the configuration tells of the services. */
+  configure(services: readonly ServiceSpec[]): void;
+  speedsOf(service: string): TargetSpeeds;
+  observe(service: string, sample: FirstByteSample): void;
+}
+
+/**
+ * Tokens of one prefill chunk, the usual batch size of engines. While an engine has prompts to
+ * prefill, each token that it generates waits for one chunk.
+ */
+const prefillChunkTokens = 2_048;
+
+/** Typical time in which an engine generates one token for each request of its batch. */
+const decodeStepMs = 5;
+
+/** Speeds that are assumed until requests were observed. */
+const initialEngineSpeeds: TargetSpeeds = {
+  baseMs: 40,
+  delayPerRequestMs: 1.6,
+  prefillTokensPerMs: 80,
+  fetchTokensPerMs: 800,
+};
+
+const initialServiceSpeeds: TargetSpeeds = {
+  baseMs: 45,
+  delayPerRequestMs: 3,
+  prefillTokensPerMs: Infinity,
+  fetchTokensPerMs: Infinity,
+};
+
+/** Bounds of the learned values. */
+const baseRangeMs = { min: 5, max: 1_000 };
+
+const delayPerRequestRangeMs = { min: 0.2, max: 50 };
+
+const prefillTokensPerMsRange = { min: 2, max: 2_000 };
+
+/** Weight of a sample's error in the learned values. */
+const learningRate = 0.06;
+
+/**
+ * Errors count up to this fraction of the expected time: a sample may include a queue that this
+ * process has not heard of.
+ */
+const maxErrorRatio = 0.3;
+
+/** Amounts of the features of a sample that have about equal influence. */
+const typicalPrefillTokens = 3_000;
+
+const typicalInFlightRequests = 10;
+
+const bitsPerByte = 8;
+
+/** Time of one prefill chunk, in milliseconds. */
+export function prefillChunkMs({ prefillTokensPerMs }: TargetSpeeds): number {
+  return prefillChunkTokens / prefillTokensPerMs;
+}
+
+/** Time per generated token when an engine also prefills a chunk in every third step. */
+export function crowdedTokenMs(speeds: TargetSpeeds): number {
+  return decodeStepMs + prefillChunkMs(speeds) / 3;
+}
+
+const clamp = (value: number, { min, max }: { readonly min: number; readonly max: number }) =>
+  Math.min(max, Math.max(min, value));
+
+/** Moves the speeds towards a sample: least mean squares with bounded errors. */
+function learn(speeds: TargetSpeeds, sample: FirstByteSample): TargetSpeeds {
+  const { baseMs, delayPerRequestMs, prefillTokensPerMs } = speeds;
+  const isEngine = prefillTokensPerMs !== Infinity;
+  const prefillTerm = isEngine ? sample.prefillTokens / typicalPrefillTokens : 0;
+  const requestsTerm = sample.inFlightRequests / typicalInFlightRequests;
+  const prefillMs = isEngine ? sample.prefillTokens / prefillTokensPerMs : 0;
+  const expectedMs = baseMs + prefillMs + sample.inFlightRequests * delayPerRequestMs;
+  const maxErrorMs = expectedMs * maxErrorRatio;
+  const errorMs = clamp(sample.firstByteMs / Math.max(1, sample.slowness) - expectedMs, {
+    min: -maxErrorMs,
+    max: maxErrorMs,
+  });
+  const stepMs = (learningRate * errorMs) / (1 + prefillTerm ** 2 + requestsTerm ** 2);
+  const msPerTypicalPrompt = typicalPrefillTokens / prefillTokensPerMs + stepMs * prefillTerm;
+  return {
+    ...speeds,
+    baseMs: clamp(baseMs + stepMs, baseRangeMs),
+    delayPerRequestMs: clamp(
+      delayPerRequestMs + (stepMs * requestsTerm) / typicalInFlightRequests,
+      delayPerRequestRangeMs,
+    ),
+    prefillTokensPerMs: isEngine
+      ? clamp(typicalPrefillTokens / msPerTypicalPrompt, prefillTokensPerMsRange)
+      : Infinity,
+  };
+}
+
+export function createSpeedModel(): SpeedModel {
+  const byService = new Map<string, TargetSpeeds>();
+
+  return {
+    configure(services) {
+      for (const { name, engine } of services) {
+        const known = byService.get(name);
+        if (!engine) {
+          if (!known) byService.set(name, initialServiceSpeeds);
+          continue;
+        }
+        const speeds = known ?? initialEngineSpeeds;
+        const { linkMbps, bytesPerToken } = engine;
+        const isLinkKnown = linkMbps > 0 && bytesPerToken > 0;
+        const bytesPerMs = (linkMbps * 1_000) / bitsPerByte;
+        byService.set(name, {
+          ...speeds,
+          fetchTokensPerMs: isLinkKnown ? bytesPerMs / bytesPerToken : speeds.fetchTokensPerMs,
+        });
+      }
+    },
+    speedsOf: (service) => byService.get(service) ?? initialServiceSpeeds,
+    observe(service, sample) {
+      const speeds = byService.get(service);
+      if (speeds) byService.set(service, learn(speeds, sample));
+    },
+  };
+}
--- a/src/gateway/transfers.ts
+++ b/src/gateway/transfers.ts
@@ -6,6 +6,7 @@
 import { type PrefillLoad } from './prefillload.js';
 import { type KvStore, type KvStores } from './kvstores.js';
 import { type CacheUse, type Peers } from './peers.js';
+import { type SpeedModel } from './speeds.js';
 import { type Target, type TargetDirectory } from './targets.js';
 
 /** Engine or KV store from which parts of a prompt can be fetched. */
@@ -40,7 +41,7 @@
 export interface Transfers {
   view(service: string, salt: string, parts: readonly PromptPart[]): TransferView;
   /** Finds the KV store that should receive a prompt because it lacks the shared parts. */
-  findSaveTarget(salt: string, parts: readonly PromptPart[]): KvStore | undefined;
+  findSaveTarget(service: string, salt: string, parts: readonly PromptPart[]): KvStore | undefined;
   /** Finds an engine with the same weights that should receive a backup of a request's KV cache. */
   findBackup(target: Target, model: string): Target | undefined;
   /** Records a placement, of this process or of a peer, in the cache, load and link models. */
@@ -54,6 +55,7 @@
   readonly failureTracker: FailureTracker;
   readonly peers: Pick<Peers, 'inFlight'>;
   readonly prefillLoad: PrefillLoad;
+  readonly speeds: Pick<SpeedModel, 'speedsOf'>;
   isChangingWeights(target: Target): boolean;
 }
 
@@ -66,12 +68,6 @@
 /** Transfers between data centres take twice as long. */
 const crossDataCentreSlowness = 2;
 
-/** The link of a KV store has a quarter of the speed of an engine's link. */
-const storeSlowness = 4;
-
-/** With a longer wait for its link a KV store is not used: prefill takes about as long. */
-const maxLinkWaitMs = 80;
-
 /**
  * Most in-flight requests of an engine that still receives backups. Backups evict shared parts: on
  * days of full load 60% more of these were prefilled again, which cost more than the streams saved.
@@ -92,13 +88,15 @@
 
   /**
    * Lists the sources of a prompt. Their tokens are all that they can send, and their slowness is
-   * that within their own data centre.
+   * that within their own data centre. A KV store is left out while the wait for its link takes
+   * longer than prefilling the tokens.
    */
   const findSources = (
     service: string,
     prefixes: ReadonlyMap<string, CachedPrefix>,
   ): readonly (FetchSource & { readonly id: string; readonly dataCentre: string })[] => {
     const found = [];
+    const { fetchTokensPerMs, prefillTokensPerMs } = options.speeds.speedsOf(service);
     for (const [id, { transferableTokens }] of prefixes) {
       const engine = directory.find(id);
       if (transferableTokens < minFetchTokens || engine?.registration.service !== service) continue;
@@ -110,8 +108,9 @@
     for (const { locationName, address, dataCentre } of stores.live) {
       const tokens = prefixes.get(locationName)?.transferableTokens ?? 0;
       const linkWaitMs = stores.linkWaitMs(locationName);
-      if (tokens < minFetchTokens || linkWaitMs > maxLinkWaitMs) continue;
-      const source = { tokens, slowness: storeSlowness, linkWaitMs, address, store: locationName };
+      if (tokens < minFetchTokens || linkWaitMs > tokens / prefillTokensPerMs) continue;
+      const slowness = Math.max(1, fetchTokensPerMs / stores.tokensPerMs(locationName));
+      const source = { tokens, slowness, linkWaitMs, address, store: locationName };
       found.push({ ...source, id: locationName, dataCentre });
     }
     return found;
@@ -143,7 +142,7 @@
         },
       };
     },
-    findSaveTarget(salt, parts) {
+    findSaveTarget(service, salt, parts) {
       // The last part is not shared with other requests.
       const shared = parts.slice(0, -1);
       const deepest = shared.at(-1);
@@ -151,7 +150,8 @@
       if (!deepest || sharedTokens < minSaveTokens) return undefined;
       const table = createRendezvousTable(stores.live, ({ locationName }) => locationName);
       const [store] = table.top(hashText(deepest.id), 1);
-      if (!store || stores.linkWaitMs(store.locationName) > maxLinkWaitMs) return undefined;
+      const prefillMs = sharedTokens / options.speeds.speedsOf(service).prefillTokensPerMs;
+      if (!store || stores.linkWaitMs(store.locationName) > prefillMs) return undefined;
       const cachedTokens =
         cache.findPrefixes(salt, shared).get(store.locationName)?.cachedTokens ?? 0;
       return cachedTokens < sharedTokens ? store : undefined;
--- a/src/ports/site.ts
+++ b/src/ports/site.ts
@@ -41,6 +41,8 @@
   /** KV cache capacity in tokens, for running requests and cached prefixes together. */
   readonly kvTokens: number;
   readonly bytesPerToken: number;
+  /** Bandwidth of an engine's link for KV cache; 0 when not set. */
+  readonly linkMbps: number;
   /** Requests that one engine can run at once. */
   readonly slots: number;
   readonly models: readonly string[];
--- a/test/gateway/deferral.test.ts
+++ b/test/gateway/deferral.test.ts
@@ -8,6 +8,7 @@
   waitedMs: 0,
   remainingMs: 4_000,
   outputTokens: 70,
+  crowdedTokenMs: 24 / 1.8,
 };
 
 /** Load: prompts of 35 ms for one engine, 1.5 times what it can prefill, for four seconds. */
--- a/test/gateway/scoring.test.ts
+++ b/test/gateway/scoring.test.ts
@@ -1,12 +1,21 @@
 import { describe, expect, it } from 'vitest';
 import { createSeededRandom } from '../../src/base/random.js';
-import {
-  type Candidate,
-  engineSpeeds,
-  estimateCostMs,
-  pickCandidate,
-  serviceSpeeds,
-} from '../../src/gateway/scoring.js';
+import { type Candidate, estimateCostMs, pickCandidate } from '../../src/gateway/scoring.js';
+import { type TargetSpeeds } from '../../src/gateway/speeds.js';
+
+const engineSpeeds: TargetSpeeds = {
+  baseMs: 41,
+  delayPerRequestMs: 1.6,
+  prefillTokensPerMs: 81.9,
+  fetchTokensPerMs: 880,
+};
+
+const serviceSpeeds: TargetSpeeds = {
+  baseMs: 43,
+  delayPerRequestMs: 3,
+  prefillTokensPerMs: Infinity,
+  fetchTokensPerMs: Infinity,
+};
 
 const idle: Candidate = {
   inFlightRequests: 0,
