Give the admission of streams and the rollout's view of targets files of their own

Change: `gateway/streamadmission.ts` holds the state of one pending stream, and `daemon/gatewayrollout.ts` connects the rollout with targets and peers. No behaviour changes.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -18,9 +18,9 @@
 import { createGatewayServer } from '../gateway/server.js';
 import { createTargetDirectory, type Target } from '../gateway/targets.js';
 import { createSpeedModel } from '../gateway/speeds.js';
+import { createStreamAdmission } from '../gateway/streamadmission.js';
 import { createTransfers } from '../gateway/transfers.js';
 import { createDesiredWeightsHistory } from '../gateway/desiredweights.js';
-import { startMarginMs } from '../gateway/weightsage.js';
 import { createOnDemandOrderLease } from '../orders/ondemandlease.js';
 import { createWeightsRollout } from '../orders/weightsrollout.js';
 import { type SiteConfiguration } from '../ports/site.js';
@@ -28,6 +28,7 @@
 import { watchTables, type GatewayFeeds } from './gatewayfeeds.js';
 import { createGatewayMetrics } from './gatewaymetrics.js';
 import { registerGateway } from './gatewaypeers.js';
+import { createRolloutGateway } from './gatewayrollout.js';
 import { type GatewayOptions } from './gatewayplatform.js';
 import { closeHttp, listenHttp } from './listen.js';
 import { createOperatorServer, sendJson } from './operators/server.js';
@@ -110,42 +111,14 @@
       lease: orderLease,
       control: platform.control,
       holder: instance,
-      gateway: {
-        desiredVersions: () => desiredWeights.newest,
-        engines: (model) =>
-          directory.all
-            .filter(
-              ({ registration }) => !registration.isLeaving && registration.weights.has(model),
-            )
-            .map((target) => {
-              const version = target.weightsVersion(model);
-              const superseded =
-                version === undefined ? undefined : desiredWeights.superseded(model, version);
-              return {
-                id: target.id,
-                address: target.registration.address,
-                inFlightRequests: target.inFlight.requests + peers.inFlight(target.id).requests,
-                isDown: failureTracker.isDown(target),
-                version,
-                remainingMs:
-                  settings.weights.deadline - startMarginMs - (superseded?.minMs ?? -Infinity),
-              };
-            }),
-        sinceWeightsChangeMs: () => peers.sinceWeightsChangeMs(),
-        observeReplacement: (id) => {
-          const target = directory.find(id);
-          if (target) failureTracker.observe(target, 'replaced');
-        },
-        setChangingEngines: (ids) => {
-          changingTargetIds.clear();
-          for (const id of ids) changingTargetIds.add(id);
-          peers.publishChangingTargets(ids);
-        },
-        observeWeights: (id, model, version) => {
-          directory.find(id)?.observeWeights(model, version);
-          peers.publishWeightsChange({ targetId: id, model, version });
-        },
-      },
+      gateway: createRolloutGateway({
+        directory,
+        failureTracker,
+        peers,
+        desiredWeights,
+        deadlineMs: settings.weights.deadline,
+        changingTargetIds,
+      }),
     }),
   );
 
@@ -186,9 +159,14 @@
     failureTracker,
     budget,
     speeds,
-    enginesPerGateway: () =>
-      directory.all.filter(({ registration }) => registration.weights.size > 0).length /
-      peers.count,
+    streamAdmission: createStreamAdmission({
+      clock,
+      random,
+      log,
+      enginesPerGateway: () =>
+        directory.all.filter(({ registration }) => registration.weights.size > 0).length /
+        peers.count,
+    }),
     onLoadChange: () => peers.scheduleHint(),
   });
 
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,20 +1,18 @@
 import { type IncomingMessage } from 'node:http';
 import { type Clock, sleep } from '../base/clock.js';
-import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
 import { type Random } from '../base/random.js';
 import { type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse, type LocalResponse } from './response.js';
 import { type Attempt, type BufferedResponse, type Progress, startAttempt } from './attempt.js';
 import { type CallResult, type GatewayCall } from './calls.js';
-import { decideDeferral, hasRoom, recheckDelayMs, refusalRetryAfterMs } from './deferral.js';
-import { createDeferralLoad } from './deferralload.js';
 import { type FailureTracker } from './failuretracker.js';
 import { defaultPriority, lowestPriority } from './inflight.js';
 import { placeAtBackup, recordAttemptEnd } from './outcomes.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
 import { type RetryBudget } from './retrybudget.js';
 import { type SpeedModel } from './speeds.js';
+import { type StreamAdmission } from './streamadmission.js';
 import { type Target } from './targets.js';
 
 /** Forwards one request to targets until one succeeds or no further attempt is possible. */
@@ -31,8 +29,7 @@
   readonly failureTracker: FailureTracker;
   readonly budget: RetryBudget;
   readonly speeds: Pick<SpeedModel, 'observe'>;
-  /** Engines of the site in relation to the gateways that share them. */
-  enginesPerGateway(): number;
+  readonly streamAdmission: StreamAdmission;
   /** Called when this process's in-flight requests at targets change. */
   onLoadChange(): void;
 }
@@ -77,9 +74,7 @@
 const retryAfterSpreadMs = 350;
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { clock, random, log, protocol, placer, failureTracker, budget } = options;
-  const deferralLoad = createDeferralLoad(clock, options.enginesPerGateway);
-
+  const { clock, random, log, protocol, placer, failureTracker, budget, streamAdmission } = options;
   const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
 
   const remainingMs = ({ deadline, timeout }: GatewayCall): number =>
@@ -172,7 +167,7 @@
       let failureResponse: BufferedResponse | undefined;
       let lastPlacement: Placement | undefined;
       let continuation: Placement | undefined;
-      let deferral: Disposable | undefined;
+      const pendingStream = route.kind === 'stream' ? streamAdmission.start(call) : undefined;
       const placementRequest: PlacementRequest = {
         service: call.service,
         head,
@@ -183,7 +178,7 @@
       budget.deposit();
 
       const toResult = (outcome: CallResult['outcome']): CallResult => {
-        deferral?.dispose();
+        pendingStream?.dispose();
         return {
           outcome,
           attempts,
@@ -233,43 +228,14 @@
           await sleep(clock, placementRetryDelayMs, token).catch(() => undefined);
           continue;
         }
-        if (choice && attempts === 0 && route.kind === 'stream') {
-          const request = {
-            expectedMs: choice.expectedMs,
-            objectiveMs: route.objectiveMs,
-            tightestObjectiveMs: call.tightestObjectiveMs,
-            waitedMs,
-            patienceMs: route.patienceMs,
-            remainingMs: remainingMs(call),
-            outputTokens: head.expectedOutputTokens,
-            crowdedTokenMs: choice.crowdedTokenMs,
-          };
-          const backlog = deferralLoad.backlog(route.name);
-          const decision = decideDeferral(request, deferral !== undefined, backlog);
-          if (decision === 'defer') {
-            deferral ??= deferralLoad.defer(route.name);
-            const pauseMs = recheckDelayMs(request, deferralLoad.total, random);
-            await sleep(clock, pauseMs, token).catch(() => undefined);
-            continue;
-          }
-          deferral?.dispose();
+        if (choice && attempts === 0 && pendingStream) {
+          const timing = { waitedMs, remainingMs: remainingMs(call) };
+          const decision = await pendingStream.decide(choice, timing);
+          if (decision === 'defer') continue;
           if (decision === 'refuse') {
-            const retryAfter = refusalRetryAfterMs(backlog, random);
-            log.info(
-              {
-                requestId: head.requestId,
-                expectedMs: Math.round(choice.expectedMs),
-                waitedMs: Math.round(waitedMs),
-                deferred: backlog.deferred,
-                roomPerSecond: Math.round(backlog.roomPerMs * 1_000),
-                retryAfterMs: Math.round(retryAfter),
-              },
-              'request refused, because it would not be served in time',
-            );
-            response.sendLocal('overloaded', retryAfter);
+            response.sendLocal('overloaded', pendingStream.retryAfterMs);
             return toResult('overloaded');
           }
-          if (deferral && hasRoom(request)) deferralLoad.recordRoom(route.name);
         }
         const placement = continuation ?? placer.place(placementRequest, choice as Choice);
         continuation = undefined;
