Refuse requests that follow the last response of a shutdown instead of closing

Cause: a drain closed the callers' connections at the next check after the last response. A caller that keeps its connection sends its next request within milliseconds of that response, whose head said nothing of the shutdown, and got a reset. The test "still gets a response to the request that follows a running one" failed now and then for this reason. Change: connections stay open for 250 ms after the last response; requests get 503 with `Connection: close`.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -38,6 +38,12 @@
 /** Part of the shutdown grace period that is reserved for closing connections. */
 const closeReserveMs = 600;
 
+/**
+ * Time after the last response in which connections stay open. A caller may have sent its next
+ * request before it learned of the shutdown; it gets a refusal instead of a reset.
+ */
+const lingerMs = 250;
+
 /** Starts a gateway, which forwards requests straight to targets that have no agent. */
 export async function startGateway(options: GatewayOptions): Promise<DaemonProcess> {
   const { settings, platform, log } = options;
@@ -307,6 +313,7 @@
       callerServer.refuseNew();
       const remainingMs = settings.shutdown.grace - closeReserveMs - (clock.now() - startedAt);
       await waitUntilIdle(clock, log, () => callerServer.active, remainingMs);
+      await sleep(clock, lingerMs, noCancellation);
       closeHttp(callerServer.server).catch((err: unknown) => {
         log.debug({ err: errMessage(err) }, 'caller listener was already closed');
       });
--- a/test/daemon/gateway.test.ts
+++ b/test/daemon/gateway.test.ts
@@ -400,6 +400,26 @@
     await stopped;
     agent.destroy();
   });
+
+  // The caller can't know of the shutdown: the head of its first response was sent before.
+  it('gets a refusal, not a reset, for a request sent just after the last response', async () => {
+    const engine = await site.startTarget('llm', { id: 'llm-1', model });
+    engine.behaviour = { ...engine.behaviour, events: 40, gapMs: 20 };
+    const gateway = await site.startGateway('gw-1');
+    const url = `${gateway.addresses.callers}/fit/x`;
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const first = sendRequest({ url, body: 'prompt', headers: promptHeaders, agent });
+    await until(() => engine.runs.length === 1);
+    const stopped = gateway.drain();
+    expect((await first).isComplete).toBe(true);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
+    const second = await sendRequest({ url, body: 'prompt', headers: promptHeaders, agent });
+    expect(second.status).toBe(503);
+    await stopped;
+    agent.destroy();
+  });
 });
 
 describe('new weights', () => {
