Refuse a deferred stream instead of sending it late; keep the cost of a request fixed

A deferred stream whose time was over was sent into full queues and made others late; before, its caller had left by then. Change: a deferred stream without room is refused once its caller's patience leaves no more time. The cost of a concurrent request is not learned from first bytes: it stands for the slower rest of the response too.

--- a/src/gateway/deferral.ts
+++ b/src/gateway/deferral.ts
@@ -111,14 +111,17 @@
   isDeferred: boolean,
   backlog: DeferralBacklog,
 ): DeferralDecision {
-  const { expectedMs, waitedMs, remainingMs, patienceMs } = request;
-  if (!shouldDefer(request)) {
-    // The time for the output is left out: it depends on what the engine does next.
-    return expectedMs < Math.min(patienceMs - waitedMs, remainingMs) ? 'send' : 'refuse';
+  if (hasRoom(request)) return 'send';
+  if (shouldDefer(request)) {
+    if (isDeferred) return 'defer';
+    const maxRoom = backlogOptimism * backlog.roomPerMs * spareMs(request);
+    return backlog.deferred < Math.max(minDeferred, maxRoom) ? 'defer' : 'refuse';
   }
-  if (isDeferred) return 'defer';
-  const maxDeferred = Math.max(minDeferred, backlogOptimism * backlog.roomPerMs * spareMs(request));
-  return backlog.deferred < maxDeferred ? 'defer' : 'refuse';
+  // It would be late and make others late, and its caller still has the time to come back.
+  if (isDeferred) return 'refuse';
+  // The time for the output is left out: it depends on what the engine does next.
+  const { expectedMs, waitedMs, remainingMs, patienceMs } = request;
+  return expectedMs < Math.min(patienceMs - waitedMs, remainingMs) ? 'send' : 'refuse';
 }
 
 /**
--- a/src/gateway/speeds.ts
+++ b/src/gateway/speeds.ts
@@ -4,7 +4,10 @@
 export interface TargetSpeeds {
   /** Time to the first byte without prefill and other requests, in milliseconds. */
   readonly baseMs: number;
-  /** Delay of the first byte that each concurrent request adds, in milliseconds. */
+  /**
+   * Cost of each concurrent request, in milliseconds. Not learned: the first byte shows little of it,
+   * and the rest of the response is slowed down too.
+   */
   readonly delayPerRequestMs: number;
   /** Prompt tokens that are prefilled in a millisecond; Infinity for plain services. */
   readonly prefillTokensPerMs: number;
@@ -60,8 +63,6 @@
 /** Bounds of the learned values. */
 const baseRangeMs = { min: 5, max: 1_000 };
 
-const delayPerRequestRangeMs = { min: 0.2, max: 50 };
-
 const prefillTokensPerMsRange = { min: 2, max: 2_000 };
 
 /** Weight of a sample's error in the learned values, for the first sample and for later ones. */
@@ -75,11 +76,9 @@
  */
 const maxErrorRatio = 0.3;
 
-/** Amounts of the features of a sample that have about equal influence. */
+/** Prompt tokens of a sample with which its error counts equally for base time and prefill speed. */
 const typicalPrefillTokens = 3_000;
 
-const typicalInFlightRequests = 10;
-
 const bitsPerByte = 8;
 
 /** Time of one prefill chunk, in milliseconds. */
@@ -100,7 +99,6 @@
   const { baseMs, delayPerRequestMs, prefillTokensPerMs } = speeds;
   const isEngine = prefillTokensPerMs !== Infinity;
   const prefillTerm = isEngine ? sample.prefillTokens / typicalPrefillTokens : 0;
-  const requestsTerm = sample.inFlightRequests / typicalInFlightRequests;
   const prefillMs = isEngine ? sample.prefillTokens / prefillTokensPerMs : 0;
   const expectedMs = baseMs + prefillMs + sample.inFlightRequests * delayPerRequestMs;
   const maxErrorMs = expectedMs * maxErrorRatio;
@@ -108,15 +106,11 @@
     min: -maxErrorMs,
     max: maxErrorMs,
   });
-  const stepMs = (learningRate * errorMs) / (1 + prefillTerm ** 2 + requestsTerm ** 2);
+  const stepMs = (learningRate * errorMs) / (1 + prefillTerm ** 2);
   const msPerTypicalPrompt = typicalPrefillTokens / prefillTokensPerMs + stepMs * prefillTerm;
   return {
     ...speeds,
     baseMs: clamp(baseMs + stepMs, baseRangeMs),
-    delayPerRequestMs: clamp(
-      delayPerRequestMs + (stepMs * requestsTerm) / typicalInFlightRequests,
-      delayPerRequestRangeMs,
-    ),
     prefillTokensPerMs: isEngine
       ? clamp(typicalPrefillTokens / msPerTypicalPrompt, prefillTokensPerMsRange)
       : Infinity,
--- a/test/gateway/deferral.test.ts
+++ b/test/gateway/deferral.test.ts
@@ -1,5 +1,11 @@
 import { describe, expect, it } from 'vitest';
-import { recheckDelayMs, type DeferrableRequest, shouldDefer } from '../../src/gateway/deferral.js';
+import {
+  decideDeferral,
+  type DeferrableRequest,
+  type DeferralDecision,
+  recheckDelayMs,
+  shouldDefer,
+} from '../../src/gateway/deferral.js';
 import { createSeededRandom } from '../../src/base/random.js';
 
 const request: DeferrableRequest = {
@@ -93,6 +99,54 @@
   });
 });
 
+describe('decideDeferral', () => {
+  const roomy = { deferred: 0, roomPerMs: 0.01 };
+  const late: DeferrableRequest = { ...request, expectedMs: 900, patienceMs: 2_400 };
+
+  it.each<[string, DeferrableRequest, boolean, number, DeferralDecision]>([
+    ['defers a late request for which there will be room', late, false, 0, 'defer'],
+    ['refuses it on arrival when too many wait already', late, false, 50, 'refuse'],
+    ['keeps a deferred one whatever the number', { ...late, waitedMs: 100 }, true, 50, 'defer'],
+    [
+      'refuses a deferred one in time for its caller to return',
+      { ...late, waitedMs: 1_600 },
+      true,
+      0,
+      'refuse',
+    ],
+    [
+      'sends a deferred one for which there is room',
+      { ...late, expectedMs: 120 },
+      true,
+      50,
+      'send',
+    ],
+    [
+      'lets a route with a loose objective wait although it would be on time',
+      { ...late, objectiveMs: 1_200 },
+      false,
+      0,
+      'defer',
+    ],
+    [
+      'sends a long response that has no time to wait',
+      { ...late, outputTokens: 900, remainingMs: 9_000 },
+      false,
+      0,
+      'send',
+    ],
+    [
+      'refuses a request that can not begin before its caller leaves',
+      { ...late, expectedMs: 2_600 },
+      false,
+      0,
+      'refuse',
+    ],
+  ])('%s', (_name, candidate, isDeferred, deferred, expected) => {
+    expect(decideDeferral(candidate, isDeferred, { ...roomy, deferred })).toBe(expected);
+  });
+});
+
 // Rechecks of many deferred requests must not use up the CPU of a small process.
 describe('recheckDelayMs', () => {
   it.each([1, 10, 50, 200])(
