Keep the learned prefill speed positive

Cause: a sample that was much quicker than a long base time could move the learned time of a prompt below zero, and the speed jumped to its lower bound, as if the engine were 40 times slower. Found by reading the change. Change: the time of a prompt stays above that of the fastest speed; four comments say what the code does. Result: the new test fails before (2 tokens a ms) and passes.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -63,9 +63,9 @@
   readonly probeAfterMs: number;
   /**
    * Time without bytes after which the attempt fails although the target accepts connections, if the
-   * target has begun to respond to this request or to later ones that are not more urgent. Otherwise the target counts as
-   * overloaded, like the other targets, so a retry elsewhere would not be faster. Applies to
-   * retryable requests, and to streams with a backup after their first event.
+   * target has begun to respond to this request or to later ones that are not more urgent. Otherwise
+   * the target counts as overloaded, like the other targets, so a retry elsewhere would not be
+   * faster. Applies to retryable requests, and to streams with a backup after their first event.
    */
   readonly hangTimeoutMs: number;
   /** Prompt tokens that the target is expected to prefill. */
--- a/src/gateway/deferral.ts
+++ b/src/gateway/deferral.ts
@@ -83,6 +83,7 @@
   readonly roomPerMs: number;
 }
 
+/** What happens to a request now. A refused one was sent to no target. */
 export type DeferralDecision = 'send' | 'defer' | 'refuse';
 
 /**
--- a/src/gateway/scoring.ts
+++ b/src/gateway/scoring.ts
@@ -58,7 +58,7 @@
 /** Cost of a millisecond by which this prompt delays each in-flight request of the engine. */
 const othersDelayWeight = 0.2;
 
-/** Cost of a millisecond of prefill for less urgent prompts, which delays the tokens of this request. */
+/** Cost of a millisecond of prefill for prompts that are less urgent than this request. */
 const behindWeight = 0.25;
 
 /** A failed first attempt costs about the time of a second one. */
@@ -82,7 +82,7 @@
 
 /**
  * Estimates the cost of a candidate: the time to the first byte and penalties, in milliseconds. Less
- * urgent prompts count like the others, because their prefill delays the tokens of this request.
+ * urgent prompts count in part: they do not delay the first byte, but the tokens that follow it.
  */
 export function estimateCostMs(candidate: Candidate, speeds: TargetSpeeds): number {
   const { pendingPrefillTokens, tokensAhead } = candidate;
--- a/src/gateway/speeds.ts
+++ b/src/gateway/speeds.ts
@@ -107,12 +107,16 @@
     max: maxErrorMs,
   });
   const stepMs = (learningRate * errorMs) / (1 + prefillTerm ** 2);
-  const msPerTypicalPrompt = typicalPrefillTokens / prefillTokensPerMs + stepMs * prefillTerm;
+  const shortestPromptMs = typicalPrefillTokens / prefillTokensPerMsRange.max;
+  const typicalPromptMs = Math.max(
+    shortestPromptMs,
+    typicalPrefillTokens / prefillTokensPerMs + stepMs * prefillTerm,
+  );
   return {
     ...speeds,
     baseMs: clamp(baseMs + stepMs, baseRangeMs),
     prefillTokensPerMs: isEngine
-      ? clamp(typicalPrefillTokens / msPerTypicalPrompt, prefillTokensPerMsRange)
+      ? clamp(typicalPrefillTokens / typicalPromptMs, prefillTokensPerMsRange)
       : Infinity,
   };
 }
--- a/src/gateway/streamadmission.ts
+++ b/src/gateway/streamadmission.ts
@@ -13,7 +13,7 @@
 import { createDeferralLoad } from './deferralload.js';
 import { type Choice } from './placement.js';
 
-/** Holds or refuses the streams of one process while its engines are full. */
+/** Holds or refuses the streams of one process while the engines are full; see `decideDeferral`. */
 export interface StreamAdmission {
   /** Starts the admission of one request. Disposing the result ends its deferral. */
   start(call: GatewayCall): PendingStream;
--- a/test/gateway/speeds.test.ts
+++ b/test/gateway/speeds.test.ts
@@ -102,4 +102,19 @@
     expect(speeds.baseMs).toBeLessThanOrEqual(1_000);
     expect(crowdedTokenMs(speeds)).toBeLessThan(prefillChunkMs(speeds));
   });
+
+  it('does not take a fast engine for a slow one after quicker responses than expected', () => {
+    const model = createSpeedModel();
+    model.configure([engineService(0, 0)]);
+    // Responses take a second whatever the prompt, so prefill seems to take no time.
+    for (let index = 0; index < 2_000; index += 1) {
+      const prefillTokens = index % 2 === 0 ? 100 : 3_000;
+      model.observe('llm', { prefillTokens, inFlightRequests: 0, slowness: 1, firstByteMs: 980 });
+    }
+    for (let index = 0; index < 20; index += 1) {
+      const sample = { prefillTokens: 3_000, inFlightRequests: 0, slowness: 1, firstByteMs: 400 };
+      model.observe('llm', sample);
+      expect(model.speedsOf('llm').prefillTokensPerMs).toBeGreaterThan(80);
+    }
+  });
 });
