--- a/test/gateway/overload.test.ts
+++ b/test/gateway/overload.test.ts
@@ -234,7 +234,7 @@
     );
   });
 
-  it('never concerns a request that can be on time', () => {
+  it('never concerns a request that can be on time within the tightest objective', () => {
     const ms = fc.integer({ min: 0, max: 20_000 });
     fc.assert(
       fc.property(ms, ms, ms, fc.nat(1_000), (objectiveMs, expectedMs, waitedMs, deferred) => {
