Log and count crashes of targets with the requests they took along

Cause: the logs could not tell which prompt parts lost requests had, whether these had begun, or whether the engine was gone. Change: attempts report how far a lost response had come; a test connection tells a crash from a lost connection; one log line and a counter for each crash. Routing is unchanged.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -7,6 +7,7 @@
 import { systemRandom } from '../base/random.js';
 import { type RowChange } from '../configuration/watch.js';
 import { createCacheModel } from '../gateway/cachemodel.js';
+import { createCrashDetector } from '../gateway/crashes.js';
 import { createDispatcher } from '../gateway/dispatcher.js';
 import { createFailureTracker } from '../gateway/failuretracker.js';
 import { createKvStores } from '../gateway/kvstores.js';
@@ -156,6 +157,14 @@
     },
     () => peers.count,
   );
+  const registry = new Registry();
+  const metrics = createGatewayMetrics(registry, {
+    directory,
+    speeds,
+    configurationVersion: () => routes?.configuration.version ?? 0,
+    configurationAgeMs: () => feeds?.configuration.ageMs() ?? Infinity,
+    droppedLogLines: options.droppedLogLines,
+  });
   const dispatcher = createDispatcher({
     clock,
     random,
@@ -163,6 +172,10 @@
     protocol,
     placer,
     failureTracker,
+    crashDetector: createCrashDetector({
+      log,
+      onCrash: ({ target }) => metrics.recordCrash(target.registration.service),
+    }),
     budget,
     speeds,
     streamAdmission: createStreamAdmission({
@@ -176,14 +189,6 @@
     onLoadChange: () => peers.scheduleHint(),
   });
 
-  const registry = new Registry();
-  const recordResult = createGatewayMetrics(registry, {
-    directory,
-    speeds,
-    configurationVersion: () => routes?.configuration.version ?? 0,
-    configurationAgeMs: () => feeds?.configuration.ageMs() ?? Infinity,
-    droppedLogLines: options.droppedLogLines,
-  });
   const callerServer = createGatewayServer({
     clock,
     random,
@@ -191,7 +196,7 @@
     protocol,
     dispatcher,
     routes: () => routes,
-    onResult: recordResult,
+    onResult: (result) => metrics.recordResult(result),
   });
   processLoad = resources.add(
     watchProcessLoad({
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -21,11 +21,14 @@
 /** Upper bounds in seconds, around objectives of 0.2 to 0.8 s and timeouts of 0.8 to 12 s. */
 const secondsBuckets = [0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 4, 12];
 
-/** Registers the metrics of a gateway; returns the recorder of finished requests. */
-export function createGatewayMetrics(
-  registry: Registry,
-  gauges: GatewayGauges,
-): (result: GatewayResult) => void {
+/** Recorders of what happens at a gateway. */
+export interface GatewayMetrics {
+  recordResult(result: GatewayResult): void;
+  recordCrash(service: string): void;
+}
+
+/** Registers the metrics of a gateway. */
+export function createGatewayMetrics(registry: Registry, gauges: GatewayGauges): GatewayMetrics {
   const registers = [registry];
   const requests = new Counter({
     name: 'cicadatide_requests_total',
@@ -53,6 +56,12 @@
     buckets: secondsBuckets,
     registers,
   });
+  const crashes = new Counter({
+    name: 'cicadatide_target_crashes_total',
+    help: 'Crashes of targets that took requests of this gateway along, by service.',
+    labelNames: ['service'],
+    registers,
+  });
   const gauge = (name: string, help: string, read: () => number): void => {
     const metric: Gauge = new Gauge({ name, help, registers, collect: () => metric.set(read()) });
   };
@@ -90,10 +99,13 @@
         baseTime.set({ service }, baseMs / 1_000);
     },
   });
-  return ({ route, outcome, attempts: count, firstByteMs, durationMs }) => {
-    requests.inc({ route, outcome });
-    if (count > 0) attempts.inc({ route }, count);
-    if (firstByteMs !== undefined) firstByte.observe({ route }, firstByteMs / 1_000);
-    duration.observe({ route }, durationMs / 1_000);
+  return {
+    recordResult({ route, outcome, attempts: count, firstByteMs, durationMs }) {
+      requests.inc({ route, outcome });
+      if (count > 0) attempts.inc({ route }, count);
+      if (firstByteMs !== undefined) firstByte.observe({ route }, firstByteMs / 1_000);
+      duration.observe({ route }, durationMs / 1_000);
+    },
+    recordCrash: (service) => crashes.inc({ service }),
   };
 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -17,8 +17,19 @@
   | { readonly kind: 'done' }
   | { readonly kind: 'left' }
   | { readonly kind: 'not-run'; readonly cause: NotRunCause; readonly head?: TargetHead }
-  | { readonly kind: 'failed'; readonly cause: string; readonly response?: BufferedResponse }
-  | { readonly kind: 'broken'; readonly cause: string };
+  | {
+      readonly kind: 'failed';
+      readonly cause: string;
+      readonly response?: BufferedResponse;
+      readonly lostAt?: ResponseStage;
+    }
+  | { readonly kind: 'broken'; readonly cause: string; readonly lostAt?: ResponseStage };
+
+/**
+ * How far the response of an attempt had come when its connection was lost. An engine sends the head
+ * when it begins to write; `underway` means that it went on writing after its first events.
+ */
+export type ResponseStage = 'waiting' | 'head' | 'underway';
 
 /** Why a target did not run a request. */
 export type NotRunCause = 'unreachable' | 'full' | 'misdirected';
@@ -74,6 +85,8 @@
   readonly priority: number;
   onHead(head: TargetHead): void;
   onFirstByte(): void;
+  /** Called once when the target goes on writing after its first events, or has ended the response. */
+  onUnderway(): void;
 }
 
 export interface Attempt {
@@ -118,6 +131,8 @@
   let buffered: Buffer[] = [];
   let bufferedBytes = 0;
   let isForwarding = false;
+  let stage: ResponseStage = 'waiting';
+  let hasFirstEvents = false;
   let settle: (end: AttemptEnd) => void = () => undefined;
   let isEnded = false;
   const ended = new Promise<AttemptEnd>((resolve) => {
@@ -134,9 +149,15 @@
     settle(result);
   };
 
-  const fail = (cause: string): void => {
-    if (progress.hasEvents || isForwarding) end({ kind: 'broken', cause });
-    else end({ kind: 'failed', cause });
+  const fail = (cause: string, lostAt?: ResponseStage): void => {
+    const kind = progress.hasEvents || isForwarding ? 'broken' : 'failed';
+    end({ kind, cause, ...(lostAt && { lostAt }) });
+  };
+
+  const markUnderway = (): void => {
+    if (stage === 'underway') return;
+    stage = 'underway';
+    options.onUnderway();
   };
 
   const forward = (chunk: Buffer): void => {
@@ -162,6 +183,8 @@
     }
     if (!batch) return;
     inFlight.markPrefilled();
+    if (hasFirstEvents) markUnderway();
+    hasFirstEvents = true;
     if (!progress.hasEvents) options.onFirstByte();
     if (!callerResponse.hasStarted && targetRes) callerResponse.writeHead(targetRes);
     const now = clock.now();
@@ -190,7 +213,8 @@
       end({ kind: 'not-run', cause, head });
       return;
     }
-    if (!head.isSigned) fail(`response with status ${status} is not signed by the target`);
+    if (head.isSigned) stage = 'head';
+    else fail(`response with status ${status} is not signed by the target`);
   };
 
   const isOk = (): boolean => {
@@ -227,18 +251,19 @@
     }
     if (isStream) {
       if (splitter.pendingBytes > 0) {
-        fail('stream ended in the middle of an event');
+        fail('stream ended in the middle of an event', stage);
         return;
       }
       if (!callerResponse.hasStarted) callerResponse.writeHead(targetRes);
     } else if (!isForwarding) forwardBuffered();
     callerResponse.end();
+    markUnderway();
     end({ kind: 'done' });
   };
 
   const onFailure = (err: Error, isSent: boolean): void => {
     if (!isSent) end({ kind: 'not-run', cause: 'unreachable' });
-    else fail(err.message);
+    else fail(err.message, stage);
   };
 
   /** True when the target has begun to respond to this request or to one sent clearly later. */
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -6,6 +6,7 @@
 import { type CallerResponse, type LocalResponse } from './response.js';
 import { type Attempt, type BufferedResponse, type Progress, startAttempt } from './attempt.js';
 import { type CallResult, type GatewayCall } from './calls.js';
+import { type CrashDetector } from './crashes.js';
 import { type FailureTracker } from './failuretracker.js';
 import { defaultPriority, lowestPriority } from './inflight.js';
 import { placeAtBackup, recordAttemptEnd } from './outcomes.js';
@@ -27,6 +28,7 @@
   readonly protocol: WireProtocol;
   readonly placer: Placer;
   readonly failureTracker: FailureTracker;
+  readonly crashDetector: CrashDetector;
   readonly budget: RetryBudget;
   readonly speeds: Pick<SpeedModel, 'observe'>;
   readonly streamAdmission: StreamAdmission;
@@ -139,6 +141,7 @@
         target.observeWeights(head.model, weightsVersion);
       },
       onFirstByte,
+      onUnderway: () => undefined,
     });
   };
 
@@ -273,10 +276,17 @@
             attempt: attempts,
             end: attemptEnd.kind,
             cause: attemptEnd.cause,
+            lostAt: 'lostAt' in attemptEnd ? attemptEnd.lostAt : undefined,
             remainingMs: Math.round(remainingMs(call)),
           },
           'attempt failed',
         );
+        if ('lostAt' in attemptEnd && attemptEnd.lostAt)
+          void options.crashDetector.observeLoss(target, {
+            requestId: head.requestId,
+            parts: head.parts,
+            stage: attemptEnd.lostAt,
+          });
         if (attemptEnd.kind === 'not-run') {
           // An unreachable target received nothing, so this retry does not count against the budget.
           if (attemptEnd.cause !== 'unreachable' && !budget.tryWithdraw()) return finishUnserved();
--- a/test/gateway/attempt.test.ts
+++ b/test/gateway/attempt.test.ts
@@ -69,6 +69,7 @@
     priority: 0,
     onHead: () => undefined,
     onFirstByte: () => undefined,
+    onUnderway: () => undefined,
   });
   attempt.ended.then(
     (result) => {
