--- a/test/standins/platform/target.ts
+++ b/test/standins/platform/target.ts
@@ -8,6 +8,8 @@
   /** Number of events of a stream, and the time between them. */
   readonly events: number;
   readonly gapMs: number;
+  /** Crashes when it begins to write an answer to a prompt with this part; it is back later. */
+  readonly deadlyPart?: string;
   readonly fault:
     | 'none'
     /** Rejects requests and marks them as not run. */
@@ -48,8 +50,12 @@
   readonly runs: readonly TargetRun[];
   /** Orders that were accepted. */
   readonly orders: readonly Readonly<Record<string, unknown>>[];
+  /** Times at which the target crashed. */
+  readonly crashes: readonly number[];
   weights: number;
   behaviour: TargetBehaviour;
+  /** Closes all connections and accepts none for `restartMs`. */
+  crash(): void;
   /** Registration of the target as stored in the table of targets. */
   registration(service: string, state?: string): Readonly<Record<string, unknown>>;
   close(): Promise<void>;
@@ -60,6 +66,8 @@
   /** Model that an engine serves; absent for a plain service. */
   readonly model?: string;
   readonly loadMs?: number;
+  /** Time that the target is down after a crash. */
+  readonly restartMs?: number;
   /** Cache events that the engine reports. */
   readonly cacheEvents?: readonly unknown[];
   readonly port?: number;
@@ -101,13 +109,32 @@
 
 /** Starts the stand-in on a free port. */
 export async function startTargetStandin(options: TargetStandinOptions): Promise<TargetStandin> {
-  const { id, model, loadMs = 50 } = options;
+  const { id, model, loadMs = 50, restartMs = 500 } = options;
   const runs: TargetRun[] = [];
+  const crashes: number[] = [];
   const orders: Record<string, unknown>[] = [];
   const sockets = new Set<Socket>();
   let behaviour = defaultBehaviour;
   let weights = 1;
   let isBusy = false;
+  let isClosed = false;
+  const listener: { server?: Server } = {};
+
+  const crash = (): void => {
+    const { server: crashed } = listener;
+    if (!crashed?.listening) return;
+    crashes.push(performance.now());
+    const { port: crashedPort } = crashed.address() as AddressInfo;
+    crashed.close();
+    for (const socket of sockets) socket.resetAndDestroy();
+    setTimeout(() => {
+      if (!isClosed) crashed.listen(crashedPort, '127.0.0.1');
+    }, restartMs);
+  };
+
+  const hasDeadlyPart = (req: IncomingMessage): boolean =>
+    behaviour.deadlyPart !== undefined &&
+    String(req.headers['x-prompt-prefix']).includes(`${behaviour.deadlyPart}:`);
 
   const sendJson = (res: ServerResponse, status: number, body: unknown): void => {
     res.writeHead(status, { 'Content-Type': 'application/json', 'X-Instance': id });
@@ -195,6 +222,11 @@
     }
     if (model) {
       res.setHeader('Content-Type', 'text/event-stream');
+      if (hasDeadlyPart(req)) {
+        res.flushHeaders();
+        await pause(2);
+        return crash();
+      }
       return sendEvents(req, res);
     }
     const text = `answer of ${id}`;
@@ -221,6 +253,7 @@
       (err: unknown) => res.destroy(err as Error),
     );
   });
+  listener.server = server;
   server.on('connection', (socket) => {
     sockets.add(socket);
     socket.on('error', () => undefined);
@@ -236,6 +269,8 @@
     port,
     runs,
     orders,
+    crashes,
+    crash,
     get weights() {
       return weights;
     },
@@ -261,6 +296,7 @@
       ...(model ? { models: [{ name: model, version: weights, adapters: [] }] } : {}),
     }),
     async close() {
+      isClosed = true;
       for (const socket of sockets) socket.destroy();
       await new Promise((resolve) => {
         server.close(resolve);
