Quarantine prompt parts that crash engines

Callers saw broken streams and 502: one prompt part crashed an engine every 0.6 s, as each gateway sent a lost request to the next engine and later requests with the same part as if nothing had happened. Cause: a failure that a request causes was taken for a failure of its target. No record connected crashes with what the lost requests have in common, and nothing was shared between gateways. The class: work that kills its worker is handed to the next one. Change: src/quarantine. Gateways exchange which prompt parts were in lost requests of a crash and which were answered since; a new part is accused after two crashes, one that was answered before after four. Parts that were only seen together are accused together, so that the sound ones are cleared by sound prompts. Accused prompts are refused (503, not run) or recalled from engines (502). The store keeps the result; three trials in the whole fleet. A lost request waits for the test connection before it is sent again.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,6 +15,7 @@
     'src/membership',
     'src/configuration',
     'src/orders',
+    'src/quarantine',
     'src/gateway',
   ],
   ['src/adapters'],
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -7,7 +7,6 @@
 import { systemRandom } from '../base/random.js';
 import { type RowChange } from '../configuration/watch.js';
 import { createCacheModel } from '../gateway/cachemodel.js';
-import { createCrashDetector } from '../gateway/crashes.js';
 import { createDispatcher } from '../gateway/dispatcher.js';
 import { createFailureTracker } from '../gateway/failuretracker.js';
 import { createKvStores } from '../gateway/kvstores.js';
@@ -27,8 +26,9 @@
 import { type SiteConfiguration } from '../ports/site.js';
 import { createCacheModelUpdater } from './gatewaycaches.js';
 import { watchTables, type GatewayFeeds } from './gatewayfeeds.js';
-import { createGatewayMetrics } from './gatewaymetrics.js';
+import { createGatewayMetrics, type GatewayMetrics } from './gatewaymetrics.js';
 import { registerGateway } from './gatewaypeers.js';
+import { createGatewayQuarantine, type GatewayQuarantine } from './gatewayquarantine.js';
 import { createRolloutGateway } from './gatewayrollout.js';
 import { type GatewayOptions } from './gatewayplatform.js';
 import { closeHttp, listenHttp } from './listen.js';
@@ -59,6 +59,8 @@
   const desiredWeights = createDesiredWeightsHistory(clock);
   let feeds: GatewayFeeds | undefined;
   let processLoad: ProcessLoad | undefined;
+  let metrics: GatewayMetrics | undefined;
+  let prompts: GatewayQuarantine | undefined;
   const cache = createCacheModel(clock);
   const directory = createTargetDirectory({
     clock,
@@ -80,9 +82,23 @@
       instance,
       bind: settings.listen.peers,
       ownInFlight: () => directory.all.map(({ id, inFlight }) => [id, inFlight] as const),
+      evidence: () => prompts?.packEvidence(),
     }),
   );
 
+  prompts = createGatewayQuarantine({
+    clock,
+    random,
+    log,
+    table: store,
+    failureTracker,
+    holdMs: settings.quarantine.hold,
+    token: stopSource.token,
+    requestHint: () => peers.scheduleHint(),
+    onCrash: (service) => metrics?.recordCrash(service),
+  });
+  const { quarantine, crashDetector } = prompts;
+
   const changingTargetIds = new Set<string>();
   const isChangingWeights = ({ id }: Target): boolean =>
     changingTargetIds.has(id) || peers.isChangingWeights(id);
@@ -102,6 +118,7 @@
       directory.find(targetId)?.observeWeights(model, version);
     },
     onTableVersions: (versions) => feeds?.expectVersions(versions),
+    onEvidence: (evidence) => prompts?.mergeEvidence(evidence),
   });
   const orderLease = createOnDemandOrderLease({
     clock,
@@ -158,11 +175,12 @@
     () => peers.count,
   );
   const registry = new Registry();
-  const metrics = createGatewayMetrics(registry, {
+  metrics = createGatewayMetrics(registry, {
     directory,
     speeds,
     configurationVersion: () => routes?.configuration.version ?? 0,
     configurationAgeMs: () => feeds?.configuration.ageMs() ?? Infinity,
+    quarantineSize: () => quarantine.size,
     droppedLogLines: options.droppedLogLines,
   });
   const dispatcher = createDispatcher({
@@ -172,10 +190,8 @@
     protocol,
     placer,
     failureTracker,
-    crashDetector: createCrashDetector({
-      log,
-      onCrash: ({ target }) => metrics.recordCrash(target.registration.service),
-    }),
+    crashDetector,
+    quarantine,
     budget,
     speeds,
     streamAdmission: createStreamAdmission({
@@ -196,7 +212,7 @@
     protocol,
     dispatcher,
     routes: () => routes,
-    onResult: (result) => metrics.recordResult(result),
+    onResult: (result) => metrics?.recordResult(result),
   });
   processLoad = resources.add(
     watchProcessLoad({
@@ -252,7 +268,9 @@
     }
   };
 
-  const onSystemRows = ({ rows }: RowChange): void => {
+  const onSystemRows = (change: RowChange): void => {
+    quarantine.observeRows(change);
+    const { rows } = change;
     for (const { key, value, version } of rows) {
       if (value !== undefined) gatewayRows.observe(key, value, version);
       if (value !== undefined && key === orderLease.key) orderLease.observe(value, version);
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -15,6 +15,7 @@
   readonly speeds: Pick<SpeedModel, 'services'>;
   configurationVersion(): number;
   configurationAgeMs(): number;
+  quarantineSize(): number;
   droppedLogLines(): number;
 }
 
@@ -76,6 +77,11 @@
     'Time since the store confirmed the configuration.',
     () => gauges.configurationAgeMs() / 1_000,
   );
+  gauge(
+    'cicadatide_quarantined_prompts',
+    'Combinations of prompt parts that are not sent because engines crashed under them.',
+    gauges.quarantineSize,
+  );
   gauge('cicadatide_log_lines_dropped', 'Log lines dropped.', gauges.droppedLogLines);
   const prefillSpeed: Gauge<'service'> = new Gauge({
     name: 'cicadatide_prefill_tokens_per_second',
--- a/src/daemon/settings/gateway.ts
+++ b/src/daemon/settings/gateway.ts
@@ -60,6 +60,13 @@
     },
     window: { type: types.duration, fallback: '10s', doc: 'Time over which retries are counted.' },
   },
+  quarantine: {
+    hold: {
+      type: types.duration,
+      fallback: '1h',
+      doc: 'Time after the last change for which prompt parts that crashed engines are not sent.',
+    },
+  },
   shutdown: {
     balancer_wait: {
       type: types.duration,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -9,13 +9,14 @@
 import { type Target } from './targets.js';
 
 /**
- * How an attempt ended. `left`: the caller disconnected. `not-run`: the target certainly did not run
+ * How an attempt ended. `left`: the caller disconnected. `recalled`: see {@link Attempt.recall}. `not-run`: the target certainly did not run
  * the request. `failed`: the request may have run; `response` is the target's own failure response,
  * if there is one. `broken`: the caller has already received a part of the response.
  */
 export type AttemptEnd =
   | { readonly kind: 'done' }
   | { readonly kind: 'left' }
+  | { readonly kind: 'recalled'; readonly cause: string }
   | { readonly kind: 'not-run'; readonly cause: NotRunCause; readonly head?: TargetHead }
   | {
       readonly kind: 'failed';
@@ -96,6 +97,8 @@
    * kind `left`, unless the attempt has already ended.
    */
   cancel(): void;
+  /** Closes the connection because the request must not run; the target may have begun to run it. */
+  recall(cause: string): void;
 }
 
 /**
@@ -312,5 +315,9 @@
     onEnd,
     onFailure,
   });
-  return { ended, cancel: () => end({ kind: 'left' }) };
+  return {
+    ended,
+    cancel: () => end({ kind: 'left' }),
+    recall: (cause) => end({ kind: 'recalled', cause }),
+  };
 }
--- a/src/gateway/crashes.ts
+++ b/src/gateway/crashes.ts
@@ -40,7 +40,7 @@
   const pending = new Map<Target, { readonly requests: LostRequest[]; result: Promise<boolean> }>();
 
   const check = async (target: Target, requests: readonly LostRequest[]): Promise<boolean> => {
-    const isAlive = await target.connections.probe();
+    const isAlive = await target.connections.probeAnew();
     pending.delete(target);
     if (isAlive || target.registration.isLeaving) return false;
     const notUnderway = requests.filter(({ stage }) => stage !== 'underway');
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,15 +1,23 @@
 import { type IncomingMessage } from 'node:http';
 import { type Clock, sleep } from '../base/clock.js';
+import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
 import { type Random } from '../base/random.js';
 import { type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse, type LocalResponse } from './response.js';
-import { type Attempt, type BufferedResponse, type Progress, startAttempt } from './attempt.js';
+import {
+  type Attempt,
+  type AttemptOptions,
+  type BufferedResponse,
+  type Progress,
+  startAttempt,
+} from './attempt.js';
 import { type CallResult, type GatewayCall } from './calls.js';
 import { type CrashDetector } from './crashes.js';
 import { type FailureTracker } from './failuretracker.js';
 import { defaultPriority, lowestPriority } from './inflight.js';
 import { placeAtBackup, recordAttemptEnd } from './outcomes.js';
+import { type Quarantine, type Quarantined } from '../quarantine/quarantine.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
 import { type RetryBudget } from './retrybudget.js';
 import { type SpeedModel } from './speeds.js';
@@ -29,6 +37,7 @@
   readonly placer: Placer;
   readonly failureTracker: FailureTracker;
   readonly crashDetector: CrashDetector;
+  readonly quarantine: Pick<Quarantine, 'find' | 'claimTrial' | 'trackWaiting' | 'observeAnswer'>;
   readonly budget: RetryBudget;
   readonly speeds: Pick<SpeedModel, 'observe'>;
   readonly streamAdmission: StreamAdmission;
@@ -77,6 +86,7 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { clock, random, log, protocol, placer, failureTracker, budget, streamAdmission } = options;
+  const { quarantine } = options;
   const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
 
   const remainingMs = ({ deadline, timeout }: GatewayCall): number =>
@@ -93,7 +103,7 @@
     placement: Placement,
     progress: Progress,
     ranOnCount: number,
-    onFirstByte: () => void,
+    listener: Pick<AttemptOptions, 'onFirstByte' | 'onUnderway'>,
   ): Attempt => {
     const { head, route, team } = call;
     const { target } = placement;
@@ -140,8 +150,7 @@
         if (weightsVersion === undefined || head.model === undefined) return;
         target.observeWeights(head.model, weightsVersion);
       },
-      onFirstByte,
-      onUnderway: () => undefined,
+      ...listener,
     });
   };
 
@@ -178,6 +187,7 @@
         priority: priorityOf(call),
         needsBackup: route.kind === 'stream' && !route.isResumable,
       };
+      let isTrial = false;
       budget.deposit();
 
       const toResult = (outcome: CallResult['outcome']): CallResult => {
@@ -217,9 +227,25 @@
         return toResult(kind);
       };
 
+      /** Ends a request whose prompt is quarantined; its callers learn whether it may have run. */
+      const finishQuarantined = ({ partIds, crashes, retryAfterMs: waitMs }: Quarantined) => {
+        log.info(
+          { requestId: head.requestId, parts: partIds, crashes, attempts, retryAfterMs: waitMs },
+          'request was not sent because a part of its prompt is quarantined',
+        );
+        if (ranOn.size > 0 || response.hasStarted) return finishUnserved();
+        response.sendLocal('quarantined', waitMs);
+        return toResult('quarantined');
+      };
+
       for (;;) {
         if (token.isCancellationRequested || remainingMs(call) < minRemainingMs)
           return finishUnserved();
+        const held = isTrial ? undefined : quarantine.find(head.parts);
+        if (held) {
+          isTrial = await quarantine.claimTrial(held, token);
+          if (!isTrial) return finishQuarantined(held);
+        }
         const waitedMs = clock.now() - arrivedAt;
         const choice = continuation ? undefined : placer.choose(placementRequest, excluded);
         if (!continuation && !choice) {
@@ -252,14 +278,26 @@
           const attemptMs = clock.now() - startedAt;
           options.speeds.observe(call.service, { ...placement.soleWork, firstByteMs: attemptMs });
         };
-        const attempt = start(call, placement, progress, ranOn.size, () => {
-          firstByteMs ??= clock.now() - arrivedAt;
-          observeFirstByte();
+        let waiting: Disposable | undefined;
+        const attempt = start(call, placement, progress, ranOn.size, {
+          onFirstByte() {
+            firstByteMs ??= clock.now() - arrivedAt;
+            observeFirstByte();
+          },
+          onUnderway() {
+            waiting?.dispose();
+            quarantine.observeAnswer(head.parts);
+          },
         });
+        if (!isTrial)
+          waiting = quarantine.trackWaiting(head.parts, () =>
+            attempt.recall('its prompt is quarantined'),
+          );
         options.onLoadChange();
         const cancelListener = token.onCancellationRequested(() => attempt.cancel());
         const attemptEnd = await attempt.ended;
         cancelListener.dispose();
+        waiting?.dispose();
         options.onLoadChange();
         recordAttemptEnd(failureTracker, call.head, target, attemptEnd);
         if (attemptEnd.kind === 'done') {
@@ -281,12 +319,13 @@
           },
           'attempt failed',
         );
-        if ('lostAt' in attemptEnd && attemptEnd.lostAt)
-          void options.crashDetector.observeLoss(target, {
-            requestId: head.requestId,
-            parts: head.parts,
-            stage: attemptEnd.lostAt,
-          });
+        if ('lostAt' in attemptEnd && attemptEnd.lostAt) {
+          const { lostAt: stage } = attemptEnd;
+          const lost = { requestId: head.requestId, parts: head.parts, stage };
+          const isCrash = options.crashDetector.observeLoss(target, lost);
+          // The crash may quarantine this prompt, so it is recorded before the prompt is sent again.
+          if (stage !== 'underway') await isCrash;
+        }
         if (attemptEnd.kind === 'not-run') {
           // An unreachable target received nothing, so this retry does not count against the budget.
           if (attemptEnd.cause !== 'unreachable' && !budget.tryWithdraw()) return finishUnserved();
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -36,8 +36,13 @@
   /** Milliseconds since the target last sent bytes or accepted a connection. */
   sinceReachableMs(): number;
   start(req: ExchangeRequest, listener: ExchangeListener): Exchange;
-  /** Opens a connection and closes it; true when the target accepted it. */
+  /**
+   * Opens a connection and closes it; true when the target accepted it. Shares the result of a probe
+   * that is under way.
+   */
   probe(): Promise<boolean>;
+  /** The same with a connection that is opened after the call. */
+  probeAnew(): Promise<boolean>;
 }
 
 /**
@@ -245,6 +250,7 @@
       });
       return pendingProbe;
     },
+    probeAnew: openProbe,
     dispose: () => closeIdle(agent, clock, 0),
   };
 }
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -4,23 +4,10 @@
 import { errMessage } from '../base/errors.js';
 import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
-import { type PromptPart } from '../ports/wire.js';
-import { type Hint, isHint, readParts } from './hints.js';
+import { type EvidenceHint } from '../quarantine/share.js';
+import { type CacheUse, type Hint, isHint, packCacheUse, readCacheUse } from './hints.js';
 import { addLoads, type InFlightLoad, noneInFlight } from './inflight.js';
 
-/** One placement, published so that the peers record in their models where parts are cached. */
-export interface CacheUse {
-  readonly salt: string;
-  readonly parts: readonly PromptPart[];
-  readonly targetId: string;
-  /** Time until the target has prefilled the parts, in milliseconds. */
-  readonly readyMs: number;
-  /** KV store to which the target also saves the prompt parts; undefined if there is none. */
-  readonly saveTo: string | undefined;
-  /** Tokens that are fetched from the KV store or, if none is named, from another engine. */
-  readonly fetch: { readonly store: string | undefined; readonly tokens: number } | undefined;
-}
-
 /** New weights that a gateway observed at a target. */
 export interface WeightsChange {
   readonly targetId: string;
@@ -34,13 +21,16 @@
   onWeightsChange(change: WeightsChange): void;
   /** Versions of the newest changes of the configuration and target tables that a peer observed. */
   onTableVersions(versions: readonly number[]): void;
+  /** Evidence of prompt parts that crash engines; a peer repeats it in several hints. */
+  onEvidence(evidence: EvidenceHint): void;
 }
 
 /**
  * Exchanges hints between the gateways over datagrams: in-flight requests at each target, targets
  * that change their weights, observed weights and table versions, and which engine prefills which
  * prompt parts. Hints are not acknowledged, because a lost one only makes a placement worse or
- * delays the detection of a change. Cache uses and weights are sent only once.
+ * delays the detection of a change. Cache uses and weights are sent only once, evidence of crashes in
+ * all hints of a few seconds.
  */
 export interface Peers extends Disposable {
   /** Number of registered gateways, including this one and any that no longer exist. */
@@ -73,6 +63,8 @@
   readonly bind: HostPort;
   /** In-flight requests of this process by target. */
   ownInFlight(): readonly (readonly [targetId: string, inFlight: InFlightLoad])[];
+  /** Evidence of this process for the next hint. */
+  evidence(): EvidenceHint | undefined;
 }
 
 /** Delay that collects hints into one datagram; a request takes tens of milliseconds. */
@@ -162,19 +154,10 @@
       b: incarnation,
       o: counts.map(([id, { requests, prefillTokens }]) => [id, requests, prefillTokens]),
       c: changing,
-      u: cacheUses
-        .slice(0, maxCacheUses)
-        .map((use) => [
-          use.salt,
-          use.targetId,
-          Math.round(use.readyMs),
-          use.saveTo ?? '',
-          use.fetch?.store ?? '',
-          use.fetch?.tokens ?? 0,
-          use.parts.flatMap(({ id, tokens }) => [id, tokens]),
-        ]),
+      u: cacheUses.slice(0, maxCacheUses).map(packCacheUse),
       w: weightsChanges.map(({ targetId, model, version }) => [targetId, model, version]),
       v: tableVersions,
+      e: options.evidence(),
     };
     cacheUses = cacheUses.slice(maxCacheUses, 4 * maxCacheUses);
     weightsChanges = [];
@@ -186,7 +169,7 @@
     }
     resendTimer?.dispose();
     resendTimer = undefined;
-    if (counts.length > 0 || changing.length > 0)
+    if (counts.length > 0 || changing.length > 0 || hint.e)
       resendTimer = clock.setTimer(resendIntervalMs, send);
   };
 
@@ -219,20 +202,11 @@
       changingReportedAt:
         hint.c.length > 0 ? clock.now() : (previous?.changingReportedAt ?? -Infinity),
     });
-    for (const [salt, targetId, readyMs, saveTo, store, tokens, flat] of hint.u) {
-      const fetch = tokens > 0 ? { store: store || undefined, tokens } : undefined;
-      listener?.onCacheUse({
-        salt,
-        targetId,
-        readyMs,
-        saveTo: saveTo || undefined,
-        fetch,
-        parts: readParts(flat),
-      });
-    }
+    for (const use of hint.u) listener?.onCacheUse(readCacheUse(use));
     for (const [targetId, model, version] of hint.w)
       listener?.onWeightsChange({ targetId, model, version });
     listener?.onTableVersions(hint.v);
+    if (hint.e) listener?.onEvidence(hint.e);
   };
 
   socket.on('message', (bytes) => {
--- a/src/gateway/response.ts
+++ b/src/gateway/response.ts
@@ -9,6 +9,7 @@
   | 'not-ready'
   | 'no-target'
   | 'overloaded'
+  | 'quarantined'
   | 'body-timeout'
   | 'unknown-key'
   | 'unknown-route'
@@ -28,6 +29,11 @@
   'not-ready': { status: 503, isRetryable: true, remedy: 'no configuration yet; retry elsewhere' },
   'no-target': { status: 503, isRetryable: true, remedy: 'no target is usable; retry later' },
   overloaded: { status: 503, isRetryable: true, remedy: 'the service is full; retry later' },
+  quarantined: {
+    status: 503,
+    isRetryable: true,
+    remedy: 'engines crashed under a part of this prompt; send another prompt',
+  },
   'body-timeout': { status: 408, isRetryable: false, remedy: 'send the body without pauses' },
   'unknown-key': { status: 401, isRetryable: false, remedy: 'send a valid key' },
   'unknown-route': { status: 404, isRetryable: false, remedy: 'use a path of the configuration' },
--- a/src/gateway/transfers.ts
+++ b/src/gateway/transfers.ts
@@ -5,7 +5,8 @@
 import { type FailureTracker } from './failuretracker.js';
 import { type PrefillLoad } from './prefillload.js';
 import { type KvStore, type KvStores } from './kvstores.js';
-import { type CacheUse, type Peers } from './peers.js';
+import { type CacheUse } from './hints.js';
+import { type Peers } from './peers.js';
 import { type SpeedModel } from './speeds.js';
 import { type Target, type TargetDirectory } from './targets.js';
 
--- /dev/null
+++ b/src/quarantine/quarantine.ts
@@ -0,0 +1,298 @@
+import { type CancellationToken } from '../base/cancellation.js';
+import { type Clock, sleep } from '../base/clock.js';
+import { errMessage } from '../base/errors.js';
+import { type Disposable, toDisposable } from '../base/lifecycle.js';
+import { type Logger } from '../base/logging.js';
+import { fullJitter, type Random } from '../base/random.js';
+import { type PromptPart } from '../ports/wire.js';
+import { type RowChange } from '../configuration/watch.js';
+import { type Row } from '../ports/rows.js';
+import { type TablePort } from '../ports/table.js';
+import { type Evidence } from './evidence.js';
+import { sharedPartIds } from './parts.js';
+import { decodeRow, encodeRow, isQuarantineKey, quarantineKey, type QuarantineRow } from './row.js';
+import { type EvidenceShare } from './share.js';
+
+/** Why a request is not sent. */
+export interface Quarantined {
+  readonly partIds: readonly string[];
+  readonly crashes: number;
+  /** Time until a trial may be made; undefined when no more are due. */
+  readonly retryAfterMs: number | undefined;
+}
+
+/**
+ * Keeps prompts from the engines that have crashed several of them. All gateways share the evidence
+ * through hints and the result through the store, where it outlasts every process. The load that it
+ * answers is one of a few requests a second of which each takes an engine with all its streams along.
+ */
+export interface Quarantine {
+  /** Returns undefined when the prompt may be sent. */
+  find(parts: readonly PromptPart[]): Quarantined | undefined;
+  /**
+   * Claims the right to send one quarantined prompt, which tells whether its parts still crash
+   * engines. Of all gateways one gets it, and only when a trial is due.
+   */
+  claimTrial(held: Quarantined, token: CancellationToken): Promise<boolean>;
+  /** Calls `recall` when the prompt is quarantined while its request waits at an engine. */
+  trackWaiting(parts: readonly PromptPart[], recall: () => void): Disposable;
+  observeAnswer(parts: readonly PromptPart[]): void;
+  observeCrash(targetId: string, prompts: readonly (readonly PromptPart[])[]): void;
+  /** Rechecks parts to which the evidence of a peer was added. */
+  recheck(partIds: readonly string[]): void;
+  /** Releases the parts; a peer saw an answer to a prompt with each. */
+  release(partIds: readonly string[]): void;
+  /** Applies rows of the system's own table; ignores those of other features. */
+  observeRows(change: Pick<RowChange, 'rows' | 'isSnapshot'>): void;
+  /** Number of quarantined combinations of parts. */
+  readonly size: number;
+}
+
+export interface QuarantineOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly table: TablePort;
+  readonly evidence: Evidence;
+  readonly share: Pick<EvidenceShare, 'publishSightings' | 'publishAnswers'>;
+  /** Time without a change after which a quarantine is lifted. */
+  readonly holdMs: number;
+  readonly token: CancellationToken;
+}
+
+/**
+ * Time before each trial, counted from the quarantine or the trial before. A trial of a part that
+ * does crash engines costs one with all its streams, so there are three in all and they get rarer.
+ * After the last one only operators or the end of the hold time lift the quarantine.
+ */
+const trialDelaysMs: readonly number[] = [5_000, 60_000, 600_000];
+
+/**
+ * Delay before an accusation is written into the store, in which one gateway mostly writes it before
+ * the others try, and its combination of parts may get smaller.
+ */
+const minWriteDelayMs = 300;
+
+const maxWriteDelayMs = 1_500;
+
+/** Base and limit of the random delay before a failed write is retried. */
+const minRetryMs = 500;
+
+const maxRetryMs = 5_000;
+
+/** Quarantined combinations; beyond it, the oldest one is lifted. Operators see only a few at a time. */
+const maxEntries = 1_000;
+
+interface Entry {
+  readonly row: QuarantineRow;
+  /** Version in the store; undefined while this process's change has not come back from there. */
+  readonly version: number | undefined;
+  /** When this process last observed a change of the entry. */
+  readonly changedAt: number;
+}
+
+interface WaitingRequest {
+  readonly partIds: readonly string[];
+  readonly recall: () => void;
+}
+
+const includesAll = (partIds: readonly string[], others: readonly string[]): boolean =>
+  others.every((id) => partIds.includes(id));
+
+export function createQuarantine(options: QuarantineOptions): Quarantine {
+  const { clock, random, log, table, evidence, share, token } = options;
+  const entries = new Map<string, Entry>();
+  const waiting = new Set<WaitingRequest>();
+  const claiming = new Set<string>();
+
+  const trialInMs = ({ row, version, changedAt }: Entry): number | undefined => {
+    const delayMs = trialDelaysMs[row.trials];
+    if (delayMs === undefined || version === undefined) return undefined;
+    return Math.max(0, changedAt + delayMs - clock.now());
+  };
+
+  const removeRow = async (key: string): Promise<void> => {
+    const item = await table.get({ partition: '', sort: key }, token);
+    if (!item) return;
+    const condition = { version: item.version };
+    await table.transact([{ partition: '', sort: key, remove: true, condition }], token);
+  };
+
+  /** Lifts a quarantine in this process and, if `isWriter`, in the store. */
+  const lift = (key: string, reason: string, isWriter: boolean): void => {
+    const entry = entries.get(key);
+    if (!entry) return;
+    entries.delete(key);
+    log.warn({ parts: entry.row.partIds, reason }, 'quarantine of prompt parts was lifted');
+    if (!isWriter) return;
+    removeRow(key).catch((err: unknown) =>
+      log.warn(
+        { key, err: errMessage(err) },
+        'failed to remove a quarantine from the store; it stays until its hold time is over',
+      ),
+    );
+  };
+
+  const findEntry = (partIds: readonly string[]): Entry | undefined => {
+    for (const [key, entry] of entries) {
+      if (!includesAll(partIds, entry.row.partIds)) continue;
+      if (clock.now() - entry.changedAt < options.holdMs) return entry;
+      evidence.forget(entry.row.partIds);
+      lift(key, 'its hold time is over', true);
+    }
+    return undefined;
+  };
+
+  const put = (key: string, row: QuarantineRow, version: number | undefined): void => {
+    entries.set(key, { row, version, changedAt: clock.now() });
+    for (const request of [...waiting]) {
+      if (!includesAll(request.partIds, row.partIds)) continue;
+      waiting.delete(request);
+      request.recall();
+    }
+    const [oldest] = entries.keys();
+    if (entries.size > maxEntries && oldest !== undefined) lift(oldest, 'there are too many', true);
+  };
+
+  const write = async (key: string): Promise<void> => {
+    const { version: replacedVersion } = entries.get(key) ?? {};
+    await sleep(clock, minWriteDelayMs + random.next() * maxWriteDelayMs, token);
+    for (let attempt = 0; ; attempt += 1) {
+      const entry = entries.get(key);
+      if (!entry || entry.version !== replacedVersion) return;
+      try {
+        const condition = { version: replacedVersion ?? 0 };
+        // A conflict means that another gateway wrote the row; the watch delivers it either way.
+        await table.transact(
+          [{ partition: '', sort: key, value: encodeRow(entry.row), condition }],
+          token,
+        );
+        return;
+      } catch (err) {
+        if (attempt === 0)
+          log.warn(
+            { key, err: errMessage(err) },
+            'failed to write a quarantine into the store; retrying',
+          );
+      }
+      await sleep(clock, minRetryMs + fullJitter(random, minRetryMs, maxRetryMs, attempt), token);
+    }
+  };
+
+  /** Quarantines an accused part; combinations that contain the new one are no longer needed. */
+  const accuse = (partId: string): void => {
+    const accusation = evidence.accusationOf(partId);
+    if (!accusation || findEntry(accusation.partIds)) return;
+    const { partIds, crashes } = accusation;
+    const key = quarantineKey(partIds);
+    for (const [otherKey, { row }] of [...entries])
+      if (otherKey !== key && includesAll(row.partIds, partIds))
+        lift(otherKey, 'fewer parts explain the crashes', true);
+    log.warn({ parts: partIds, crashes }, 'prompt parts were quarantined because engines crashed');
+    const known = entries.get(key);
+    put(key, { partIds, crashes, trials: known?.row.trials ?? 0 }, known?.version);
+    write(key).catch((err: unknown) =>
+      log.debug({ key, err: errMessage(err) }, 'write of a quarantine was cancelled'),
+    );
+  };
+
+  const release = (partIds: readonly string[], isWriter: boolean): void => {
+    for (const [key, { row }] of [...entries])
+      if (row.partIds.some((id) => partIds.includes(id)))
+        lift(key, 'a prompt with one of the parts was answered', isWriter);
+  };
+
+  const recheck = (partIds: readonly string[]): void => {
+    for (const partId of partIds) accuse(partId);
+  };
+
+  const claim = async (key: string, entry: Entry, claimToken: CancellationToken) => {
+    const row = { ...entry.row, trials: entry.row.trials + 1 };
+    const condition = { version: entry.version as number };
+    const value = encodeRow(row);
+    const write = { partition: '', sort: key, value, condition };
+    if ((await table.transact([write], claimToken)) === 'conflict') return false;
+    // No other trial is due before the watch delivers the new version.
+    if (entries.has(key)) entries.set(key, { row, version: undefined, changedAt: clock.now() });
+    log.warn({ parts: row.partIds, trial: row.trials }, 'trial of quarantined prompt parts');
+    return true;
+  };
+
+  /** Applies the removal of a row by another gateway or an operator. */
+  const observeRemoval = (key: string): void => {
+    const entry = entries.get(key);
+    if (entry?.version === undefined) return;
+    lift(key, 'it was removed from the store', false);
+    // A gateway that found a smaller combination removed the larger one; the evidence stays.
+    const { partIds } = entry.row;
+    if (!findEntry(partIds)) evidence.forget(partIds);
+  };
+
+  const observeRow = ({ key, value, version }: Row): void => {
+    const known = entries.get(key);
+    if (known?.version !== undefined && version <= known.version) return;
+    if (value === undefined) {
+      observeRemoval(key);
+      return;
+    }
+    const row = decodeRow(value);
+    if (!row || quarantineKey(row.partIds) !== key) {
+      log.warn({ key }, 'ignoring a quarantine that could not be decoded');
+      return;
+    }
+    if (!known) log.warn({ ...row }, 'prompt parts were quarantined by another gateway');
+    put(key, row, version);
+  };
+
+  return {
+    get size() {
+      return entries.size;
+    },
+    find(parts) {
+      if (entries.size === 0) return undefined;
+      const entry = findEntry(sharedPartIds(parts));
+      return entry && { ...entry.row, retryAfterMs: trialInMs(entry) };
+    },
+    async claimTrial({ partIds }, claimToken) {
+      const key = quarantineKey(partIds);
+      const entry = entries.get(key);
+      if (!entry || claiming.has(key) || trialInMs(entry) !== 0) return false;
+      claiming.add(key);
+      try {
+        return await claim(key, entry, claimToken);
+      } catch (err) {
+        log.warn(
+          { key, err: errMessage(err) },
+          'trial was not claimed because a store call failed',
+        );
+        return false;
+      } finally {
+        claiming.delete(key);
+      }
+    },
+    trackWaiting(parts, recall) {
+      const request = { partIds: sharedPartIds(parts), recall };
+      waiting.add(request);
+      return toDisposable(() => waiting.delete(request));
+    },
+    observeAnswer(parts) {
+      const partIds = sharedPartIds(parts);
+      share.publishAnswers(evidence.observeAnswer(partIds));
+      if (entries.size > 0) release(partIds, true);
+    },
+    observeCrash(targetId, prompts) {
+      const shared = prompts.map(sharedPartIds);
+      share.publishSightings(evidence.observeCrash(targetId, shared));
+      recheck(shared.flat());
+    },
+    recheck,
+    release: (partIds) => release(partIds, false),
+    observeRows({ rows, isSnapshot }) {
+      const own = rows.filter(({ key }) => isQuarantineKey(key));
+      for (const row of own) observeRow(row);
+      if (!isSnapshot) return;
+      const present = new Set(own.map(({ key }) => key));
+      for (const key of [...entries.keys()]) if (!present.has(key)) observeRemoval(key);
+    },
+  };
+}
--- a/test/docs/operators.test.ts
+++ b/test/docs/operators.test.ts
@@ -57,7 +57,8 @@
         speeds: { services: new Map() },
         configurationVersion: () => 0,
         configurationAgeMs: () => 0,
-        droppedLogLines: () => 0,
+        quarantineSize: () => 0,
+      droppedLogLines: () => 0,
       });
       const clock = createManualClock();
       const log = createNullLogger();
--- /dev/null
+++ b/test/gateway/crashes.test.ts
@@ -0,0 +1,36 @@
+import { describe, expect, it } from 'vitest';
+import { createNullLogger } from '../../src/base/logging.js';
+import { createCrashDetector, type LostRequest } from '../../src/gateway/crashes.js';
+import { type Target } from '../../src/gateway/targets.js';
+
+const lost = (requestId: string): LostRequest => ({ requestId, parts: [], stage: 'head' });
+
+/** Reports two lost requests of one target; returns the requests of each crash that is detected. */
+async function observe(isAlive: boolean, isLeaving = false): Promise<readonly string[][]> {
+  const crashes: string[][] = [];
+  const detector = createCrashDetector({
+    log: createNullLogger(),
+    onCrash: ({ requests }) => crashes.push(requests.map(({ requestId }) => requestId)),
+  });
+  const target = {
+    id: 't',
+    registration: { service: 's', isLeaving },
+    connections: { probeAnew: async () => isAlive },
+  } as unknown as Target;
+  const results = [
+    detector.observeLoss(target, lost('a')),
+    detector.observeLoss(target, lost('b')),
+  ];
+  expect(await Promise.all(results)).toEqual(crashes.length > 0 ? [true, true] : [false, false]);
+  return crashes;
+}
+
+describe('a lost connection', () => {
+  it.each<[string, boolean, boolean, readonly string[][]]>([
+    ['is a crash when the target accepts no other one', false, false, [['a', 'b']]],
+    ['is no crash when the target accepts another one', true, false, []],
+    ['is no crash when the target is leaving', false, true, []],
+  ])('%s', async (_name, isAlive, isLeaving, expected) => {
+    expect(await observe(isAlive, isLeaving)).toEqual(expected);
+  });
+});
