Trust no response on a reused connection that does not name its request

Callers could be told 503 ("not run") for a request that an engine was running: a faulty engine writes a refusal without an id on a kept connection, where the next request waits. Ruled out by tests that passed before: a refusal with another id (it was dropped already), and one with the id of a request that is sent to the same engine again (a connection is closed after a refusal). Change: a response without an id counts only for the first request on its connection; else the request may have run (502).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -4,6 +4,7 @@
 import { type Disposable } from '../base/lifecycle.js';
 import { type TargetHead, type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse } from './response.js';
+import { responseFault } from './responsecheck.js';
 import { createEventSplitter } from './events.js';
 import { type Exchange, type ExchangeRequest } from './exchange.js';
 import { type Target } from './targets.js';
@@ -199,14 +200,14 @@
     forward(batch.bytes);
   };
 
-  const onHead = (message: IncomingMessage): void => {
+  const onHead = (message: IncomingMessage, isReused: boolean): void => {
     targetRes = message;
     lastByteAt = clock.now();
     target.observeResponseStart(startedAt, options.priority);
     head = protocol.readTarget(message.headers);
-    const isForeign = head.requestId !== undefined && head.requestId !== requestId;
-    if (isForeign || head.isEncoded) {
-      fail(isForeign ? 'response belongs to another request' : 'response has a content encoding');
+    const fault = responseFault(head, { requestId, isReused });
+    if (fault !== undefined) {
+      fail(fault);
       return;
     }
     options.onHead(head);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,6 +3,7 @@
 import { type HostPort } from '../base/address.js';
 import { type Clock } from '../base/clock.js';
 import { type Disposable } from '../base/lifecycle.js';
+import { isCloseDelimited } from './responsecheck.js';
 
 /** Request to a target. */
 export interface ExchangeRequest {
@@ -15,7 +16,8 @@
 
 /** Callbacks of an exchange, in this order: `onHead`, any number of `onData`, `onEnd`. */
 export interface ExchangeListener {
-  onHead(res: IncomingMessage): void;
+  /** `isReused` is true when an earlier request was sent on the same connection. */
+  onHead(res: IncomingMessage, isReused: boolean): void;
   onData(chunk: Buffer): void;
   /** The response is complete. */
   onEnd(): void;
@@ -109,12 +111,6 @@
   }
 }
 
-/** A response without a length or a transfer coding ends with its connection. */
-function isCloseDelimited({ headers }: IncomingMessage): boolean {
-  const { 'content-length': length, 'transfer-encoding': coding } = headers;
-  return length === undefined && coding === undefined;
-}
-
 /**
  * Node reports a reset that arrives together with the last bytes as a normal end of the connection.
  * The operating system has no peer address for a connection that was reset. The address must not be
@@ -206,7 +202,7 @@
         finish();
         listener.onEnd();
       });
-      if (!isDone) listener.onHead(res);
+      if (!isDone) listener.onHead(res, req.reusedSocket);
     });
     req.end(body);
     return {
--- /dev/null
+++ b/src/gateway/responsecheck.ts
@@ -0,0 +1,31 @@
+import { type IncomingMessage } from 'node:http';
+import { type TargetHead } from '../ports/wire.js';
+
+/** What is known of a request when the head of a response to it arrives. */
+export interface ResponseContext {
+  readonly requestId: string;
+  /** An earlier request was sent on the same connection. */
+  readonly isReused: boolean;
+}
+
+/**
+ * Returns why a response can't be the answer to its request; undefined when it can. A faulty target
+ * may send an earlier response again on a connection that is in use for another request.
+ */
+export function responseFault(
+  head: TargetHead,
+  { requestId, isReused }: ResponseContext,
+): string | undefined {
+  if (head.requestId !== undefined && head.requestId !== requestId)
+    return 'response belongs to another request';
+  if (head.requestId === undefined && isReused)
+    return 'response on a reused connection does not name its request';
+  if (head.isEncoded) return 'response has a content encoding';
+  return undefined;
+}
+
+/** A response without a length or a transfer coding ends with its connection. */
+export function isCloseDelimited({ headers }: Pick<IncomingMessage, 'headers'>): boolean {
+  const { 'content-length': length, 'transfer-encoding': coding } = headers;
+  return length === undefined && coding === undefined;
+}
--- a/test/gateway/attempt.test.ts
+++ b/test/gateway/attempt.test.ts
@@ -61,7 +61,12 @@
     isRetryable: options.isRetryable,
     hasBackup: options.hasBackup,
     callerResponse,
-    progress: { lastEventId: undefined, hasEvents: false, lastEventAt: 0, longestPauseMs: 0 },
+    progress: {
+      lastEventId: undefined,
+      hasEvents: false,
+      lastEventAt: 0,
+      longestPauseMs: 0,
+    },
     remainingMs: 10_000,
     probeAfterMs: 300,
     hangTimeoutMs: 1_000,
@@ -79,7 +84,7 @@
   );
   if (options.sendsEvent) {
     const headers = { 'x-request-id': 'r', 'x-server-stamp': 's' };
-    started.listener?.onHead({ statusCode: 200, headers } as unknown as IncomingMessage);
+    started.listener?.onHead({ statusCode: 200, headers } as unknown as IncomingMessage, false);
     started.listener?.onData(Buffer.from('id: 1\ndata: a\n\n'));
   }
   await clock.advance(2_000);
