Do not complete a response that ended with its connection after the head

Callers got a complete 200 with an empty body when an engine closed its connection just after the head of a response that has neither a length nor chunks. Ruled out by tests that passed before: an end within the head, within an event, between chunks, before the announced length. Change: such an end is a failure (502 or another attempt) unless the response has no body by its method or status.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -4,7 +4,7 @@
 import { type Disposable } from '../base/lifecycle.js';
 import { type TargetHead, type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse } from './response.js';
-import { responseFault } from './responsecheck.js';
+import { isEndUnknown, responseFault } from './responsecheck.js';
 import { createEventSplitter } from './events.js';
 import { type Exchange, type ExchangeRequest } from './exchange.js';
 import { type Target } from './targets.js';
@@ -134,6 +134,7 @@
   let head: TargetHead | undefined;
   let buffered: Buffer[] = [];
   let bufferedBytes = 0;
+  let bodyBytes = 0;
   let isForwarding = false;
   let stage: ResponseStage = 'waiting';
   let hasFirstEvents = false;
@@ -228,6 +229,7 @@
 
   const onData = (chunk: Buffer): void => {
     lastByteAt = clock.now();
+    bodyBytes += chunk.length;
     if (isStream && isOk()) {
       onEvents(chunk);
       return;
@@ -253,6 +255,10 @@
       });
       return;
     }
+    if (isEndUnknown(targetRes, options.request.method, bodyBytes)) {
+      fail('connection ended after the head of a response without a length', stage);
+      return;
+    }
     if (isStream) {
       if (splitter.pendingBytes > 0) {
         fail('stream ended in the middle of an event', stage);
--- a/src/gateway/responsecheck.ts
+++ b/src/gateway/responsecheck.ts
@@ -29,3 +29,16 @@
   const { 'content-length': length, 'transfer-encoding': coding } = headers;
   return length === undefined && coding === undefined;
 }
+
+/**
+ * True when the end of the connection was the only sign of the end of a response and nothing of its
+ * body arrived. A target that stops just after the head can't be told from one that is done.
+ */
+export function isEndUnknown(
+  res: Pick<IncomingMessage, 'headers' | 'statusCode'>,
+  method: string,
+  bodyBytes: number,
+): boolean {
+  const hasNoBody = method === 'HEAD' || res.statusCode === 204;
+  return bodyBytes === 0 && !hasNoBody && isCloseDelimited(res);
+}
