Go on with a stream only with the rest of it

Callers found another response in the middle of a stream that had broken off: the next engine answered with a success of another type, or an empty one ended the stream as if it were complete. A stream of which the first engine had announced the length was cut at that length when another engine went on. Ruled out by tests that passed before: an answer with an error status and a second head instead of a chunk (the stream is aborted). Change: a response that goes on must have the content type of the one that began, and streams are sent in chunks whatever the first engine announced.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -46,6 +46,8 @@
 export interface Progress {
   /** Id of the last event that was sent to the caller. */
   lastEventId: string | undefined;
+  /** Content type of the response that began; undefined before the first event. */
+  contentType: string | undefined;
   /** At least one event was sent to the caller. */
   hasEvents: boolean;
   /** Time at which the last event was sent to the caller. */
@@ -191,12 +193,13 @@
     if (hasFirstEvents) markUnderway();
     hasFirstEvents = true;
     if (!progress.hasEvents) options.onFirstByte();
-    if (!callerResponse.hasStarted && targetRes) callerResponse.writeHead(targetRes);
+    if (!callerResponse.hasStarted && targetRes) callerResponse.writeHead(targetRes, true);
     const now = clock.now();
     if (progress.hasEvents)
       progress.longestPauseMs = Math.max(progress.longestPauseMs, now - progress.lastEventAt);
     progress.lastEventAt = now;
     progress.hasEvents = true;
+    progress.contentType ??= targetRes?.headers['content-type'];
     progress.lastEventId = batch.lastId ?? progress.lastEventId;
     forward(batch.bytes);
   };
@@ -206,7 +209,11 @@
     lastByteAt = clock.now();
     target.observeResponseStart(startedAt, options.priority);
     head = protocol.readTarget(message.headers);
-    const fault = responseFault(head, { requestId, isReused });
+    const fault = responseFault(head, message, {
+      requestId,
+      isReused,
+      begunType: progress.contentType,
+    });
     if (fault !== undefined) {
       fail(fault);
       return;
@@ -264,7 +271,7 @@
         fail('stream ended in the middle of an event', stage);
         return;
       }
-      if (!callerResponse.hasStarted) callerResponse.writeHead(targetRes);
+      if (!callerResponse.hasStarted) callerResponse.writeHead(targetRes, true);
     } else if (!isForwarding) forwardBuffered();
     callerResponse.end();
     markUnderway();
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -166,6 +166,7 @@
       const { response, route, head, token } = call;
       const progress: Progress = {
         lastEventId: undefined,
+        contentType: undefined,
         hasEvents: false,
         lastEventAt: 0,
         longestPauseMs: 0,
--- a/src/gateway/response.ts
+++ b/src/gateway/response.ts
@@ -49,8 +49,11 @@
   readonly isFinished: boolean;
   /** Status that was sent to the caller, 0 before the head. */
   readonly status: number;
-  /** Sends the head of a target's response. */
-  writeHead(res: IncomingMessage): void;
+  /**
+   * Sends the head of a target's response. The length of a stream is left out, because another target
+   * may go on with it.
+   */
+  writeHead(res: IncomingMessage, isStream?: boolean): void;
   /** Returns false when the caller reads too slowly; `onDrain` reports when it has caught up. */
   write(chunk: Buffer): boolean;
   onDrain(listener: () => void): void;
@@ -78,12 +81,12 @@
     get status() {
       return hasStarted ? res.statusCode : 0;
     },
-    writeHead(targetRes) {
+    writeHead(targetRes, isStream = false) {
       hasStarted = true;
       const headers = protocol.toCaller(targetRes.rawHeaders);
       const length = targetRes.headers['content-length'];
       // A response without a length is sent chunked, so that the caller can recognise its end.
-      if (length !== undefined) headers.push('Content-Length', length);
+      if (length !== undefined && !isStream) headers.push('Content-Length', length);
       res.writeHead(targetRes.statusCode ?? 502, headers);
     },
     // A caller that disconnected reads nothing; the response must not wait for it.
--- a/src/gateway/responsecheck.ts
+++ b/src/gateway/responsecheck.ts
@@ -6,6 +6,8 @@
   readonly requestId: string;
   /** An earlier request was sent on the same connection. */
   readonly isReused: boolean;
+  /** Content type of the events that the caller already has; undefined before the first one. */
+  readonly begunType: string | undefined;
 }
 
 /**
@@ -14,13 +16,17 @@
  */
 export function responseFault(
   head: TargetHead,
-  { requestId, isReused }: ResponseContext,
+  res: Pick<IncomingMessage, 'headers' | 'statusCode'>,
+  { requestId, isReused, begunType }: ResponseContext,
 ): string | undefined {
   if (head.requestId !== undefined && head.requestId !== requestId)
     return 'response belongs to another request';
   if (head.requestId === undefined && isReused)
     return 'response on a reused connection does not name its request';
   if (head.isEncoded) return 'response has a content encoding';
+  const isSuccess = (res.statusCode ?? 0) < 300;
+  if (isSuccess && begunType !== undefined && res.headers['content-type'] !== begunType)
+    return 'response does not go on with the stream, its content type differs';
   return undefined;
 }
 
--- a/test/gateway/attempt.test.ts
+++ b/test/gateway/attempt.test.ts
@@ -63,6 +63,7 @@
     callerResponse,
     progress: {
       lastEventId: undefined,
+      contentType: undefined,
       hasEvents: false,
       lastEventAt: 0,
       longestPauseMs: 0,
