Limit the loads of weights that no engine has survived

Callers would lose one engine after the other, and all at once near the deadline of the old weights, when new weights crash each engine that loads them. Ruled out: a limit once any engine serves the version, which proves that it can be loaded. Change: src/orders/loadfailures.ts. After two engines that were lost while they loaded a version that none serves, one engine at a time loads it, after pauses that double from 1 s.

--- a/src/orders/weightsrollout.ts
+++ b/src/orders/weightsrollout.ts
@@ -5,6 +5,7 @@
 import { type Logger } from '../base/logging.js';
 import { type Random } from '../base/random.js';
 import { type EngineControl, type InFlightPolicy } from '../ports/wire.js';
+import { createLoadFailures } from './loadfailures.js';
 import { type OnDemandOrderLease } from './ondemandlease.js';
 import { type RolloutEngine, type RolloutGateway } from './rolloutgateway.js';
 import { type EngineStep, planWeightsRollout, type PlannedEngine } from './weightsplan.js';
@@ -75,6 +76,7 @@
   const changes = new Map<string, EngineChange>();
   const acceptedOrderCounts = new Map<string, number>();
   const retryAt = new Map<string, number>();
+  const loadFailures = createLoadFailures(clock);
   let outdatedSince: number | undefined;
   let meanLoadMs = initialLoadMs;
   let resumeLoop: () => void = () => undefined;
@@ -113,6 +115,13 @@
     meanLoadMs += (loadMs - meanLoadMs) * loadSmoothing;
   };
 
+  /** Ends a change whose engine can't be reached any more. */
+  const finishLost = (id: string, reason: string): void => {
+    const change = changes.get(id);
+    if (change?.step === 'loading') loadFailures.recordLost(change.model, change.version);
+    finishChange(id, reason);
+  };
+
   /** Ends a change and delays the engine's next one, so that a failure is not repeated at once. */
   const postpone = (id: string, reason: string): void => {
     retryAt.set(id, clock.now() + retryDelayMs);
@@ -206,7 +215,7 @@
     } catch (err) {
       log.debug({ target: id, err: errMessage(err) }, 'engine report could not be read');
       if (clock.now() - change.since > reportTimeoutMs)
-        finishChange(id, 'engine reports could not be read');
+        finishLost(id, 'engine reports could not be read');
     }
   };
 
@@ -269,8 +278,11 @@
         if (engine && change) startAction(change, () => check(engine, change, token));
       },
     };
+    const isServed = planned.some(({ version }) => version === desiredVersion);
+    let newLoads = loadFailures.maxNewLoads(model, desiredVersion, isServed, changes.size);
     for (const action of actions) {
-      if (action.kind === 'drain' && !mayDrain) continue;
+      if (action.kind === 'drain' && (!mayDrain || newLoads <= 0)) continue;
+      if (action.kind === 'drain') newLoads -= 1;
       if (action.kind === 'order') handlers.order(action.id, action.inFlightPolicy);
       else handlers[action.kind](action.id);
     }
@@ -297,7 +309,7 @@
   const step = async (token: CancellationToken): Promise<number | undefined> => {
     for (const [id, change] of changes) {
       const isListed = gateway.engines(change.model).some((engine) => engine.id === id);
-      if (!isListed) finishChange(id, 'engine is no longer listed');
+      if (!isListed) finishLost(id, 'engine is no longer listed');
     }
     if (!hasOutdatedEngine() && changes.size === 0) {
       outdatedSince = undefined;
--- a/test/orders/weightsrollout.test.ts
+++ b/test/orders/weightsrollout.test.ts
@@ -15,6 +15,9 @@
   inFlightRequests: number;
   /** Replies to the first orders; later ones are handled normally. */
   readonly replies: OrderReply[];
+  /** The engine crashes instead of loading, and is listed again after three seconds. */
+  crashesOnLoad: boolean;
+  listedFrom: number;
 }
 
 const open: Disposable[] = [];
@@ -41,9 +44,12 @@
       busyUntil: 0,
       inFlightRequests: 0,
       replies: [],
+      crashesOnLoad: false,
+      listedFrom: -Infinity,
     });
   }
   const orders: { readonly id: string; readonly at: number; readonly order: WeightsOrder }[] = [];
+  const crashes: number[] = [];
   const changing: (readonly string[])[] = [];
   const observedVersions = new Map<string, number>();
   const stateOf = (id: string): EngineState => engines.get(id) as EngineState;
@@ -65,6 +71,12 @@
       const reply = engine.replies.shift() ?? 'accepted';
       if (reply !== 'accepted') return reply;
       if (order.acceptedOrders !== engine.accepted) return 'conflict';
+      if (engine.crashesOnLoad) {
+        crashes.push(clock.now());
+        engine.accepted = 0;
+        engine.listedFrom = clock.now() + 3_000;
+        return 'accepted';
+      }
       engine.accepted += 1;
       engine.busyUntil = clock.now() + loadMs;
       clock.setTimer(loadMs, () => {
@@ -90,14 +102,16 @@
     gateway: {
       desiredVersions: () => desiredVersions,
       engines: () =>
-        [...engines].map(([id, { inFlightRequests: inFlightRequests }]): RolloutEngine => ({
-          id,
-          address: { host: '127.0.0.1', port: 1 },
-          inFlightRequests: inFlightRequests,
-          isDown: false,
-          version: observedVersions.get(id) ?? 1,
-          remainingMs: startedAt + deadlineMs - clock.now(),
-        })),
+        [...engines]
+          .filter(([, { listedFrom }]) => clock.now() >= listedFrom)
+          .map(([id, { inFlightRequests: inFlightRequests }]): RolloutEngine => ({
+            id,
+            address: { host: '127.0.0.1', port: 1 },
+            inFlightRequests: inFlightRequests,
+            isDown: false,
+            version: observedVersions.get(id) ?? 1,
+            remainingMs: startedAt + deadlineMs - clock.now(),
+          })),
       sinceWeightsChangeMs: () => Infinity,
       setChangingEngines: (ids) => changing.push(ids),
       observeWeights: (id, _model, version) => observedVersions.set(id, version),
@@ -109,6 +123,7 @@
     clock,
     engines,
     orders,
+    crashes,
     changing,
     setDesired(version: number) {
       desiredVersions.set('m', version);
@@ -120,6 +135,18 @@
 }
 
 describe('weights rollout', () => {
+  it('does not take one engine after the other down with weights that crash them', async () => {
+    const site = setUp(12, () => true, 10_000);
+    for (const engine of site.engines.values()) engine.crashesOnLoad = true;
+    site.setDesired(2);
+    await site.clock.advance(60_000);
+    // Three begin before the first loss is known, then one at a time after pauses that double.
+    expect(site.crashes.length).toBeLessThanOrEqual(3 + 6);
+    for (const engine of site.engines.values()) engine.crashesOnLoad = false;
+    await site.clock.advance(90_000);
+    expect(site.observed()).toEqual(Array.from({ length: 12 }, () => 2));
+  });
+
   it('updates idle engines two at a time, in less than 1.5 s per pair', async () => {
     const site = setUp(6);
     site.setDesired(2);
