Keep holding the rest of a combination when one of its parts is cleared

Ruled out: a fault of the evidence; it accused the remaining part all the while. Change: the remaining parts are accused at once, and their trials count on. Measured: quarantine.test.ts "holds the rest of a combination ..." failed before.

--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -180,7 +180,7 @@
   };
 
   /** Quarantines an accused part; combinations that contain the new one are no longer needed. */
-  const accuse = (partId: string): void => {
+  const accuse = (partId: string, trials = 0): void => {
     const accusation = evidence.accusationOf(partId);
     if (!accusation || findEntry(accusation.partIds)) return;
     const { partIds, crashes } = accusation;
@@ -190,16 +190,19 @@
         lift(otherKey, 'fewer parts explain the crashes', true);
     log.warn({ parts: partIds, crashes }, 'prompt parts were quarantined because engines crashed');
     const known = entries.get(key);
-    put(key, { partIds, crashes, trials: known?.row.trials ?? 0 }, known?.version);
+    put(key, { partIds, crashes, trials: known?.row.trials ?? trials }, known?.version);
     write(key).catch((err: unknown) =>
       log.debug({ key, err: errMessage(err) }, 'write of a quarantine was cancelled'),
     );
   };
 
+  /** Lifts quarantines with an answered part; the evidence may still accuse their other parts. */
   const release = (partIds: readonly string[], isWriter: boolean): void => {
-    for (const [key, { row }] of [...entries])
-      if (row.partIds.some((id) => partIds.includes(id)))
-        lift(key, 'a prompt with one of the parts was answered', isWriter);
+    for (const [key, { row }] of [...entries]) {
+      if (!row.partIds.some((id) => partIds.includes(id))) continue;
+      lift(key, 'a prompt with one of the parts was answered', isWriter);
+      for (const partId of row.partIds) accuse(partId, row.trials);
+    }
   };
 
   const recheck = (partIds: readonly string[]): void => {
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -193,6 +193,18 @@
     expect(recalled).toEqual(['dead']);
   });
 
+  it('holds the rest of a combination when a prompt with one of its parts is answered', async () => {
+    const { at, clock } = setUp(1);
+    const { quarantine } = at(0);
+    for (const target of ['t1', 't2']) {
+      quarantine.observeCrash(target, [prompt('dead', 'shared')]);
+      await clock.advance(300);
+    }
+    expect(isHeld(at(0), 'dead')).toBe(false);
+    quarantine.observeAnswer(prompt('shared'));
+    expect([isHeld(at(0), 'dead'), isHeld(at(0), 'shared')]).toEqual([true, false]);
+  });
+
   it('replaces a combination of parts by a smaller one that explains more crashes', async () => {
     const { at, clock, table } = setUp(1);
     const { quarantine } = at(0);
