Move the sending of one attempt out of the dispatcher

Ruled out: a change of behaviour; the functions are moved as they were. Change: src/gateway/sender.ts (headers, timeouts and priority of one attempt). Measured: the tests of the gateway pass.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -5,21 +5,15 @@
 import { type Random } from '../base/random.js';
 import { type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse, type LocalResponse } from './response.js';
-import {
-  type Attempt,
-  type AttemptOptions,
-  type BufferedResponse,
-  type Progress,
-  startAttempt,
-} from './attempt.js';
+import { type BufferedResponse, type Progress } from './attempt.js';
 import { type CallResult, type GatewayCall } from './calls.js';
 import { type CrashDetector } from './crashes.js';
 import { type FailureTracker } from './failuretracker.js';
-import { defaultPriority, lowestPriority } from './inflight.js';
 import { placeAtBackup, recordAttemptEnd } from './outcomes.js';
 import { type Quarantine, type Quarantined } from '../quarantine/quarantine.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
 import { type RetryBudget } from './retrybudget.js';
+import { createRequestSender, isRetryable, priorityOf, remainingMs } from './sender.js';
 import { type SpeedModel } from './speeds.js';
 import { type StreamAdmission } from './streamadmission.js';
 import { type Target } from './targets.js';
@@ -63,22 +57,6 @@
  */
 const targetWaitFraction = 0.5;
 
-/**
- * Time without bytes after which a connection test is made. Most first bytes arrive sooner, and
- * pauses within streams are shorter unless the engine loads weights.
- */
-const probeAfterMs = 300;
-
-/**
- * Time without bytes after which an attempt may fail although its target accepts connections, as a
- * multiple of the route's objective; for the conditions see `AttemptOptions.hangTimeoutMs`. Callers
- * of streams time out after four times the objective.
- */
-const hangTimeoutFactor = 2.5;
-
-/** Lower bound of a stream's hang timeout: an engine that loads weights sends nothing for 0.8 s. */
-const minHangTimeoutMs = 1_000;
-
 /** Retry-After of responses; a random part spreads the retries of callers. */
 const minRetryAfterMs = 150;
 
@@ -87,73 +65,9 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { clock, random, log, protocol, placer, failureTracker, budget, streamAdmission } = options;
   const { quarantine } = options;
+  const sendRequest = createRequestSender(clock, protocol);
   const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
 
-  const remainingMs = ({ deadline, timeout }: GatewayCall): number =>
-    Math.min(deadline.remainingMs(), timeout.remainingMs());
-
-  const isRetryable = ({ route }: GatewayCall): boolean =>
-    route.kind === 'safe' || (route.kind === 'stream' && route.isResumable);
-
-  const priorityOf = ({ team, route }: GatewayCall): number =>
-    Math.min(lowestPriority, team?.priority ?? route.priority);
-
-  const start = (
-    call: GatewayCall,
-    placement: Placement,
-    progress: Progress,
-    ranOnCount: number,
-    listener: Pick<AttemptOptions, 'onFirstByte' | 'onUnderway'>,
-  ): Attempt => {
-    const { head, route, team } = call;
-    const { target } = placement;
-    const isStream = route.kind === 'stream';
-    // A request on the last target that it may run on can't be retried elsewhere.
-    const mayRetry = isRetryable(call) && ranOnCount < route.maxTargets - 1;
-    const headers = protocol.toTarget(
-      call.rawHeaders,
-      {
-        waitMs: remainingMs(call),
-        targetId: target.id,
-        team: team?.name,
-        salt: placement.salt,
-        priority: isStream ? priorityOf(call) : undefined,
-        weightsVersion: placement.weightsVersion,
-        fetchFrom: placement.fetchFrom,
-        saveTo: placement.saveTo,
-        backupTo: placement.backup?.registration.address,
-        continueFrom: placement.continueFrom,
-        resumeAfter: progress.lastEventId,
-      },
-      call.body?.length ?? 0,
-    );
-    return startAttempt({
-      clock,
-      protocol,
-      target,
-      request: { method: call.method, path: call.path, headers, body: call.body },
-      requestId: head.requestId,
-      isStream,
-      isRetryable: mayRetry,
-      hasBackup: placement.backup !== undefined,
-      callerResponse: call.response,
-      progress,
-      remainingMs: remainingMs(call),
-      probeAfterMs,
-      hangTimeoutMs: isStream
-        ? Math.max(minHangTimeoutMs, route.objectiveMs * hangTimeoutFactor)
-        : route.objectiveMs * hangTimeoutFactor,
-      prefillTokens: placement.prefillTokens,
-      priority: isStream ? priorityOf(call) : defaultPriority,
-      onHead({ load, weightsVersion }) {
-        if (load) target.observeLoad(load);
-        if (weightsVersion === undefined || head.model === undefined) return;
-        target.observeWeights(head.model, weightsVersion);
-      },
-      ...listener,
-    });
-  };
-
   /** Forwards the failure response of a target to the caller. */
   const forwardFailure = (response: CallerResponse, { res, body }: BufferedResponse): void => {
     response.writeHead(res as IncomingMessage);
@@ -280,7 +194,7 @@
           options.speeds.observe(call.service, { ...placement.soleWork, firstByteMs: attemptMs });
         };
         let waiting: Disposable | undefined;
-        const attempt = start(call, placement, progress, ranOn.size, {
+        const attempt = sendRequest(call, placement, progress, ranOn.size, {
           onFirstByte() {
             firstByteMs ??= clock.now() - arrivedAt;
             observeFirstByte();
--- /dev/null
+++ b/src/gateway/sender.ts
@@ -0,0 +1,95 @@
+import { type Clock } from '../base/clock.js';
+import { type WireProtocol } from '../ports/wire.js';
+import { type Attempt, type AttemptOptions, type Progress, startAttempt } from './attempt.js';
+import { type GatewayCall } from './calls.js';
+import { defaultPriority, lowestPriority } from './inflight.js';
+import { type Placement } from './placement.js';
+
+/**
+ * Time without bytes after which a connection test is made. Most first bytes arrive sooner, and
+ * pauses within streams are shorter unless the engine loads weights.
+ */
+const probeAfterMs = 300;
+
+/**
+ * Time without bytes after which an attempt may fail although its target accepts connections, as a
+ * multiple of the route's objective; for the conditions see `AttemptOptions.hangTimeoutMs`. Callers
+ * of streams time out after four times the objective.
+ */
+const hangTimeoutFactor = 2.5;
+
+/** Lower bound of a stream's hang timeout: an engine that loads weights sends nothing for 0.8 s. */
+const minHangTimeoutMs = 1_000;
+
+/** Time until the caller's deadline or the route's timeout, in milliseconds. */
+export const remainingMs = ({ deadline, timeout }: GatewayCall): number =>
+  Math.min(deadline.remainingMs(), timeout.remainingMs());
+
+/** The request may run again at another target. */
+export const isRetryable = ({ route }: GatewayCall): boolean =>
+  route.kind === 'safe' || (route.kind === 'stream' && route.isResumable);
+
+/** Priority at the target; 0 is the most urgent. */
+export const priorityOf = ({ team, route }: GatewayCall): number =>
+  Math.min(lowestPriority, team?.priority ?? route.priority);
+
+/** Sends a request to the target of its placement; `ranOnCount` targets may have run it before. */
+export type RequestSender = (
+  call: GatewayCall,
+  placement: Placement,
+  progress: Progress,
+  ranOnCount: number,
+  listener: Pick<AttemptOptions, 'onFirstByte' | 'onUnderway'>,
+) => Attempt;
+
+export function createRequestSender(clock: Clock, protocol: WireProtocol): RequestSender {
+  return (call, placement, progress, ranOnCount, listener) => {
+    const { head, route, team } = call;
+    const { target } = placement;
+    const isStream = route.kind === 'stream';
+    // A request on the last target that it may run on can't be retried elsewhere.
+    const mayRetry = isRetryable(call) && ranOnCount < route.maxTargets - 1;
+    const headers = protocol.toTarget(
+      call.rawHeaders,
+      {
+        waitMs: remainingMs(call),
+        targetId: target.id,
+        team: team?.name,
+        salt: placement.salt,
+        priority: isStream ? priorityOf(call) : undefined,
+        weightsVersion: placement.weightsVersion,
+        fetchFrom: placement.fetchFrom,
+        saveTo: placement.saveTo,
+        backupTo: placement.backup?.registration.address,
+        continueFrom: placement.continueFrom,
+        resumeAfter: progress.lastEventId,
+      },
+      call.body?.length ?? 0,
+    );
+    return startAttempt({
+      clock,
+      protocol,
+      target,
+      request: { method: call.method, path: call.path, headers, body: call.body },
+      requestId: head.requestId,
+      isStream,
+      isRetryable: mayRetry,
+      hasBackup: placement.backup !== undefined,
+      callerResponse: call.response,
+      progress,
+      remainingMs: remainingMs(call),
+      probeAfterMs,
+      hangTimeoutMs: isStream
+        ? Math.max(minHangTimeoutMs, route.objectiveMs * hangTimeoutFactor)
+        : route.objectiveMs * hangTimeoutFactor,
+      prefillTokens: placement.prefillTokens,
+      priority: isStream ? priorityOf(call) : defaultPriority,
+      onHead({ load, weightsVersion }) {
+        if (load) target.observeLoad(load);
+        if (weightsVersion === undefined || head.model === undefined) return;
+        target.observeWeights(head.model, weightsVersion);
+      },
+      ...listener,
+    });
+  };
+}
