--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -60,7 +60,7 @@
   let feeds: GatewayFeeds | undefined;
   let processLoad: ProcessLoad | undefined;
   let metrics: GatewayMetrics | undefined;
-  let prompts: GatewayQuarantine | undefined;
+  let gatewayQuarantine: GatewayQuarantine | undefined;
   const cache = createCacheModel(clock);
   const directory = createTargetDirectory({
     clock,
@@ -82,11 +82,11 @@
       instance,
       bind: settings.listen.peers,
       ownInFlight: () => directory.all.map(({ id, inFlight }) => [id, inFlight] as const),
-      evidence: () => prompts?.packEvidence(),
+      evidence: () => gatewayQuarantine?.packEvidence(),
     }),
   );
 
-  prompts = resources.add(
+  gatewayQuarantine = resources.add(
     createGatewayQuarantine({
       clock,
       random,
@@ -99,7 +99,7 @@
       onCrash: (service) => metrics?.recordCrash(service),
     }),
   );
-  const { quarantine, crashDetector } = prompts;
+  const { quarantine, crashDetector } = gatewayQuarantine;
 
   const changingTargetIds = new Set<string>();
   const isChangingWeights = ({ id }: Target): boolean =>
@@ -120,7 +120,7 @@
       directory.find(targetId)?.observeWeights(model, version);
     },
     onTableVersions: (versions) => feeds?.expectVersions(versions),
-    onEvidence: (evidence) => prompts?.mergeEvidence(evidence),
+    onEvidence: (evidence) => gatewayQuarantine?.mergeEvidence(evidence),
   });
   const orderLease = createOnDemandOrderLease({
     clock,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -10,7 +10,8 @@
 import { type Target } from './targets.js';
 
 /**
- * How an attempt ended. `left`: the caller disconnected. `recalled`: see {@link Attempt.recall}. `not-run`: the target certainly did not run
+ * How an attempt ended. `left`: the caller disconnected. `recalled`: the gateway took the request
+ * back, but the target may have begun to run it. `not-run`: the target certainly did not run
  * the request. `failed`: the request may have run; `response` is the target's own failure response,
  * if there is one. `broken`: the caller has already received a part of the response.
  */
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -102,6 +102,7 @@
         priority: priorityOf(call),
         needsBackup: route.kind === 'stream' && !route.isResumable,
       };
+      // A trial is sent in spite of the quarantine, also to further targets.
       let isTrial = false;
       budget.deposit();
 
--- a/src/gateway/responsecheck.ts
+++ b/src/gateway/responsecheck.ts
@@ -1,6 +1,10 @@
 import { type IncomingMessage } from 'node:http';
 import { type TargetHead } from '../ports/wire.js';
 
+/** Type and subtype of a content type, without its parameters. */
+const mediaTypeOf = (contentType: string | undefined): string | undefined =>
+  contentType?.split(';', 1)[0]?.trim().toLowerCase();
+
 /** What is known of a request when the head of a response to it arrives. */
 export interface ResponseContext {
   readonly requestId: string;
@@ -25,7 +29,8 @@
     return 'response on a reused connection does not name its request';
   if (head.isEncoded) return 'response has a content encoding';
   const isSuccess = (res.statusCode ?? 0) < 300;
-  if (isSuccess && begunType !== undefined && res.headers['content-type'] !== begunType)
+  const mediaType = mediaTypeOf(res.headers['content-type']);
+  if (isSuccess && begunType !== undefined && mediaType !== mediaTypeOf(begunType))
     return 'response does not go on with the stream, its content type differs';
   return undefined;
 }
