Send a trial of a quarantined prompt to one engine only

Callers lost the streams of two engines with each trial: a trial that crashed its engine was sent again like any request, so three trials could send six requests of which the rule allows three. Cause: the mark of a trial outlived its attempt. Ruled out: trials that no target ran (full, unreachable) are still sent again; they cost nothing. Change: after an attempt that may have run, the prompt is checked against the quarantine again. Measured: deadlyprompts.test.ts, a bound for the first trial (one run after the quarantine), failed before with 2.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -102,7 +102,7 @@
         priority: priorityOf(call),
         needsBackup: route.kind === 'stream' && !route.isResumable,
       };
-      // A trial is sent in spite of the quarantine, also to further targets.
+      // The next attempt is a trial, which is sent in spite of a quarantine.
       let isTrial = false;
       budget.deposit();
 
@@ -249,6 +249,7 @@
           continue;
         }
         ranOn.add(target);
+        isTrial = false;
         if (attemptEnd.kind === 'broken' && remainingMs(call) > minRemainingMs) {
           continuation = placeAtBackup(failureTracker, head, placement, progress);
           if (continuation) {
--- a/test/daemon/deadlyprompts.test.ts
+++ b/test/daemon/deadlyprompts.test.ts
@@ -87,10 +87,13 @@
     const crashes = engines.flatMap((engine) => engine.crashes).sort((a, b) => a - b);
     // With fewer than five crashes no deadly request may count.
     const boundAt = (crashes[4] ?? Infinity) + contactMs;
-    const lateRuns = engines
+    const deadlyRuns = engines
       .flatMap(({ runs }) => runs)
-      .filter(({ requestId, startedAt: at }) => requestId.startsWith('d') && at > boundAt);
-    expect(lateRuns.length).toBeLessThanOrEqual(3);
+      .filter(({ requestId }) => requestId.startsWith('d'));
+    expect(deadlyRuns.filter(({ startedAt: at }) => at > boundAt).length).toBeLessThanOrEqual(3);
+    // The first trial is due by then, the second one is not; each is sent to one engine.
+    const afterQuarantine = deadlyRuns.filter(({ startedAt: at }) => at > startedAt + playMs / 2);
+    expect(afterQuarantine.length).toBeLessThanOrEqual(1);
     const late = soundResults.filter(({ sentAt }) => sentAt - startedAt > playMs / 2);
     const served = late.filter(({ status, isComplete }) => status === 200 && isComplete);
     expect(served.length / late.length).toBeGreaterThan(0.5);
