--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -52,6 +52,16 @@
     expect(await store.changes('op', version, 500, noCancellation)).toBe('history-lost');
   });
 
+  it('reports no change of a row in another partition', async () => {
+    standin.put('op', 'config', 'of the operator');
+    const { rows, version } = await store.list('op', noCancellation);
+    standin.putInPartition('op', 'other', 'config', 'of another writer');
+    standin.put('op', 'later', 1);
+    const change = await store.changes('op', version, 500, noCancellation);
+    expect(rows.map(({ key: rowKey }) => rowKey)).toEqual(['config']);
+    expect(change).toMatchObject({ rows: [{ key: 'later' }], version: version + 2 });
+  });
+
   it('returns no changes after the wait has elapsed', async () => {
     expect(await store.changes('op', 0, 30, noCancellation)).toEqual({ rows: [], version: 0 });
   });
--- a/test/standins/platform/store.ts
+++ b/test/standins/platform/store.ts
@@ -40,6 +40,12 @@
   put(table: string, key: string, value: unknown): void;
   /** Writes the bytes without encoding them, so that tests can store invalid values. */
   putRaw(table: string, key: string, bytes: Buffer): void;
+  /** Writes a row into another partition of a table. */
+  putInPartition(table: string, part: string, key: string, value: unknown): void;
+  /** Adds a row without a key and a version to the replies about a table. */
+  addMalformedRow(table: string): void;
+  /** While set, changes move the version of the feed on, but their rows are missing in it. */
+  losesChanges: boolean;
   remove(table: string, key: string): void;
   rows(table: string): ReadonlyMap<string, string>;
   /** Drops the change history, so that feeds from an earlier version get status 410. */
@@ -77,6 +83,10 @@
   let ver = 0;
   let calls = 0;
   let fault: StoreFault = 'none';
+  let losesChanges = false;
+  const malformedTables = new Set<string>();
+  const malformedRowsOf = (table: string): readonly unknown[] =>
+    malformedTables.has(table) ? [{ table, value: 7 }] : [];
   const startedAt = performance.now();
 
   const versionStamp = (): { readonly ver: number; readonly nowMs: number } => ({
@@ -89,7 +99,7 @@
     for (const { table, part, key, value } of sets) {
       const row = { table, part, key, value, ver };
       rows.set(keyOf(row), row);
-      history.push(row);
+      if (!losesChanges) history.push(row);
     }
     for (const ref of removes) {
       if (rows.delete(keyOf(ref))) history.push({ ...ref, ver, removed: true });
@@ -105,7 +115,8 @@
     const all = [...rows.values()]
       .filter((row) => row.table === table && row.part === part && row.key >= from)
       .sort((a, b) => (a.key < b.key ? -1 : 1));
-    return { rows: all.slice(0, limit), hasMore: all.length > limit, ...versionStamp() };
+    const page = [...malformedRowsOf(table), ...all.slice(0, limit)];
+    return { rows: page, hasMore: all.length > limit, ...versionStamp() };
   };
 
   const handleFeed = (url: URL, res: ServerResponse): void => {
@@ -123,7 +134,7 @@
       clearTimeout(timer.current);
       waitingFeeds.delete(recheck);
       if (after < firstRetainedVersion) send(res, 410, {});
-      else send(res, 200, { rows: changed, ...versionStamp() });
+      else send(res, 200, { rows: [...malformedRowsOf(table), ...changed], ...versionStamp() });
     };
     function recheck(): void {
       reply(false);
@@ -173,8 +184,8 @@
     server.listen(0, '127.0.0.1', resolve);
   });
 
-  const put = (table: string, key: string, bytes: Buffer): void =>
-    commit([{ table, part: '', key, value: bytes.toString('base64') }], []);
+  const put = (table: string, key: string, bytes: Buffer, part = ''): void =>
+    commit([{ table, part, key, value: bytes.toString('base64') }], []);
 
   return {
     port: (server.address() as AddressInfo).port,
@@ -189,7 +200,16 @@
       for (const recheck of [...waitingFeeds]) recheck();
     },
     put: (table, key, value) => put(table, key, Buffer.from(JSON.stringify(value))),
-    putRaw: put,
+    putRaw: (table, key, bytes) => put(table, key, bytes),
+    putInPartition: (table, part, key, value) =>
+      put(table, key, Buffer.from(JSON.stringify(value)), part),
+    addMalformedRow: (table) => malformedTables.add(table),
+    get losesChanges() {
+      return losesChanges;
+    },
+    set losesChanges(value) {
+      losesChanges = value;
+    },
     remove: (table, key) => commit([], [{ table, part: '', key }]),
     rows: (table) =>
       new Map(
