Leave a malformed row out of a reply of the store instead of refusing the reply

What callers could see: with one row that can't be read (no key, no version), every reply about its table was refused, so the gateway kept the configuration and the list of targets that it had, without end, and a new gateway never became ready. Cause: one invalid item made the decoder of the whole reply fail, and the watch took that for a store that does not reply. Evidence: 'reads the other rows of a reply that has a malformed one' failed before with StoreUnavailableError. Change: such rows are left out, counted in the reply and logged by the watch; a reply without rows or version is refused as before.

--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -89,6 +89,11 @@
     failures = 0;
   };
 
+  const logMalformedRows = (malformedRows: number | undefined): void => {
+    if (malformedRows !== undefined)
+      log.warn({ table, malformedRows, position }, 'ignoring rows that could not be decoded');
+  };
+
   const updateNewestRowVersion = (rows: readonly Row[]): void => {
     for (const { version } of rows)
       newestRowVersion = Math.max(newestRowVersion ?? version, version);
@@ -102,12 +107,13 @@
   const readOnce = async (token: CancellationToken): Promise<void> => {
     openCallSource = createCancellationSource();
     if (position === undefined || shouldReadWholeTable) {
-      const { rows, version } = await feed.list(table, token);
+      const { rows, version, malformedRows } = await feed.list(table, token);
       const maxAgeMs = clock.now() - completeAt;
       recordSuccess();
       completeAt = clock.now();
       shouldReadWholeTable = false;
       position = version;
+      logMalformedRows(malformedRows);
       updateNewestRowVersion(rows);
       onChange({ rows, isSnapshot: true, maxAgeMs });
       return;
@@ -139,6 +145,7 @@
     position = Math.max(position, result.version);
     // The store's version overrides a peer's, which may come from a store that started anew.
     expected = Math.min(expected, position);
+    logMalformedRows(result.malformedRows);
     if (result.rows.length === 0) return;
     updateNewestRowVersion(result.rows);
     onChange({ rows: result.rows, isSnapshot: false, maxAgeMs });
--- a/src/ports/rows.ts
+++ b/src/ports/rows.ts
@@ -14,6 +14,8 @@
   readonly rows: readonly Row[];
   /** The `after` argument of the next `changes` call. */
   readonly version: number;
+  /** Rows of the reply that could not be decoded and are left out; undefined when there are none. */
+  readonly malformedRows?: number | undefined;
 }
 
 /** Reads tables and watches their changes. Rejects with the same errors as `TablePort`. */
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -62,6 +62,16 @@
     expect(change).toMatchObject({ rows: [{ key: 'later' }], version: version + 2 });
   });
 
+  it('reads the other rows of a reply that has a malformed one', async () => {
+    standin.put('op', 'a', 1);
+    standin.addMalformedRow('op');
+    const { rows, version } = await store.list('op', noCancellation);
+    standin.put('op', 'b', 2);
+    const change = await store.changes('op', version, 500, noCancellation);
+    expect(rows.map(({ key: rowKey }) => rowKey)).toEqual(['a']);
+    expect(change).toMatchObject({ rows: [{ key: 'b' }] });
+  });
+
   it('returns no changes after the wait has elapsed', async () => {
     expect(await store.changes('op', 0, 30, noCancellation)).toEqual({ rows: [], version: 0 });
   });
