Verify that the feed has reported all changes of a table

What callers saw (CONFIG, as reported): requests refused as an older version of the configuration says, long after a newer one was confirmed. Here: a feed whose version moves past a change without the row leaves the gateway at the older version without end, and the age of the configuration looks fine all the while. Cause: the watch took the position of the feed for what it had read. A peer's newer version was compared with that position, so the hint that would have told it was ignored; nothing read the row itself. Ruled out by reading: a version that goes back (older ones are ignored), a lost hint alone (the long poll returns the change). Change: the watch keeps the version up to which it has read all rows, and compares a peer's version with that. All gateways together read the configuration once a second and the targets every two seconds, compare the rows with what the feed reported, and read the whole table after a difference; peers learn of it by their hints. Metric `cicadatide_missed_changes_total`. Class of fault: a reply in time is taken for a confirmation of the state.

--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -4,7 +4,7 @@
 import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
 import { fullJitter, type Random } from '../base/random.js';
-import { type Row, type RowFeedPort } from '../ports/rows.js';
+import { type Row, type RowFeedPort, type RowSet } from '../ports/rows.js';
 
 /** Rows that a table watch passes to its listener. */
 export interface RowChange {
@@ -41,7 +41,14 @@
   waitMs(): number;
   /** Pause after a change, so that changes in quick succession are read together. */
   pauseMs?(): number;
+  /**
+   * Time until the table is read next to verify that the feed has reported all changes. A feed may
+   * reply in time and leave a change out, or be on a silent connection. Never verified when absent.
+   */
+  verifyMs?(): number;
   onChange(change: RowChange): void;
+  /** Called when the feed has not reported a change that the store has. */
+  onMissedChange?(): void;
 }
 
 /**
@@ -64,17 +71,26 @@
  */
 const slowReplyMs = 800;
 
+/** Time limit of a read that verifies the table; the store replies within a few milliseconds. */
+const verifyTimeoutMs = 700;
+
 /** Reads a table and then its changes until the watch is disposed. */
 export function watchTable(options: TableWatchOptions): TableWatch {
   const { clock, random, log, feed, table, onChange } = options;
   const source = createCancellationSource();
   let position: number | undefined;
   let newestRowVersion: number | undefined;
+  /** All changes up to this version were read. The feed's position may be past a change it left out. */
+  let completeVersion = -Infinity;
+  /** Versions of the rows that were read, by key. */
+  const rowVersions = new Map<string, number>();
   let expected = -Infinity;
   let openCallSource = createCancellationSource();
   /** The open call began after a newer version was reported, so the store replies at once. */
   let isCatchingUp = false;
-  /** The changes did not arrive in time, so the whole table is read. */
+  /** The connection of the last call may be silent, so the next one expects a reply at once. */
+  let isConnectionSuspect = false;
+  /** The changes did not arrive in time or completely, so the whole table is read. */
   let shouldReadWholeTable = false;
   let expectTimer: Disposable | undefined;
   let confirmedAt = -Infinity;
@@ -99,7 +115,25 @@
       newestRowVersion = Math.max(newestRowVersion ?? version, version);
   };
 
-  const isBehind = (): boolean => position !== undefined && position < expected;
+  const recordRows = ({ rows, isSnapshot }: Pick<RowChange, 'rows' | 'isSnapshot'>): void => {
+    if (isSnapshot) rowVersions.clear();
+    for (const { key, value, version } of rows) {
+      if (value === undefined) rowVersions.delete(key);
+      else rowVersions.set(key, version);
+    }
+    updateNewestRowVersion(rows);
+  };
+
+  const isBehind = (): boolean => position !== undefined && completeVersion < expected;
+
+  const reportMissedChange = (): void => {
+    log.warn(
+      { table, position, expected, completeVersion },
+      'feed left out a change; reading the table',
+    );
+    shouldReadWholeTable = true;
+    options.onMissedChange?.();
+  };
 
   /** True when the open call began before the expected change was reported and should return it. */
   const isAwaitingExpectedChange = (): boolean => isBehind() && failures === 0 && !isCatchingUp;
@@ -113,8 +147,11 @@
       completeAt = clock.now();
       shouldReadWholeTable = false;
       position = version;
+      completeVersion = version;
+      // The store's version overrides a peer's, which may come from a store that started anew.
+      expected = Math.min(expected, version);
       logMalformedRows(malformedRows);
-      updateNewestRowVersion(rows);
+      recordRows({ rows, isSnapshot: true });
       onChange({ rows, isSnapshot: true, maxAgeMs });
       return;
     }
@@ -122,12 +159,14 @@
     // When there is a change that this process has not read, the reply comes at once.
     isCatchingUp = isBehind();
     // After a failure the call does not wait, so that a recovered store is detected early.
-    const waitMs = failures > 0 || isCatchingUp ? 0 : options.waitMs();
+    const expectsReply = failures > 0 || isCatchingUp || isConnectionSuspect;
+    const waitMs = expectsReply ? 0 : options.waitMs();
+    isConnectionSuspect = false;
     const startedAt = clock.now();
     const result = await feed
       .changes(table, position, waitMs, openCallSource.token)
       .catch((err: unknown) => {
-        shouldReadWholeTable = clock.now() - startedAt - waitMs >= slowReplyMs;
+        shouldReadWholeTable ||= clock.now() - startedAt - waitMs >= slowReplyMs;
         throw err;
       })
       .finally(() => {
@@ -143,11 +182,13 @@
     }
     completeAt = clock.now();
     position = Math.max(position, result.version);
+    for (const { version } of result.rows) completeVersion = Math.max(completeVersion, version);
     // The store's version overrides a peer's, which may come from a store that started anew.
-    expected = Math.min(expected, position);
+    if (result.version < expected) expected = completeVersion;
+    if (isBehind()) reportMissedChange();
     logMalformedRows(result.malformedRows);
     if (result.rows.length === 0) return;
-    updateNewestRowVersion(result.rows);
+    recordRows({ rows: result.rows, isSnapshot: false });
     onChange({ rows: result.rows, isSnapshot: false, maxAgeMs });
     const pauseMs = options.pauseMs?.() ?? 0;
     if (pauseMs > 0) await sleep(clock, pauseMs, token);
@@ -174,9 +215,62 @@
     }
   };
 
-  run(source.token).catch((err: unknown) => {
+  const listInTime = async (token: CancellationToken): Promise<RowSet> => {
+    const listSource = createCancellationSource(token);
+    const timer = clock.setTimer(verifyTimeoutMs, () => listSource.cancel('no reply in time'));
+    try {
+      return await feed.list(table, listSource.token);
+    } finally {
+      timer.dispose();
+      listSource.dispose();
+    }
+  };
+
+  /** Compares the table with the rows that were read, after the feed had time to report changes. */
+  const verify = async (token: CancellationToken): Promise<void> => {
+    const { rows } = await listInTime(token);
+    const isMissed = ({ key, version }: Row): boolean => (rowVersions.get(key) ?? -1) < version;
+    const keys = new Set(rows.map(({ key }) => key));
+    const isUnchanged = [...rowVersions.keys()].every((key) => keys.has(key));
+    if (isUnchanged && !rows.some(isMissed)) return;
+    const pending = [...rowVersions].filter(([key]) => !keys.has(key));
+    await sleep(clock, expectedChangeTimeoutMs + (options.pauseMs?.() ?? 0), token);
+    const isStillListed = pending.some(([key, version]) => rowVersions.get(key) === version);
+    if (failures > 0 || !(isStillListed || rows.some(isMissed))) return;
+    reportMissedChange();
+    openCallSource.cancel('the table has a change that the feed did not report');
+  };
+
+  const runVerification = async (
+    verifyMs: () => number,
+    token: CancellationToken,
+  ): Promise<void> => {
+    for (;;) {
+      await sleep(clock, verifyMs(), token);
+      // A feed that fails is retried, and then reports all changes.
+      if (failures > 0 || position === undefined) continue;
+      await verify(token).catch((err: unknown) => {
+        token.throwIfCancelled();
+        log.warn(
+          { table, err: errMessage(err) },
+          'failed to verify the table; the feed is retried',
+        );
+        isConnectionSuspect = true;
+        openCallSource.cancel('the table could not be verified');
+      });
+    }
+  };
+
+  const onEnded = (err: unknown): void => {
+    if (source.token.isCancellationRequested) return;
     log.error({ table, err: errMessage(err) }, 'table watch ended; restart the process');
-  });
+  };
+
+  run(source.token).catch(onEnded);
+  if (options.verifyMs) {
+    const { verifyMs } = options;
+    runVerification(() => verifyMs(), source.token).catch(onEnded);
+  }
 
   return {
     get isSynced() {
@@ -193,10 +287,14 @@
       expectTimer = clock.setTimer(expectedChangeTimeoutMs + (options.pauseMs?.() ?? 0), () => {
         expectTimer = undefined;
         if (!isAwaitingExpectedChange()) return;
-        log.warn(
-          { table, position, expected },
-          'store did not report an expected change; retrying',
-        );
+        // The feed is past the change without having reported it.
+        if (position !== undefined && position >= expected) reportMissedChange();
+        else {
+          log.warn(
+            { table, position, expected },
+            'store did not report an expected change; retrying',
+          );
+        }
         openCallSource.cancel('another process observed a change');
       });
     },
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -309,6 +309,7 @@
         if (routes) cacheModelUpdater.update(routes.configuration);
       },
       onSystemRows,
+      onMissedChange: (table) => metrics?.recordMissedChange(table),
     }),
   );
 
--- a/src/daemon/gatewayfeeds.ts
+++ b/src/daemon/gatewayfeeds.ts
@@ -25,6 +25,8 @@
   onConfiguration(change: RowChange): void;
   onTargets(change: RowChange): void;
   onSystemRows(change: RowChange): void;
+  /** Called when a feed has left out a change of a table. */
+  onMissedChange(table: string): void;
 }
 
 /**
@@ -66,6 +68,26 @@
 
 const maxTargetPauseMs = 1_000;
 
+/**
+ * Mean time between two reads that verify a table, per gateway. All gateways together then verify
+ * the configuration once a second whatever their number; the first one that finds a change publishes
+ * its version. A configuration must be in force after two seconds, a leaving target serves longer.
+ */
+const verifyMsPerGateway = { configuration: 1_000, targets: 2_000 };
+
+/** Largest deviation of the time between two of these reads, as a fraction of the mean. */
+const verifyJitter = 0.5;
+
+/** Time until a gateway verifies a table next, in milliseconds. */
+export function verificationMs(
+  table: keyof typeof verifyMsPerGateway,
+  gateways: number,
+  random: Random,
+): number {
+  const jitter = 1 + verifyJitter * (2 * random.next() - 1);
+  return Math.round(gateways * verifyMsPerGateway[table] * jitter);
+}
+
 /** Wait of a call for changes of the configuration, in milliseconds. */
 export function configurationWaitMs(gateways: number, random: Random): number {
   const meanMs = Math.min(maxWaitMs, gateways * waitMsPerGateway);
@@ -98,6 +120,8 @@
       ...sharedOptions,
       table: decoder.configurationTable,
       waitMs: () => configurationWaitMs(peers.count, random),
+      verifyMs: () => verificationMs('configuration', peers.count, random),
+      onMissedChange: () => options.onMissedChange(decoder.configurationTable),
       onChange(change) {
         options.onConfiguration(change);
         publishVersions();
@@ -110,6 +134,8 @@
       ...sharedOptions,
       table: decoder.targetTable,
       waitMs: () => minWaitMs,
+      verifyMs: () => verificationMs('targets', peers.count, random),
+      onMissedChange: () => options.onMissedChange(decoder.targetTable),
       pauseMs: () => targetPauseMs(peers.count),
       onChange(change) {
         options.onTargets(change);
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -26,6 +26,7 @@
 export interface GatewayMetrics {
   recordResult(result: GatewayResult): void;
   recordCrash(service: string): void;
+  recordMissedChange(table: string): void;
 }
 
 /** Registers the metrics of a gateway. */
@@ -63,6 +64,12 @@
     labelNames: ['service'],
     registers,
   });
+  const missedChanges = new Counter({
+    name: 'cicadatide_missed_changes_total',
+    help: 'Changes of a table that the feed of the store has left out.',
+    labelNames: ['table'],
+    registers,
+  });
   const gauge = (name: string, help: string, read: () => number): void => {
     const metric: Gauge = new Gauge({ name, help, registers, collect: () => metric.set(read()) });
   };
@@ -113,5 +120,6 @@
       duration.observe({ route }, durationMs / 1_000);
     },
     recordCrash: (service) => crashes.inc({ service }),
+    recordMissedChange: (table) => missedChanges.inc({ table }),
   };
 }
--- a/test/configuration/watch.test.ts
+++ b/test/configuration/watch.test.ts
@@ -16,7 +16,7 @@
   for (const item of open.splice(0)) item.dispose();
 });
 
-function setUp(startsDown = false) {
+function setUp(startsDown = false, verifyMs?: () => number) {
   const clock = createManualClock();
   const rows = new Map<string, Row>();
   let history: Row[] = [];
@@ -50,8 +50,9 @@
       if (after < firstKeptVersion) return 'history-lost';
       const changed = history.filter((row) => row.version > after);
       if (changed.length === 0) {
-        await new Promise<void>((resolve) => {
+        await new Promise<void>((resolve, reject) => {
           clock.setTimer(waitMs, resolve);
+          token.onCancellationRequested((reason) => reject(new StoreUnavailableError(reason)));
         });
       }
       if (replyMs > 0) {
@@ -73,6 +74,7 @@
     feed,
     table: 't',
     waitMs: () => 3_000,
+    ...(verifyMs && { verifyMs }),
     onChange: (change) => changes.push(change),
   });
   open.push(watch);
@@ -83,6 +85,11 @@
     waits,
     put,
     version: () => version,
+    /** Writes a row that the feed leaves out although its version moves on. */
+    putUnreported(key: string, value: string) {
+      put(key, value);
+      history.pop();
+    },
     compact() {
       history = [];
       version += 1;
@@ -210,6 +217,40 @@
     expect(site.received().at(-1)).toEqual(['all', 'a=new']);
   });
 
+  it('reads a row that the feed has left out when a peer reports its version', async () => {
+    const site = setUp();
+    await site.clock.advance(10);
+    site.putUnreported('a', 'new');
+    await site.clock.advance(3_100);
+    expect(site.received()).toEqual([['all']]);
+    site.watch.expectVersion(site.version());
+    await site.clock.advance(400);
+    expect(site.received().at(-1)).toEqual(['all', 'a=new']);
+  });
+
+  it('reads a row that the feed has left out when it verifies the table', async () => {
+    const site = setUp(false, () => 1_000);
+    await site.clock.advance(10);
+    site.putUnreported('a', 'new');
+    await site.clock.advance(1_500);
+    expect(site.received().at(-1)).toEqual(['all', 'a=new']);
+  });
+
+  it('reads a change in time although its open call is on a silent connection', async () => {
+    const site = setUp(false, () => 1_000);
+    site.setSilent(true);
+    await site.clock.advance(10);
+    site.setSilent(false);
+    site.put('a', 'new');
+    await site.clock.advance(1_500);
+    expect(site.received().at(-1)?.slice(1)).toEqual(['a=new']);
+    site.put('a', 'newer');
+    await site.clock.advance(100);
+    site.put('a', 'newest');
+    await site.clock.advance(3_100);
+    expect(site.received().at(-1)?.slice(1)).toContain('a=newest');
+  });
+
   it('does not retry for a change that it has read', async () => {
     const site = setUp();
     await site.clock.advance(10);
