Close the idle connections to an address when one of them is silent

What callers could see (CONFIG): after all connections of a gateway to the store had gone silent, each retry of a read took the next idle connection, which was silent too, and lost up to a second on each; the configuration stayed old beyond its bound. Cause: a request that timed out closed its own connection only; the pool keeps one for each call that was ever made in parallel. Evidence: httpclient.test.ts failed before: the second request timed out after 5 s on a server that answers new connections in 20 ms. Change: a request that fails on a reused connection also closes the idle ones to the same address.

--- a/src/base/httpclient.ts
+++ b/src/base/httpclient.ts
@@ -24,7 +24,10 @@
   readonly isSent?: boolean;
 }
 
-/** Sends a request over keep-alive connections. A request that times out closes its connection. */
+/**
+ * Sends a request over keep-alive connections. A request that fails on one of them closes it and the
+ * idle ones to the same address: connections that go silent do so together.
+ */
 export type HttpClient = (call: HttpRequest, token: CancellationToken) => Promise<HttpResponse>;
 
 /** Largest accepted response body; the platform's pages limit responses to 1 MB plus encoding. */
@@ -32,6 +35,10 @@
 
 export function createHttpClient(): HttpClient {
   const agent = new Agent({ keepAlive: true, scheduling: 'lifo' });
+  const closeIdle = ({ host, port }: HostPort): void => {
+    const idle = agent.freeSockets[agent.getName({ host, port })] ?? [];
+    for (const socket of [...idle]) socket.destroy();
+  };
   return ({ address, method, path, body, headers, timeoutMs }, token) =>
     new Promise((resolve, reject) => {
       let isSent = false;
@@ -53,6 +60,7 @@
       const fail = (err: Error): void => {
         clearTimeout(timer);
         subscription.dispose();
+        if (req.reusedSocket) closeIdle(address);
         reject(Object.assign(err, { isSent }));
       };
       req.on('socket', (socket) => {
--- /dev/null
+++ b/test/base/httpclient.test.ts
@@ -0,0 +1,39 @@
+import { createServer, type Server } from 'node:http';
+import { type AddressInfo, type Socket } from 'node:net';
+import { afterEach, beforeEach, expect, it } from 'vitest';
+import { noCancellation } from '../../src/base/cancellation.js';
+import { createHttpClient, type HttpClient } from '../../src/base/httpclient.js';
+
+const sockets = new Set<Socket>();
+const silenced = new WeakSet<Socket>();
+let server: Server;
+let httpClient: HttpClient;
+
+beforeEach(async () => {
+  sockets.clear();
+  server = createServer((req, res) => {
+    if (!silenced.has(req.socket)) setTimeout(() => res.end('reply'), 20);
+  });
+  server.on('connection', (socket) => sockets.add(socket));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  httpClient = createHttpClient();
+});
+
+afterEach(() => {
+  server.closeAllConnections();
+  server.close();
+});
+
+it('does not try one silent connection after the other', async () => {
+  const { port } = server.address() as AddressInfo;
+  const send = (timeoutMs: number) => {
+    const address = { host: '127.0.0.1', port };
+    return httpClient({ address, method: 'GET', path: '/', timeoutMs }, noCancellation);
+  };
+  await Promise.all([send(5_000), send(5_000), send(5_000)]);
+  for (const socket of sockets) silenced.add(socket);
+  await expect(send(50)).rejects.toThrow('request timed out');
+  expect((await send(5_000)).status).toBe(200);
+});
