Read a table again when its listener fails on a change

What callers could see (CONFIG): had the code that applies a row thrown, the rows of that reply were lost for good and the log said that the store did not reply. Cause: the position of the feed was moved on before the rows were applied, and any error counted as one of the store. Evidence: 'reports the table again when its listener has failed on a change' failed before. Change: the error is logged as what it is, and the whole table is read again after a second.

--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -46,6 +46,7 @@
    * reply in time and leave a change out, or be on a silent connection. Never verified when absent.
    */
   verifyMs?(): number;
+  /** Rows of which it throws are read again. */
   onChange(change: RowChange): void;
   /** Called when the feed has not reported a change that the store has. */
   onMissedChange?(): void;
@@ -74,9 +75,12 @@
 /** Time limit of a read that verifies the table; the store replies within a few milliseconds. */
 const verifyTimeoutMs = 700;
 
+/** Delay before rows are read again that the listener could not apply. */
+const listenerRetryMs = 1_000;
+
 /** Reads a table and then its changes until the watch is disposed. */
 export function watchTable(options: TableWatchOptions): TableWatch {
-  const { clock, random, log, feed, table, onChange } = options;
+  const { clock, random, log, feed, table } = options;
   const source = createCancellationSource();
   let position: number | undefined;
   let newestRowVersion: number | undefined;
@@ -124,6 +128,18 @@
     updateNewestRowVersion(rows);
   };
 
+  /** Reads the rows again later if the listener fails, so that one bad row does not lose the others. */
+  const notify = async (change: RowChange, token: CancellationToken): Promise<void> => {
+    recordRows(change);
+    try {
+      options.onChange(change);
+    } catch (err) {
+      log.error({ table, position, err }, 'failed to apply rows of the table; they are read again');
+      shouldReadWholeTable = true;
+      await sleep(clock, listenerRetryMs, token);
+    }
+  };
+
   const isBehind = (): boolean => position !== undefined && completeVersion < expected;
 
   const reportMissedChange = (): void => {
@@ -151,8 +167,7 @@
       // The store's version overrides a peer's, which may come from a store that started anew.
       expected = Math.min(expected, version);
       logMalformedRows(malformedRows);
-      recordRows({ rows, isSnapshot: true });
-      onChange({ rows, isSnapshot: true, maxAgeMs });
+      await notify({ rows, isSnapshot: true, maxAgeMs }, token);
       return;
     }
     const link = token.onCancellationRequested((reason) => openCallSource.cancel(reason));
@@ -188,8 +203,7 @@
     if (isBehind()) reportMissedChange();
     logMalformedRows(result.malformedRows);
     if (result.rows.length === 0) return;
-    recordRows({ rows: result.rows, isSnapshot: false });
-    onChange({ rows: result.rows, isSnapshot: false, maxAgeMs });
+    await notify({ rows: result.rows, isSnapshot: false, maxAgeMs }, token);
     const pauseMs = options.pauseMs?.() ?? 0;
     if (pauseMs > 0) await sleep(clock, pauseMs, token);
   };
@@ -251,10 +265,7 @@
       if (failures > 0 || position === undefined) continue;
       await verify(token).catch((err: unknown) => {
         token.throwIfCancelled();
-        log.warn(
-          { table, err: errMessage(err) },
-          'failed to verify the table; the feed is retried',
-        );
+        log.warn({ table, err: errMessage(err) }, 'failed to verify the table; the feed is retried');
         isConnectionSuspect = true;
         openCallSource.cancel('the table could not be verified');
       });
--- a/test/configuration/watch.test.ts
+++ b/test/configuration/watch.test.ts
@@ -67,6 +67,8 @@
     },
   };
   const changes: RowChange[] = [];
+  /** Changes on which the listener throws. */
+  let failures = 0;
   const watch = watchTable({
     clock,
     random: createSeededRandom(1),
@@ -75,7 +77,13 @@
     table: 't',
     waitMs: () => 3_000,
     ...(verifyMs && { verifyMs }),
-    onChange: (change) => changes.push(change),
+    onChange(change) {
+      if (failures > 0) {
+        failures -= 1;
+        throw new Error('listener failed');
+      }
+      changes.push(change);
+    },
   });
   open.push(watch);
   return {
@@ -90,6 +98,9 @@
       put(key, value);
       history.pop();
     },
+    failListener(count: number) {
+      failures = count;
+    },
     compact() {
       history = [];
       version += 1;
@@ -251,6 +262,18 @@
     expect(site.received().at(-1)?.slice(1)).toContain('a=newest');
   });
 
+  it('reports the table again when its listener has failed on a change', async () => {
+    const site = setUp(false, () => 1_000);
+    await site.clock.advance(10);
+    site.put('a', 'new');
+    site.failListener(1);
+    await site.clock.advance(5_000);
+    expect(site.received().at(-1)).toEqual(['all', 'a=new']);
+    const { length } = site.changes;
+    await site.clock.advance(10_000);
+    expect(site.changes.length).toBe(length);
+  });
+
   it('does not retry for a change that it has read', async () => {
     const site = setUp();
     await site.clock.advance(10);
