Pause between reads of a table whose history the store does not keep

Cause: a lost history led to a read of the table and at once to the next call of the feed, without a pause. Evidence: 'reads at a bounded rate while the store keeps no history at all' failed before (more than 200 calls in 4 s, bound 40). Change: a second loss within 0.4 s waits 0.4 s; a single one is answered at once as before.

--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -100,6 +100,7 @@
   let confirmedAt = -Infinity;
   /** When this process last had all rows; a reply without the history confirms no rows. */
   let completeAt = -Infinity;
+  let historyLostAt = -Infinity;
   let failedAt = -Infinity;
   let failures = 0;
 
@@ -192,6 +193,9 @@
     recordSuccess();
     if (result === 'history-lost') {
       log.warn({ table, position }, 'store dropped its history; the table is read again');
+      // Pauses when the table was read for the same reason just before.
+      if (clock.now() - historyLostAt < maxRetryMs) await sleep(clock, maxRetryMs, token);
+      historyLostAt = clock.now();
       position = undefined;
       return;
     }
--- a/test/configuration/watch.test.ts
+++ b/test/configuration/watch.test.ts
@@ -31,10 +31,16 @@
     history.push(row);
   };
   let isSilent = false;
+  let isForgetful = false;
   let replyMs = 0;
   const feed: RowFeedPort = {
     async list() {
       if (isDown) throw new StoreUnavailableError('down');
+      if (isForgetful) {
+        await new Promise<void>((resolve) => {
+          clock.setTimer(4, resolve);
+        });
+      }
       return { rows: [...rows.values()].filter(({ value }) => value !== undefined), version };
     },
     async changes(_table, after, waitMs, token) {
@@ -47,6 +53,7 @@
         });
       }
       if (isDown) throw new StoreUnavailableError('down');
+      if (isForgetful) return 'history-lost';
       if (after < firstKeptVersion) return 'history-lost';
       const changed = history.filter((row) => row.version > after);
       if (changed.length === 0) {
@@ -106,6 +113,10 @@
       version += 1;
       firstKeptVersion = version;
     },
+    /** While set, the store has no history for any call. */
+    setForgetful(value: boolean) {
+      isForgetful = value;
+    },
     setSilent(value: boolean) {
       isSilent = value;
     },
@@ -142,6 +153,21 @@
     expect(site.received().at(-1)).toEqual(['all', 'a=1']);
   });
 
+  it('reads at a bounded rate while the store keeps no history at all', async () => {
+    const site = setUp();
+    await site.clock.advance(10);
+    site.setForgetful(true);
+    site.put('a', '1');
+    site.compact();
+    await site.clock.advance(4_000);
+    expect(site.received().at(-1)).toEqual(['all', 'a=1']);
+    expect(site.waits.length).toBeLessThan(40);
+    site.setForgetful(false);
+    site.put('a', '2');
+    await site.clock.advance(2_000);
+    expect(site.received().at(-1)?.at(-1)).toBe('a=2');
+  });
+
   it('reports how old a change may be', async () => {
     const site = setUp();
     await site.clock.advance(10);
