--- a/test/platform/site.test.ts
+++ b/test/platform/site.test.ts
@@ -36,6 +36,17 @@
     expect(decode(value)).toBeUndefined();
   });
 
+  it.each(['keyed', 'constructor'])(
+    'is not held back by a route of the unknown kind %s, which runs at most once',
+    (kind) => {
+      const routes = configuration(4).routes.map((route) => ({ ...route, kind, attempts: 3 }));
+      const decoded = decode({ ...configuration(4), routes });
+      expect(decoded?.routes.map((route) => [route.kind, route.maxTargets])).toEqual(
+        routes.map(() => ['unsafe', 3]),
+      );
+    },
+  );
+
   it('ignores unknown fields', () => {
     expect(decode({ ...configuration(4), later: { a: 1 } })?.version).toBe(4);
   });
