--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -269,7 +269,10 @@
       if (failures > 0 || position === undefined) continue;
       await verify(token).catch((err: unknown) => {
         token.throwIfCancelled();
-        log.warn({ table, err: errMessage(err) }, 'failed to verify the table; the feed is retried');
+        log.warn(
+          { table, err: errMessage(err) },
+          'failed to verify the table; the feed is retried',
+        );
         isConnectionSuspect = true;
         openCallSource.cancel('the table could not be verified');
       });
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -68,6 +68,7 @@
     decoder,
     sinceStoreFailureMs: () => feeds?.targets.sinceFailureMs() ?? Infinity,
     onCacheCleared: (id) => cache.clear(id),
+    onInvalidRegistration: () => metrics?.recordIgnoredRow(decoder.targetTable),
     onConnected: (durationMs) => processLoad?.observeConnect(durationMs),
   });
   const speeds = createSpeedModel();
@@ -265,7 +266,11 @@
         log.info({ ...desired }, 'desired weights changed');
         rollout.requestStep();
       } else if (!configuration && !desired) {
-        log.warn({ key }, 'ignoring an operator row that could not be decoded');
+        log.warn(
+          { key, version: routes?.configuration.version },
+          'ignoring an operator row that could not be decoded; the known version stays in force',
+        );
+        metrics?.recordIgnoredRow(decoder.configurationTable);
       }
     }
   };
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -27,6 +27,7 @@
   recordResult(result: GatewayResult): void;
   recordCrash(service: string): void;
   recordMissedChange(table: string): void;
+  recordIgnoredRow(table: string): void;
 }
 
 /** Registers the metrics of a gateway. */
@@ -70,6 +71,12 @@
     labelNames: ['table'],
     registers,
   });
+  const ignoredRows = new Counter({
+    name: 'cicadatide_ignored_rows_total',
+    help: 'Rows of a table that could not be decoded.',
+    labelNames: ['table'],
+    registers,
+  });
   const gauge = (name: string, help: string, read: () => number): void => {
     const metric: Gauge = new Gauge({ name, help, registers, collect: () => metric.set(read()) });
   };
@@ -121,5 +128,6 @@
     },
     recordCrash: (service) => crashes.inc({ service }),
     recordMissedChange: (table) => missedChanges.inc({ table }),
+    recordIgnoredRow: (table) => ignoredRows.inc({ table }),
   };
 }
--- a/src/gateway/targets.ts
+++ b/src/gateway/targets.ts
@@ -60,6 +60,8 @@
   sinceStoreFailureMs(): number;
   /** Called when a target is removed or has other weights, so that its KV cache is empty. */
   onCacheCleared(id: string): void;
+  /** Called when a registration could not be decoded. */
+  onInvalidRegistration?(): void;
   /** Called with the time that a new connection to a target took. */
   onConnected?(durationMs: number): void;
 }
@@ -242,6 +244,7 @@
     const registration = decoder.target(id, value);
     if (!registration) {
       log.warn({ target: id }, 'target registration is invalid and is treated as removed');
+      options.onInvalidRegistration?.();
       scheduleRemoval(id);
       return;
     }
