--- a/test/standins/platform/target.ts
+++ b/test/standins/platform/target.ts
@@ -10,6 +10,8 @@
   readonly gapMs: number;
   /** Crashes when it begins to write an answer to a prompt with this part; it is back later. */
   readonly deadlyPart?: string;
+  /** Headers that are added to each response, rejections included. */
+  readonly headers?: Readonly<Record<string, string>>;
   readonly fault:
     | 'none'
     /** Rejects requests and marks them as not run. */
@@ -43,11 +45,19 @@
   isInterrupted: boolean;
 }
 
+/** One request that reached a target, whether it ran or not. */
+export interface TargetArrival {
+  readonly requestId: string;
+  readonly at: number;
+}
+
 /** Stand-in for a model engine or a plain service of the platform. */
 export interface TargetStandin {
   readonly id: string;
   readonly port: number;
   readonly runs: readonly TargetRun[];
+  /** Requests that reached the target, without those for another target. */
+  readonly arrivals: readonly TargetArrival[];
   /** Orders that were accepted. */
   readonly orders: readonly Readonly<Record<string, unknown>>[];
   /** Times at which the target crashed. */
@@ -111,6 +121,7 @@
 export async function startTargetStandin(options: TargetStandinOptions): Promise<TargetStandin> {
   const { id, model, loadMs = 50, restartMs = 500 } = options;
   const runs: TargetRun[] = [];
+  const arrivals: TargetArrival[] = [];
   const crashes: number[] = [];
   const orders: Record<string, unknown>[] = [];
   const sockets = new Set<Socket>();
@@ -186,13 +197,16 @@
     if (expected !== undefined && expected !== id) return sendJson(res, 421, {});
     const version = req.headers['x-expect-version'];
     if (version !== undefined && Number(version) !== weights) return sendJson(res, 421, {});
+    const requestId = String(req.headers['x-request-id']);
+    arrivals.push({ requestId, at: performance.now() });
     const body = await readBody(req);
+    for (const [name, value] of Object.entries(behaviour.headers ?? {})) res.setHeader(name, value);
     if (behaviour.fault === 'full' || isBusy) {
+      res.setHeader('X-Request-Id', requestId);
       res.writeHead(503, { 'X-Not-Run': '1', 'X-Instance': id });
       res.end();
       return undefined;
     }
-    const requestId = String(req.headers['x-request-id']);
     const { method = '', url = '' } = req;
     const run: TargetRun = {
       requestId,
@@ -268,6 +282,7 @@
     id,
     port,
     runs,
+    arrivals,
     orders,
     crashes,
     crash,
