Keep the limits that targets name, all gateways together

Cause: nothing reads `Server-Limit`. Ruled out by the record: retries (nothing was turned away or failed before), late knowledge of single gateways (all of them sent). Hints tell peers of limits and of their end, so a gateway keeps a limit before the engine has told it. Placement leaves out targets without a permit; a request that only such targets could serve, later than it may wait, is refused at once with the time until the next permit.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -17,6 +17,7 @@
 import { createRouteTable, type RouteTable } from '../gateway/routes.js';
 import { createGatewayServer } from '../gateway/server.js';
 import { createTargetDirectory, type Target } from '../gateway/targets.js';
+import { createTargetLimits } from '../gateway/targetlimits.js';
 import { createSpeedModel } from '../gateway/speeds.js';
 import { createStreamAdmission } from '../gateway/streamadmission.js';
 import { createTransfers } from '../gateway/transfers.js';
@@ -84,8 +85,17 @@
       bind: settings.listen.peers,
       ownInFlight: () => directory.all.map(({ id, inFlight }) => [id, inFlight] as const),
       evidence: () => gatewayQuarantine?.packEvidence(),
+      limits: () => limits.pack(),
     }),
   );
+  const limits = createTargetLimits({
+    clock,
+    random,
+    log,
+    directory,
+    gatewayCount: () => peers.count,
+    requestHint: () => peers.scheduleHint(),
+  });
 
   gatewayQuarantine = resources.add(
     createGatewayQuarantine({
@@ -122,6 +132,7 @@
     },
     onTableVersions: (versions) => feeds?.expectVersions(versions),
     onEvidence: (evidence) => gatewayQuarantine?.mergeEvidence(evidence),
+    onLimits: (hints) => limits.merge(hints),
   });
   const orderLease = createOnDemandOrderLease({
     clock,
@@ -153,6 +164,7 @@
     random,
     directory,
     failureTracker,
+    limits,
     transfers,
     peers,
     prefillLoad,
@@ -184,6 +196,7 @@
     configurationVersion: () => routes?.configuration.version ?? 0,
     configurationAgeMs: () => feeds?.configuration.ageMs() ?? Infinity,
     quarantineSize: () => quarantine.size,
+    limitedTargets: () => limits.size,
     droppedLogLines: options.droppedLogLines,
   });
   const dispatcher = createDispatcher({
@@ -196,6 +209,7 @@
     crashDetector,
     quarantine,
     budget,
+    limits,
     speeds,
     streamAdmission: createStreamAdmission({
       clock,
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -16,6 +16,7 @@
   configurationVersion(): number;
   configurationAgeMs(): number;
   quarantineSize(): number;
+  limitedTargets(): number;
   droppedLogLines(): number;
 }
 
@@ -96,6 +97,11 @@
     'Combinations of prompt parts that are not sent because engines crashed under them.',
     gauges.quarantineSize,
   );
+  gauge(
+    'cicadatide_limited_targets',
+    'Targets that name a limit of requests a second.',
+    gauges.limitedTargets,
+  );
   gauge('cicadatide_log_lines_dropped', 'Log lines dropped.', gauges.droppedLogLines);
   const prefillSpeed: Gauge<'service'> = new Gauge({
     name: 'cicadatide_prefill_tokens_per_second',
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -16,6 +16,7 @@
 import { createRequestSender, isRetryable, priorityOf, remainingMs } from './sender.js';
 import { type SpeedModel } from './speeds.js';
 import { type StreamAdmission } from './streamadmission.js';
+import { type TargetLimits } from './targetlimits.js';
 import { type Target } from './targets.js';
 
 /** Forwards one request to targets until one succeeds or no further attempt is possible. */
@@ -33,6 +34,7 @@
   readonly crashDetector: CrashDetector;
   readonly quarantine: Pick<Quarantine, 'find' | 'claimTrial' | 'trackWaiting' | 'observeAnswer'>;
   readonly budget: RetryBudget;
+  readonly limits: TargetLimits;
   readonly speeds: Pick<SpeedModel, 'observe'>;
   readonly streamAdmission: StreamAdmission;
   /** Called when this process's in-flight requests at targets change. */
@@ -64,8 +66,8 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { clock, random, log, protocol, placer, failureTracker, budget, streamAdmission } = options;
-  const { quarantine } = options;
-  const sendRequest = createRequestSender(clock, protocol);
+  const { quarantine, limits } = options;
+  const sendRequest = createRequestSender(clock, protocol, limits);
   const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
 
   /** Forwards the failure response of a target to the caller. */
@@ -124,8 +126,8 @@
         };
       };
 
-      /** Ends a request for which no further attempt is possible. */
-      const finishUnserved = (): CallResult => {
+      /** Ends a request for which no further attempt is possible, or none for a known time. */
+      const finishUnserved = (waitMs = 0): CallResult => {
         if (token.isCancellationRequested) return toResult('left');
         if (response.hasStarted) {
           response.abort();
@@ -137,9 +139,9 @@
         }
         const isTimedOut = remainingMs(call) < minRemainingMs;
         const mayHaveRun = ranOn.size > 0;
-        const notRunKind: LocalResponse = attempts > 0 ? 'overloaded' : 'no-target';
+        const notRunKind: LocalResponse = attempts > 0 || waitMs > 0 ? 'overloaded' : 'no-target';
         const kind: LocalResponse = mayHaveRun ? (isTimedOut ? 'timed-out' : 'failed') : notRunKind;
-        response.sendLocal(kind, retryAfterMs());
+        response.sendLocal(kind, waitMs + retryAfterMs());
         return toResult(kind);
       };
 
@@ -165,8 +167,10 @@
         const waitedMs = clock.now() - arrivedAt;
         const choice = continuation ? undefined : placer.choose(placementRequest, excluded);
         if (!continuation && !choice) {
-          if (waitedMs > route.objectiveMs * targetWaitFraction || attempts >= maxAttempts)
-            return finishUnserved();
+          const waitMs = placer.waitMs(placementRequest, ranOn);
+          const maxWaitMs = route.objectiveMs * targetWaitFraction;
+          if (waitedMs + waitMs > maxWaitMs || attempts >= maxAttempts)
+            return finishUnserved(waitMs);
           // Targets that were full or changing their weights may accept the request a moment later.
           excluded.clear();
           for (const target of ranOn) excluded.add(target);
@@ -182,6 +186,8 @@
             return toResult('overloaded');
           }
         }
+        // Another request may have used the permit since the choice.
+        if (choice && !limits.tryTake(choice.target)) continue;
         const placement = continuation ?? placer.place(placementRequest, choice as Choice);
         continuation = undefined;
         const { target } = placement;
@@ -252,10 +258,11 @@
         isTrial = false;
         if (attemptEnd.kind === 'broken' && remainingMs(call) > minRemainingMs) {
           continuation = placeAtBackup(failureTracker, head, placement, progress);
-          if (continuation) {
+          if (continuation && limits.tryTake(continuation.target)) {
             budget.charge();
             continue;
           }
+          continuation = undefined;
         }
         if (attemptEnd.kind === 'failed' && attemptEnd.response)
           failureResponse = attemptEnd.response;
--- a/src/gateway/hints.ts
+++ b/src/gateway/hints.ts
@@ -1,5 +1,6 @@
 import { type PromptPart } from '../ports/wire.js';
 import { type EvidenceHint, isEvidenceHint } from '../quarantine/share.js';
+import { isLimitHints, type LimitHint } from './targetlimits.js';
 
 /** One placement, published so that the peers record in their models where parts are cached. */
 export interface CacheUse {
@@ -49,6 +50,8 @@
   readonly v: readonly number[];
   /** Evidence of prompt parts that crash engines; absent when there is none. */
   readonly e?: EvidenceHint | undefined;
+  /** Limits that targets named, and ends of them; absent when there are none. */
+  readonly l?: readonly LimitHint[] | undefined;
 }
 
 /** Checks the outer shape of a value from the network, but not the items of its lists. */
@@ -57,6 +60,7 @@
   if (typeof hint !== 'object' || hint === null || typeof hint.n !== 'string') return false;
   if (typeof hint.q !== 'number' || typeof hint.b !== 'number') return false;
   if (hint.e !== undefined && !isEvidenceHint(hint.e)) return false;
+  if (hint.l !== undefined && !isLimitHints(hint.l)) return false;
   return [hint.o, hint.c, hint.u, hint.w, hint.v].every((list) => Array.isArray(list));
 };
 
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -6,6 +6,7 @@
 import { type Logger } from '../base/logging.js';
 import { type EvidenceHint } from '../quarantine/share.js';
 import { type CacheUse, type Hint, isHint, packCacheUse, readCacheUse } from './hints.js';
+import { type LimitHint } from './targetlimits.js';
 import { addLoads, type InFlightLoad, noneInFlight } from './inflight.js';
 
 /** New weights that a gateway observed at a target. */
@@ -23,12 +24,14 @@
   onTableVersions(versions: readonly number[]): void;
   /** Evidence of prompt parts that crash engines; a peer repeats it in several hints. */
   onEvidence(evidence: EvidenceHint): void;
+  /** Limits that targets named to a peer; it repeats them in several hints. */
+  onLimits(limits: readonly LimitHint[]): void;
 }
 
 /**
  * Exchanges hints between the gateways over datagrams: in-flight requests at each target, targets
  * that change their weights, observed weights and table versions, and which engine prefills which
- * prompt parts. Hints are not acknowledged, because a lost one only makes a placement worse or
+ * prompt parts, and the limits that targets name. Hints are not acknowledged, because a lost one only makes a placement worse or
  * delays the detection of a change. Cache uses and weights are sent only once, evidence of crashes
  * several times.
  */
@@ -65,6 +68,8 @@
   ownInFlight(): readonly (readonly [targetId: string, inFlight: InFlightLoad])[];
   /** Evidence of this process for the next hint. */
   evidence(): EvidenceHint | undefined;
+  /** Limits of targets for the next hint. */
+  limits(): readonly LimitHint[] | undefined;
 }
 
 /** Delay that collects hints into one datagram; a request takes tens of milliseconds. */
@@ -158,6 +163,7 @@
       w: weightsChanges.map(({ targetId, model, version }) => [targetId, model, version]),
       v: tableVersions,
       e: options.evidence(),
+      l: options.limits(),
     };
     cacheUses = cacheUses.slice(maxCacheUses, 4 * maxCacheUses);
     weightsChanges = [];
@@ -207,6 +213,7 @@
       listener?.onWeightsChange({ targetId, model, version });
     listener?.onTableVersions(hint.v);
     if (hint.e) listener?.onEvidence(hint.e);
+    if (hint.l) listener?.onLimits(hint.l);
   };
 
   socket.on('message', (bytes) => {
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -10,6 +10,7 @@
 import { type PrefillLoad } from './prefillload.js';
 import { type Candidate, estimateFirstByteMs, pickCandidate } from './scoring.js';
 import { crowdedTokenMs, type FirstByteSample, prefillChunkMs, type SpeedModel } from './speeds.js';
+import { type TargetLimits } from './targetlimits.js';
 import { type Target, type TargetDirectory } from './targets.js';
 import { noSource, type FetchSource, type Transfers, type TransferView } from './transfers.js';
 import { type DesiredWeightsHistory } from './desiredweights.js';
@@ -64,8 +65,13 @@
 
 /** Places requests on targets, based on the state that this process and its peers observed. */
 export interface Placer {
-  /** Returns undefined when each usable target of the service is excluded or down. */
+  /** Returns undefined when each usable target of the service is excluded, down or at its limit. */
   choose(req: PlacementRequest, excluded: ReadonlySet<Target>): Choice | undefined;
+  /**
+   * Time until a target that is neither excluded nor down may get a request, in milliseconds; 0 when
+   * no limit of such a target is the reason that there is no choice.
+   */
+  waitMs(req: PlacementRequest, excluded: ReadonlySet<Target>): number;
   /** Selects the KV store and the backup for a chosen target, and records the cache use. */
   place(req: PlacementRequest, choice: Choice): Placement;
 }
@@ -74,6 +80,7 @@
   readonly random: Random;
   readonly directory: TargetDirectory;
   readonly failureTracker: FailureTracker;
+  readonly limits: Pick<TargetLimits, 'waitMs'>;
   readonly transfers: Transfers;
   readonly peers: Pick<Peers, 'inFlight'>;
   readonly prefillLoad: PrefillLoad;
@@ -120,16 +127,22 @@
 }
 
 export function createPlacer(options: PlacerOptions): Placer {
-  const { random, directory, failureTracker, transfers, peers, dataCentre } = options;
+  const { random, directory, failureTracker, limits, transfers, peers, dataCentre } = options;
+
+  const reachable = (service: string, excluded: ReadonlySet<Target>): readonly Target[] =>
+    directory
+      .usable(service)
+      .filter((target) => !excluded.has(target) && !failureTracker.isDown(target));
 
   return {
+    waitMs({ service }, excluded) {
+      const targets = reachable(service, excluded);
+      return targets.length > 0 ? Math.min(...targets.map((target) => limits.waitMs(target))) : 0;
+    },
     choose({ service, head, team, priority }, excluded) {
       const spec = options.service(service);
       const isEngine = spec?.engine !== undefined && head.model !== undefined;
-      const usable = directory.usable(service);
-      const targets = usable.filter(
-        (target) => !excluded.has(target) && !failureTracker.isDown(target),
-      );
+      const targets = reachable(service, excluded).filter((target) => limits.waitMs(target) === 0);
       const views = new Map<string, TransferView>();
       const viewOf = (salt: string): TransferView => {
         const view = views.get(salt) ?? transfers.view(service, salt, head.parts);
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -4,6 +4,7 @@
 import { type GatewayCall } from './calls.js';
 import { defaultPriority, lowestPriority } from './inflight.js';
 import { type Placement } from './placement.js';
+import { type TargetLimits } from './targetlimits.js';
 
 /**
  * Time without bytes after which a connection test is made. Most first bytes arrive sooner, and
@@ -42,7 +43,11 @@
   listener: Pick<AttemptOptions, 'onFirstByte' | 'onUnderway'>,
 ) => Attempt;
 
-export function createRequestSender(clock: Clock, protocol: WireProtocol): RequestSender {
+export function createRequestSender(
+  clock: Clock,
+  protocol: WireProtocol,
+  limits: Pick<TargetLimits, 'observe'>,
+): RequestSender {
   return (call, placement, progress, ranOnCount, listener) => {
     const { head, route, team } = call;
     const { target } = placement;
@@ -84,7 +89,10 @@
         : route.objectiveMs * hangTimeoutFactor,
       prefillTokens: placement.prefillTokens,
       priority: isStream ? priorityOf(call) : defaultPriority,
-      onHead({ load, weightsVersion }) {
+      onHead({ load, weightsVersion, limitPerSecond, targetId }) {
+        // Another target may have the address by now; what it says of itself is not about this one.
+        if (targetId === undefined || targetId === target.id)
+          limits.observe(target, limitPerSecond);
         if (load) target.observeLoad(load);
         if (weightsVersion === undefined || head.model === undefined) return;
         target.observeWeights(head.model, weightsVersion);
--- a/src/ports/wire.ts
+++ b/src/ports/wire.ts
@@ -77,6 +77,11 @@
   readonly targetId: string | undefined;
   readonly load: TargetLoad | undefined;
   readonly weightsVersion: number | undefined;
+  /**
+   * Requests a second that the target takes from all gateways together; undefined when it names no
+   * limit, NaN when the limit can't be read.
+   */
+  readonly limitPerSecond: number | undefined;
   /** The body has a content encoding, so it is not the one that the target produced. */
   readonly isEncoded: boolean;
 }
--- a/test/docs/operators.test.ts
+++ b/test/docs/operators.test.ts
@@ -58,7 +58,8 @@
         configurationVersion: () => 0,
         configurationAgeMs: () => 0,
         quarantineSize: () => 0,
-      droppedLogLines: () => 0,
+      limitedTargets: () => 0,
+    droppedLogLines: () => 0,
       });
       const clock = createManualClock();
       const log = createNullLogger();
