--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -17,7 +17,7 @@
 import { createRouteTable, type RouteTable } from '../gateway/routes.js';
 import { createGatewayServer } from '../gateway/server.js';
 import { createTargetDirectory, type Target } from '../gateway/targets.js';
-import { createTargetLimits } from '../gateway/targetlimits.js';
+import { createTargetLimits, type TargetLimits } from '../gateway/targetlimits.js';
 import { createSpeedModel } from '../gateway/speeds.js';
 import { createStreamAdmission } from '../gateway/streamadmission.js';
 import { createTransfers } from '../gateway/transfers.js';
@@ -62,6 +62,7 @@
   let processLoad: ProcessLoad | undefined;
   let metrics: GatewayMetrics | undefined;
   let gatewayQuarantine: GatewayQuarantine | undefined;
+  let targetLimits: TargetLimits | undefined;
   const cache = createCacheModel(clock);
   const directory = createTargetDirectory({
     clock,
@@ -85,7 +86,7 @@
       bind: settings.listen.peers,
       ownInFlight: () => directory.all.map(({ id, inFlight }) => [id, inFlight] as const),
       evidence: () => gatewayQuarantine?.packEvidence(),
-      limits: () => limits.pack(),
+      limits: () => targetLimits?.pack(),
     }),
   );
   const limits = createTargetLimits({
@@ -96,6 +97,7 @@
     gatewayCount: () => peers.count,
     requestHint: () => peers.scheduleHint(),
   });
+  targetLimits = limits;
 
   gatewayQuarantine = resources.add(
     createGatewayQuarantine({
--- a/test/daemon/limitedtargets.test.ts
+++ b/test/daemon/limitedtargets.test.ts
@@ -1,10 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { type DaemonProcess } from '../../src/daemon/process.js';
-import { type CallerResult, pause, sendPrompt } from '../standins/platform/caller.js';
+import { gatewayNames, gatewayOf, play } from '../standins/platform/caller.js';
 import { model, type PlatformSite, startPlatformSite } from '../standins/platform/site.js';
 import { type TargetStandin } from '../standins/platform/target.js';
 
-const gatewayNames = ['gw-1', 'gw-2', 'gw-3'];
 const limitPerSecond = 2;
 
 /** Time after which a gateway that a target has told its limit is held to it. */
@@ -26,24 +24,8 @@
 
 afterEach(() => site.close());
 
-/** Sends prompts to the gateways in turn, 40 a second in all. */
-async function play(
-  gateways: readonly DaemonProcess[],
-  playMs: number,
-): Promise<readonly CallerResult[]> {
-  const results: Promise<CallerResult>[] = [];
-  const startedAt = performance.now();
-  for (let index = 0; performance.now() - startedAt < playMs; index += 1) {
-    const turn = index % gateways.length;
-    results.push(sendPrompt(gateways[turn] as DaemonProcess, `${gatewayNames[turn]}.${index}`));
-    await pause(25);
-  }
-  return Promise.all(results);
-}
-
 /** Most requests in a window from gateways that were told, among windows that end after `from`. */
 function mostInWindow({ arrivals, runs }: TargetStandin, namedAt: number): number {
-  const gatewayOf = (requestId: string): string => requestId.split('.')[0] as string;
   const toldAt = new Map<string, number>();
   for (const { requestId, startedAt } of runs) {
     if (startedAt < namedAt || toldAt.has(gatewayOf(requestId))) continue;
--- a/test/standins/platform/caller.ts
+++ b/test/standins/platform/caller.ts
@@ -13,7 +13,7 @@
   readonly retryAfter: number | undefined;
 }
 
-export const pause = (durationMs: number): Promise<void> =>
+const pause = (durationMs: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, durationMs);
   });
@@ -57,3 +57,23 @@
     req.end('{}');
   });
 }
+
+export const gatewayNames = ['gw-1', 'gw-2', 'gw-3'];
+
+/** Sends prompts to the gateways in turn, 40 a second in all; the ids begin with the gateway's name. */
+export async function play(
+  gateways: readonly DaemonProcess[],
+  playMs: number,
+): Promise<readonly CallerResult[]> {
+  const results: Promise<CallerResult>[] = [];
+  const startedAt = performance.now();
+  for (let index = 0; performance.now() - startedAt < playMs; index += 1) {
+    const turn = index % gateways.length;
+    results.push(sendPrompt(gateways[turn] as DaemonProcess, `${gatewayNames[turn]}.${index}`));
+    await pause(25);
+  }
+  return Promise.all(results);
+}
+
+/** Name of the gateway to which `play` sent a request. */
+export const gatewayOf = (requestId: string): string => requestId.split('.')[0] as string;
