Send nothing more to a target whose responses say that it is leaving

Cause: only the registration told a gateway that a target leaves; registrations lag, and some targets never write it. Change: a response with the header takes the target out of placement, backups, KV fetches and the rollout of weights until its next start. What a response with status 421 or of another instance says is not about this target.

--- a/src/daemon/gatewayrollout.ts
+++ b/src/daemon/gatewayrollout.ts
@@ -31,7 +31,7 @@
     desiredVersions: () => desiredWeights.newest,
     engines: (model) =>
       directory.all
-        .filter(({ registration }) => !registration.isLeaving && registration.weights.has(model))
+        .filter(({ isLeaving, registration }) => !isLeaving && registration.weights.has(model))
         .map((target) => {
           const version = target.weightsVersion(model);
           return {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -88,7 +88,7 @@
   readonly prefillTokens: number;
   /** Priority of the request at its target; 0 is the most urgent. */
   readonly priority: number;
-  onHead(head: TargetHead): void;
+  onHead(head: TargetHead, status: number): void;
   onFirstByte(): void;
   /** Called once when the target goes on writing after its first events, or has ended the response. */
   onUnderway(): void;
@@ -219,8 +219,8 @@
       fail(fault);
       return;
     }
-    options.onHead(head);
     const status = message.statusCode ?? 0;
+    options.onHead(head, status);
     const cause = notRunStatuses[status];
     if (cause && (head.isNotRun || status === 421)) {
       end({ kind: 'not-run', cause, head });
--- a/src/gateway/crashes.ts
+++ b/src/gateway/crashes.ts
@@ -42,7 +42,7 @@
   const check = async (target: Target, requests: readonly LostRequest[]): Promise<boolean> => {
     const isAlive = await target.connections.probeAnew();
     pending.delete(target);
-    if (isAlive || target.registration.isLeaving) return false;
+    if (isAlive || target.isLeaving) return false;
     const notUnderway = requests.filter(({ stage }) => stage !== 'underway');
     log.warn(
       {
--- a/src/gateway/outcomes.ts
+++ b/src/gateway/outcomes.ts
@@ -38,7 +38,8 @@
   { target, backup, salt, weightsVersion }: Placement,
   progress: Progress,
 ): Placement | undefined {
-  if (!backup || backup.isRemoved || failureTracker.isDown(backup)) return undefined;
+  if (!backup || backup.isRemoved || backup.isLeaving || failureTracker.isDown(backup))
+    return undefined;
   if (progress.lastEventId === undefined || head.model === undefined) return undefined;
   const isSameVersion =
     target.weightsVersion(head.model) === weightsVersion &&
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -89,10 +89,13 @@
         : route.objectiveMs * hangTimeoutFactor,
       prefillTokens: placement.prefillTokens,
       priority: isStream ? priorityOf(call) : defaultPriority,
-      onHead({ load, weightsVersion, limitPerSecond, targetId }) {
+      onHead({ load, weightsVersion, limitPerSecond, isLeaving, targetId }, status) {
         // Another target may have the address by now; what it says of itself is not about this one.
-        if (targetId === undefined || targetId === target.id)
+        const isOther = status === 421 || (targetId !== undefined && targetId !== target.id);
+        if (!isOther) {
           limits.observe(target, limitPerSecond);
+          if (isLeaving) target.observeLeaving();
+        }
         if (load) target.observeLoad(load);
         if (weightsVersion === undefined || head.model === undefined) return;
         target.observeWeights(head.model, weightsVersion);
--- a/src/gateway/targets.ts
+++ b/src/gateway/targets.ts
@@ -14,6 +14,8 @@
   readonly connections: Connections;
   /** True once the target is no longer listed. */
   readonly isRemoved: boolean;
+  /** The target will stop soon, by its registration or by a response; it gets no more requests. */
+  readonly isLeaving: boolean;
   /** This process's own requests there. */
   readonly inFlight: InFlightLoad;
   readonly load: TargetLoad | undefined;
@@ -23,6 +25,8 @@
   weightsVersion(model: string): number | undefined;
   observeLoad(load: TargetLoad): void;
   observeWeights(model: string, version: number): void;
+  /** Records that a response said that the target is leaving, which holds until its next start. */
+  observeLeaving(): void;
   /**
    * When the newest request was sent to which the target began a response, of those that are not
    * more urgent than `priority`: an engine lets more urgent ones overtake.
@@ -84,10 +88,12 @@
   clock: Clock,
   initial: TargetRegistration,
   onWeightsChange: () => void,
+  onLeaving: () => void,
   onConnected: TargetDirectoryOptions['onConnected'],
 ): ListedTarget {
   let registration = initial;
   let isRemoved = false;
+  let hasAnnouncedLeaving = false;
   /** When the newest request with a response was sent, by priority. */
   const respondedSentAt: number[] = [];
   let requests = 0;
@@ -107,6 +113,9 @@
     get isRemoved() {
       return isRemoved;
     },
+    get isLeaving() {
+      return hasAnnouncedLeaving || registration.isLeaving;
+    },
     get inFlight() {
       return { requests, prefillTokens };
     },
@@ -124,6 +133,11 @@
       weights.set(model, { version, observedAt: clock.now() });
       if (isChanged) onWeightsChange();
     },
+    observeLeaving() {
+      if (hasAnnouncedLeaving) return;
+      hasAnnouncedLeaving = true;
+      onLeaving();
+    },
     newestRespondedSentAt(priority) {
       let newest = -Infinity;
       for (let index = priority; index <= lowestPriority; index += 1)
@@ -198,7 +212,7 @@
     all = [...targets.values()];
     byService = new Map();
     for (const target of all) {
-      if (target.registration.isLeaving) continue;
+      if (target.isLeaving) continue;
       const list = byService.get(target.registration.service) ?? [];
       list.push(target);
       byService.set(target.registration.service, list);
@@ -211,6 +225,14 @@
     notify();
   };
 
+  const onLeaving = (id: string): void => {
+    log.info(
+      { target: id },
+      'a response says that the target is leaving; it gets no more requests',
+    );
+    rebuild();
+  };
+
   const removeTarget = (id: string, reason: string): void => {
     const target = targets.get(id);
     if (!target) return;
@@ -263,7 +285,13 @@
     if (known) removeTarget(id, 'target restarted');
     targets.set(
       id,
-      createTarget(clock, registration, () => onWeightsChange(id), options.onConnected),
+      createTarget(
+        clock,
+        registration,
+        () => onWeightsChange(id),
+        () => onLeaving(id),
+        options.onConnected,
+      ),
     );
     const { service, dataCentre, isLeaving } = registration;
     log.info({ target: id, service, dataCentre, isLeaving }, 'target added');
--- a/src/gateway/transfers.ts
+++ b/src/gateway/transfers.ts
@@ -101,7 +101,7 @@
     for (const [id, { transferableTokens }] of prefixes) {
       const engine = directory.find(id);
       if (transferableTokens < minFetchTokens || engine?.registration.service !== service) continue;
-      if (engine.registration.isLeaving || failureTracker.isDown(engine)) continue;
+      if (engine.isLeaving || failureTracker.isDown(engine)) continue;
       const { address, dataCentre } = engine.registration;
       const source = { ...noSource, tokens: transferableTokens, address };
       found.push({ ...source, id, dataCentre });
--- a/src/ports/wire.ts
+++ b/src/ports/wire.ts
@@ -82,6 +82,8 @@
    * limit, NaN when the limit can't be read.
    */
   readonly limitPerSecond: number | undefined;
+  /** The target will stop soon and wants no more requests. */
+  readonly isLeaving: boolean;
   /** The body has a content encoding, so it is not the one that the target produced. */
   readonly isEncoded: boolean;
 }
--- a/test/gateway/crashes.test.ts
+++ b/test/gateway/crashes.test.ts
@@ -14,7 +14,8 @@
   });
   const target = {
     id: 't',
-    registration: { service: 's', isLeaving },
+    registration: { service: 's' },
+    isLeaving,
     connections: { probeAnew: async () => isAlive },
   } as unknown as Target;
   const results = [
