Give a target the pause that it asks for when it turns a request away

The refusal counted for the one request only. Change: no request goes to that target from this gateway until the time is over (at most 10 minutes). If no other target can serve a request, it is refused at once with the rest of the pause as Retry-After.

--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -46,7 +46,7 @@
 export function createRequestSender(
   clock: Clock,
   protocol: WireProtocol,
-  limits: Pick<TargetLimits, 'observe'>,
+  limits: Pick<TargetLimits, 'observe' | 'observePause'>,
 ): RequestSender {
   return (call, placement, progress, ranOnCount, listener) => {
     const { head, route, team } = call;
@@ -89,11 +89,13 @@
         : route.objectiveMs * hangTimeoutFactor,
       prefillTokens: placement.prefillTokens,
       priority: isStream ? priorityOf(call) : defaultPriority,
-      onHead({ load, weightsVersion, limitPerSecond, isLeaving, targetId }, status) {
+      onHead({ load, weightsVersion, limitPerSecond, retryAfterMs, isLeaving, targetId }, status) {
         // Another target may have the address by now; what it says of itself is not about this one.
         const isOther = status === 421 || (targetId !== undefined && targetId !== target.id);
         if (!isOther) {
           limits.observe(target, limitPerSecond);
+          if (status === 503 && retryAfterMs !== undefined)
+            limits.observePause(target, retryAfterMs);
           if (isLeaving) target.observeLeaving();
         }
         if (load) target.observeLoad(load);
--- a/src/gateway/targetlimits.ts
+++ b/src/gateway/targetlimits.ts
@@ -8,8 +8,9 @@
 export type LimitHint = readonly [targetId: string, limitPerSecond: number, ageMs: number];
 
 /**
- * Limits that targets in need name in their responses: requests a second from all gateways together.
- * Each gateway uses an equal part of a limit, which needs no communication about single requests.
+ * What targets in need ask for in their responses: a limit of requests a second from all gateways
+ * together, of which each gateway uses an equal part without communication about single requests,
+ * and pauses, which concern only the gateway that gets the response.
  */
 export interface TargetLimits {
   /** Number of targets that have a limit. */
@@ -19,6 +20,8 @@
    * nothing, when it can't be read.
    */
   observe(target: Target, limitPerSecond: number | undefined): void;
+  /** Records that a target which turned a request away wants none from this gateway for a time. */
+  observePause(target: Target, pauseMs: number): void;
   /** Time until this gateway may send a request to the target, in milliseconds. */
   waitMs(target: Target): number;
   /** Counts a request as sent; returns false when this gateway may not send one now. */
@@ -52,6 +55,9 @@
 
 const mentionHoldMs = 2_000;
 
+/** Longest pause that a target gets; a larger figure is taken for a fault. */
+const maxPauseMs = 600_000;
+
 /** Time for which a mention of a limit, and its end, are repeated in hints, which may get lost. */
 const hintRepeatMs = 5_000;
 
@@ -70,6 +76,10 @@
 export function createTargetLimits(options: TargetLimitsOptions): TargetLimits {
   const { clock, random, log, directory } = options;
   const records = new Map<Target, LimitRecord>();
+  const pausedUntil = new WeakMap<Target, number>();
+
+  const remainingPauseMs = (target: Target): number =>
+    Math.max(0, (pausedUntil.get(target) ?? -Infinity) - clock.now());
 
   const ratePerSecond = (limitPerSecond: number): number =>
     Math.max(minRatePerSecond, limitPerSecond * limitFraction) /
@@ -129,12 +139,22 @@
       record.responsesWithout += 1;
       if (record.responsesWithout >= responsesWithoutLimit) recordEnd(target, record, clock.now());
     },
+    observePause(target, pauseMs) {
+      const remainingMs = remainingPauseMs(target);
+      const nextMs = Math.min(pauseMs, maxPauseMs);
+      if (nextMs <= remainingMs) return;
+      pausedUntil.set(target, clock.now() + nextMs);
+      if (remainingMs === 0)
+        log.info({ target: target.id, pauseMs: nextMs }, 'target wants no requests for a time');
+    },
     waitMs(target) {
+      const pauseMs = remainingPauseMs(target);
       const record = records.get(target);
-      if (record?.limitPerSecond === undefined) return 0;
-      return record.permits.waitMs(ratePerSecond(record.limitPerSecond));
+      if (record?.limitPerSecond === undefined) return pauseMs;
+      return Math.max(pauseMs, record.permits.waitMs(ratePerSecond(record.limitPerSecond)));
     },
     tryTake(target) {
+      if (remainingPauseMs(target) > 0) return false;
       const record = records.get(target);
       if (record?.limitPerSecond === undefined) return true;
       return record.permits.tryTake(ratePerSecond(record.limitPerSecond));
--- a/src/ports/wire.ts
+++ b/src/ports/wire.ts
@@ -82,6 +82,11 @@
    * limit, NaN when the limit can't be read.
    */
   readonly limitPerSecond: number | undefined;
+  /**
+   * Time for which the target wants no requests from this gateway, if it turned the request away;
+   * undefined when it names none.
+   */
+  readonly retryAfterMs: number | undefined;
   /** The target will stop soon and wants no more requests. */
   readonly isLeaving: boolean;
   /** The body has a content encoding, so it is not the one that the target produced. */
--- a/test/daemon/targetnotices.test.ts
+++ b/test/daemon/targetnotices.test.ts
@@ -52,3 +52,45 @@
     expect(results.filter(({ status }) => status !== 200)).toEqual([]);
   }, 15_000);
 });
+
+describe('gateways before an engine that asks for a pause', () => {
+  const retryAfterMs = 1_500;
+
+  /** Time after the refusal within which requests may still arrive. */
+  const graceMs = 500;
+
+  /** Requests that may arrive between then and the end of the pause, by the stated rule. */
+  const maxDuringPause = 2;
+
+  beforeEach(() => {
+    const headers = { 'Retry-After': String(retryAfterMs / 1_000) };
+    engine.behaviour = { ...engine.behaviour, fault: 'full', headers };
+  });
+
+  it('send it nothing for that time, and serve callers elsewhere', async () => {
+    await startGateways();
+    const results = await play(gateways, 4_000);
+    const during = engine.arrivals.map((refused) =>
+      engine.arrivals.filter(
+        ({ requestId, at }) =>
+          gatewayOf(requestId) === gatewayOf(refused.requestId) &&
+          at > refused.at + graceMs &&
+          at < refused.at + retryAfterMs,
+      ),
+    );
+    expect(Math.max(...during.map(({ length }) => length))).toBeLessThanOrEqual(maxDuringPause);
+    expect(results.filter(({ status }) => status !== 200)).toEqual([]);
+  }, 15_000);
+
+  it('refuse what no other engine can serve, and say when to come back', async () => {
+    const gateway = await site.startGateway('gw-1');
+    await sendPrompt(gateway, 'first');
+    const { length } = engine.arrivals;
+    const refused = await sendPrompt(gateway, 'second');
+    expect(engine.arrivals.length).toBe(length);
+    expect(refused.status).toBe(503);
+    expect(refused.retryAfter).toBeGreaterThan(0.2);
+    engine.behaviour = { ...engine.behaviour, fault: 'none' };
+    await until(async () => (await sendPrompt(gateway, 'later')).status === 200);
+  });
+});
--- a/test/gateway/targetlimits.test.ts
+++ b/test/gateway/targetlimits.test.ts
@@ -87,6 +87,19 @@
     expect([limits.size, limits.waitMs(target)]).toEqual([0, 0]);
   });
 
+  it('is independent of a pause, which later and shorter ones do not end', async () => {
+    const { clock, target, all } = setUp(2);
+    const [paused, other] = all as [TargetLimits, TargetLimits];
+    paused.observePause(target, 2_000);
+    paused.observePause(target, 500);
+    other.merge(paused.pack() ?? []);
+    expect([paused.waitMs(target), other.waitMs(target)]).toEqual([2_000, 0]);
+    await clock.advance(1_999);
+    expect(paused.tryTake(target)).toBe(false);
+    await clock.advance(1);
+    expect(paused.tryTake(target)).toBe(true);
+  });
+
   it('is known to peers that got no response, until its end is known to them', async () => {
     const { clock, target, all } = setUp(2);
     const [first, second] = all as [TargetLimits, TargetLimits];
--- a/test/platform/headers.test.ts
+++ b/test/platform/headers.test.ts
@@ -87,6 +87,28 @@
     expect(head).toMatchSnapshot();
   });
 
+  it('tell what the target asks for', () => {
+    const head = headerProtocol.readTarget({
+      'server-limit': '1.2',
+      'server-leaving': '1',
+      'retry-after': '0.5',
+    });
+    expect([head.limitPerSecond, head.isLeaving, head.retryAfterMs]).toEqual([1.2, true, 500]);
+  });
+
+  it.each(['', 'soon', '-1', '1.2, 1.3', '1e9', 'Infinity', 'Sat, 05 Dec 2026 09:00:00 GMT'])(
+    'tell nothing that the gateway uses by the figure %j',
+    (figure) => {
+      const headers = { 'server-limit': figure, 'server-leaving': figure, 'retry-after': figure };
+      const head = headerProtocol.readTarget(headers);
+      expect([head.limitPerSecond, head.isLeaving, head.retryAfterMs]).toEqual([
+        Number.NaN,
+        false,
+        undefined,
+      ]);
+    },
+  );
+
   it('yield no load when a figure is missing or is not a number', () => {
     expect(headerProtocol.readTarget({ 'x-load': '3,1' }).load).toBeUndefined();
     expect(headerProtocol.readTarget({ 'x-load': '3,x,8' }).load).toBeUndefined();
