Answer every request before a planned stop ends, and pass none on too late

It can happen here: a call whose body is complete after the gateway has begun to stop was sent whatever was left of the grace, and requests in progress at its end got a closed connection. Cause: the gateway decided at the head of a request whether it still takes it, not when it sends it; the end of the grace closed the connections of requests that had no response yet. Change: graceperiod.ts decides before each send whether the request fits into the rest of the grace; one that was not sent gets 503, not run, at once. At the end a request without a response gets 502 (sent, may have run) or 503 (not sent) before the connection closes; started streams are broken off as before.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -201,6 +201,8 @@
     limitedTargets: () => limits.size,
     droppedLogLines: options.droppedLogLines,
   });
+  /** When running requests are interrupted; Infinity until the process is stopped. */
+  let interruptsAt = Infinity;
   const dispatcher = createDispatcher({
     clock,
     random,
@@ -221,6 +223,7 @@
         directory.all.filter(({ registration }) => registration.weights.size > 0).length /
         peers.count,
     }),
+    remainingGraceMs: () => interruptsAt - clock.now(),
     onLoadChange: () => peers.scheduleHint(),
   });
 
@@ -354,17 +357,18 @@
     },
     async drain() {
       const startedAt = clock.now();
+      interruptsAt = startedAt + settings.shutdown.grace - closeReserveMs;
       isDraining = true;
       callerServer.closeAfterResponses();
       await sleep(clock, settings.shutdown.balancer_wait, noCancellation);
       callerServer.refuseNew();
-      const remainingMs = settings.shutdown.grace - closeReserveMs - (clock.now() - startedAt);
-      await waitUntilIdle(clock, log, () => callerServer.active, remainingMs);
+      await waitUntilIdle(clock, log, () => callerServer.active, interruptsAt - clock.now());
+      const interruptedCount = callerServer.interruptAll();
       await sleep(clock, lingerMs, noCancellation);
       closeHttp(callerServer.server).catch((err: unknown) => {
         log.debug({ err: errMessage(err) }, 'caller listener was already closed');
       });
-      const interruptedCount = stop();
+      stop();
       log.info(
         { cut: interruptedCount, tookMs: Math.round(clock.now() - startedAt) },
         'gateway stopped',
--- a/src/gateway/deferral.ts
+++ b/src/gateway/deferral.ts
@@ -45,14 +45,21 @@
  */
 const processRecheckIntervalMs = 20;
 
+/** Time that is reserved for the tokens of a response, in milliseconds. */
+export function outputTimeMs({
+  outputTokens,
+  crowdedTokenMs,
+}: Pick<DeferrableRequest, 'outputTokens' | 'crowdedTokenMs'>): number {
+  return outputTokens * crowdedTokenMs * reservedOutputRatio;
+}
+
 /**
  * Time that a request can still be deferred and then begin before its caller abandons it, and
  * complete before its deadline.
  */
 function spareMs(request: DeferrableRequest): number {
-  const { expectedMs, remainingMs, outputTokens, crowdedTokenMs, patienceMs, waitedMs } = request;
-  const outputMs = outputTokens * crowdedTokenMs * reservedOutputRatio;
-  const latestStartMs = Math.min(patienceMs - waitedMs, remainingMs - outputMs);
+  const { expectedMs, remainingMs, patienceMs, waitedMs } = request;
+  const latestStartMs = Math.min(patienceMs - waitedMs, remainingMs - outputTimeMs(request));
   return latestStartMs - expectedMs - reservedMs;
 }
 
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -8,6 +8,7 @@
 import { type BufferedResponse, type Progress } from './attempt.js';
 import { type CallResult, type GatewayCall } from './calls.js';
 import { type CrashDetector } from './crashes.js';
+import { fitsGrace } from './graceperiod.js';
 import { type FailureTracker } from './failuretracker.js';
 import { placeAtBackup, recordAttemptEnd } from './outcomes.js';
 import { type Quarantine, type Quarantined } from '../quarantine/quarantine.js';
@@ -37,6 +38,8 @@
   readonly limits: TargetLimits;
   readonly speeds: Pick<SpeedModel, 'observe'>;
   readonly streamAdmission: StreamAdmission;
+  /** Time for which this process serves requests, in milliseconds; Infinity until it stops. */
+  remainingGraceMs(): number;
   /** Called when this process's in-flight requests at targets change. */
   onLoadChange(): void;
 }
@@ -156,6 +159,21 @@
         return toResult('quarantined');
       };
 
+      const isTooLate = ({ expectedMs, crowdedTokenMs }: Choice): boolean => {
+        const { kind, objectiveMs } = route;
+        const outputTokens = head.expectedOutputTokens;
+        const timing = { expectedMs, crowdedTokenMs, remainingMs: remainingMs(call) };
+        const stopping = { ...timing, kind, objectiveMs, outputTokens };
+        return !fitsGrace(stopping, options.remainingGraceMs());
+      };
+
+      /** Ends a request that is not sent because this process stops. */
+      const finishStopping = (): CallResult => {
+        if (ranOn.size > 0 || response.hasStarted) return finishUnserved();
+        response.sendLocal('not-ready', retryAfterMs());
+        return toResult('not-ready');
+      };
+
       for (;;) {
         if (token.isCancellationRequested || remainingMs(call) < minRemainingMs)
           return finishUnserved();
@@ -186,6 +204,7 @@
             return toResult('overloaded');
           }
         }
+        if (choice && isTooLate(choice)) return finishStopping();
         // Another request may have used the permit since the choice.
         if (choice && !limits.tryTake(choice.target)) continue;
         const placement = continuation ?? placer.place(placementRequest, choice as Choice);
--- a/src/gateway/response.ts
+++ b/src/gateway/response.ts
@@ -26,7 +26,7 @@
 
 /** Status and remedy of each local response. */
 export const localResponses: Readonly<Record<LocalResponse, LocalResponseSpec>> = {
-  'not-ready': { status: 503, isRetryable: true, remedy: 'no configuration yet; retry elsewhere' },
+  'not-ready': { status: 503, isRetryable: true, remedy: 'starting or stopping; retry elsewhere' },
   'no-target': { status: 503, isRetryable: true, remedy: 'no target is usable; retry later' },
   overloaded: { status: 503, isRetryable: true, remedy: 'the service is full; retry later' },
   quarantined: {
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
+import { type CancellationSource } from '../base/cancellation.js';
 import { cancelOnClose } from '../base/callerclose.js';
 import { type Clock } from '../base/clock.js';
 import { createDeadline } from '../base/deadline.js';
@@ -30,6 +31,11 @@
   closeAfterResponses(): void;
   /** Closes idle connections and responds to new requests with `not-ready`. */
   refuseNew(): void;
+  /**
+   * Ends the requests in progress and returns their number. Callers that have no response yet learn
+   * whether their request may have run; started responses are broken off.
+   */
+  interruptAll(): number;
   /** Sets the idle timeout of connections, in milliseconds. */
   setIdleTimeout(idleMs: number): void;
 }
@@ -92,6 +98,8 @@
   let active = 0;
   let isClosing = false;
   let isRefusing = false;
+  let isInterrupting = false;
+  const sources = new Set<CancellationSource>();
 
   const refuse = (
     response: CallerResponse,
@@ -130,6 +138,8 @@
     const timeout = createDeadline(clock, route.timeoutMs);
     const deadline = createDeadline(clock, head.waitMs ?? route.timeoutMs);
     const source = cancelOnClose(req, res, () => response.isFinished);
+    sources.add(source);
+    res.once('close', () => sources.delete(source));
     let body: Buffer | undefined;
     if (!hasNoBody(req)) {
       body = await readBody(req, configuration.limits.maxBodyBytes);
@@ -155,7 +165,15 @@
       response,
       token: source.token,
     };
-    return starts.enqueue(() => dispatcher.dispatch(call));
+    const result = await starts.enqueue(() => dispatcher.dispatch(call));
+    if (result.outcome !== 'left' || !isInterrupting) return result;
+    if (response.hasStarted) {
+      response.abort();
+      return { ...result, outcome: 'broken' };
+    }
+    const outcome = result.attempts > 0 ? 'failed' : 'not-ready';
+    response.sendLocal(outcome, notReadyRetryAfterMs);
+    return { ...result, outcome };
   };
 
   const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
@@ -233,6 +251,12 @@
       isRefusing = true;
       server.closeIdleConnections();
     },
+    interruptAll() {
+      isInterrupting = true;
+      const count = active;
+      for (const source of [...sources]) source.cancel('gateway is stopping');
+      return count;
+    },
     setIdleTimeout(idleMs) {
       server.keepAliveTimeout = idleMs;
     },
