End a limit with the first response that no longer names it

Cause: two responses without the limit were required, and each gateway gets them at its part of the rate only. Change: one is enough if the last mention is 2 s old; peers learn of the end by the next hint, as before.

--- a/src/gateway/targetlimits.ts
+++ b/src/gateway/targetlimits.ts
@@ -48,11 +48,9 @@
 const minRatePerSecond = 0.2;
 
 /**
- * A limit ends after this many responses in a row without it, if the last mention is older than the
- * time: responses on different connections may overtake each other.
+ * A limit ends with a response without it if the last mention is older than this: responses on
+ * different connections may overtake each other.
  */
-const responsesWithoutLimit = 2;
-
 const mentionHoldMs = 2_000;
 
 /** Longest pause that a target gets; a larger figure is taken for a fault. */
@@ -69,7 +67,6 @@
   /** When a response last named the limit. */
   namedAt: number;
   endedAt: number;
-  responsesWithout: number;
   readonly permits: RatePermits;
 }
 
@@ -93,7 +90,6 @@
       limitPerSecond,
       namedAt,
       endedAt: -Infinity,
-      responsesWithout: 0,
       permits,
     });
     if (known?.limitPerSecond === limitPerSecond) return;
@@ -135,9 +131,7 @@
         return;
       }
       const record = records.get(target);
-      if (!record) return;
-      record.responsesWithout += 1;
-      if (record.responsesWithout >= responsesWithoutLimit) recordEnd(target, record, clock.now());
+      if (record) recordEnd(target, record, clock.now());
     },
     observePause(target, pauseMs) {
       const remainingMs = remainingPauseMs(target);
