Play wrong replies of the store and what targets ask for in the soak

Handlers with a generator of their own, so that the earlier faults keep their order with each seed: a change that the feed leaves out, a configuration in another partition, malformed rows, limits and pauses of targets. At the end every gateway must have the newest configuration.

--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -38,6 +38,9 @@
 /** Added to the seed of the generator that decides which callers disconnect. */
 const disconnectSeedOffset = 1_000_003;
 
+/** Added to the seed of the generator of the faults in contents, so that the others keep their order. */
+const contentSeedOffset = 2_000_003;
+
 /** Maximum time between the starts of two faults; below `maxFaultMs`, so that faults overlap. */
 const maxFaultGapMs = 700;
 
@@ -149,6 +152,36 @@
     foreignRow: async () => store.putRaw('servers', 'foreign', Buffer.from([0xff, 0x7b])),
   };
 
+  const contentRandom = createSeededRandom(seed + contentSeedOffset);
+
+  /** Replies that come in time and are wrong, and what targets ask for in their responses. */
+  const contentHandlers: Readonly<Record<string, (faultMs: number) => Promise<void>>> = {
+    lostChange: async () => {
+      store.losesChanges = true;
+      version += 1;
+      store.put('op', 'config', configuration(version));
+      store.losesChanges = false;
+    },
+    otherPartition: async () => {
+      const withoutTeams = configuration(version + 1_000, { tenants: [] });
+      store.putInPartition('op', 'other', 'config', withoutTeams);
+    },
+    malformedRow: async () => store.addMalformedRow(pick(contentRandom, ['op', 'servers'])),
+    limit: async (faultMs) => {
+      const target = pick(contentRandom, targets);
+      target.behaviour = { ...target.behaviour, headers: { 'Server-Limit': '1.5' } };
+      await pause(faultMs);
+      target.behaviour = { ...target.behaviour, headers: {} };
+    },
+    pause: async (faultMs) => {
+      const target = pick(contentRandom, targets);
+      const headers = { 'Retry-After': '0.8' };
+      target.behaviour = { ...target.behaviour, fault: 'full', headers };
+      await pause(faultMs);
+      target.behaviour = { ...target.behaviour, fault: 'none', headers: {} };
+    },
+  };
+
   const sendTraffic = async (): Promise<void> => {
     while (performance.now() - startedAt < durationMs + recoveryMs) {
       const runningGateways = gateways.filter(({ isRunning }) => isRunning);
@@ -161,19 +194,40 @@
     }
   };
 
-  const injectFaults = async (): Promise<void> => {
+  const injectFrom = async (handlers: typeof faultHandlers, source: Random): Promise<void> => {
     while (performance.now() - startedAt < durationMs) {
-      const name = pick(random, Object.keys(faultHandlers));
+      const name = pick(source, Object.keys(handlers));
       faults.push(`${Math.round(performance.now() - startedAt)} ${name}`);
-      runInBackground(() =>
-        (faultHandlers[name] as (faultMs: number) => Promise<void>)(random.next() * maxFaultMs),
-      );
-      await pause(random.next() * maxFaultGapMs);
+      const faultMs = source.next() * maxFaultMs;
+      runInBackground(() => (handlers[name] as (ms: number) => Promise<void>)(faultMs));
+      await pause(source.next() * maxFaultGapMs);
     }
+  };
+
+  const injectFaults = async (): Promise<void> => {
+    await Promise.all([
+      injectFrom(faultHandlers, random),
+      injectFrom(contentHandlers, contentRandom),
+    ]);
     await Promise.all(background);
     areFaultsOver = true;
   };
 
+  /** Versions of the configuration that are in force although the faults are over and it is newer. */
+  const findOldConfigurations = async (): Promise<readonly string[]> => {
+    const versions = await Promise.all(
+      gateways
+        .filter(({ isRunning }) => isRunning)
+        .map(async ({ name, readyPort }) => {
+          const res = await fetch(`http://127.0.0.1:${readyPort}/metrics`);
+          const [, found] =
+            /^cicadatide_configuration_version (\d+)$/m.exec(await res.text()) ?? [];
+          return `${name} has version ${found}`;
+        }),
+    );
+    return versions.filter((text) => !text.endsWith(` ${version}`));
+  };
+
   try {
     store.put('op', 'config', configuration(1));
     for (const name of ['llm-1', 'llm-2', 'llm-3']) await addTarget('llm', name);
@@ -204,6 +258,15 @@
       const detail = `${recent.filter(isServed).length} of the last ${recent.length} served`;
       violations.push({ promise: 'requests succeed after the faults', requestId: '', detail });
     }
+    const oldConfigurations = await findOldConfigurations();
+    if (areFaultsOver && oldConfigurations.length > 0) {
+      const detail = oldConfigurations.join(', ');
+      violations.push({
+        promise: `configuration ${version} is in force`,
+        requestId: '',
+        detail,
+      });
+    }
     const findStaleEngines = (): readonly TargetStandin[] =>
       targets.filter(
         ({ id, weights: loadedVersion }) => id.startsWith('llm') && loadedVersion !== weights,
