Move the verification of a table out of the watch

No behaviour changes; the tests of both and missedconfiguration.test.ts pass. A test states the rate of the verification by number of gateways.

--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -4,7 +4,8 @@
 import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
 import { fullJitter, type Random } from '../base/random.js';
-import { type Row, type RowFeedPort, type RowSet } from '../ports/rows.js';
+import { type Row, type RowFeedPort } from '../ports/rows.js';
+import { verifyRepeatedly } from './verification.js';
 
 /** Rows that a table watch passes to its listener. */
 export interface RowChange {
@@ -72,9 +73,6 @@
  */
 const slowReplyMs = 800;
 
-/** Time limit of a read that verifies the table; the store replies within a few milliseconds. */
-const verifyTimeoutMs = 700;
-
 /** Delay before rows are read again that the listener could not apply. */
 const listenerRetryMs = 1_000;
 
@@ -233,61 +231,40 @@
     }
   };
 
-  const listInTime = async (token: CancellationToken): Promise<RowSet> => {
-    const listSource = createCancellationSource(token);
-    const timer = clock.setTimer(verifyTimeoutMs, () => listSource.cancel('no reply in time'));
-    try {
-      return await feed.list(table, listSource.token);
-    } finally {
-      timer.dispose();
-      listSource.dispose();
-    }
-  };
-
-  /** Compares the table with the rows that were read, after the feed had time to report changes. */
-  const verify = async (token: CancellationToken): Promise<void> => {
-    const { rows } = await listInTime(token);
-    const isMissed = ({ key, version }: Row): boolean => (rowVersions.get(key) ?? -1) < version;
-    const keys = new Set(rows.map(({ key }) => key));
-    const isUnchanged = [...rowVersions.keys()].every((key) => keys.has(key));
-    if (isUnchanged && !rows.some(isMissed)) return;
-    const pending = [...rowVersions].filter(([key]) => !keys.has(key));
-    await sleep(clock, expectedChangeTimeoutMs + (options.pauseMs?.() ?? 0), token);
-    const isStillListed = pending.some(([key, version]) => rowVersions.get(key) === version);
-    if (failures > 0 || !(isStillListed || rows.some(isMissed))) return;
-    reportMissedChange();
-    openCallSource.cancel('the table has a change that the feed did not report');
-  };
-
-  const runVerification = async (
-    verifyMs: () => number,
-    token: CancellationToken,
-  ): Promise<void> => {
-    for (;;) {
-      await sleep(clock, verifyMs(), token);
-      // A feed that fails is retried, and then reports all changes.
-      if (failures > 0 || position === undefined) continue;
-      await verify(token).catch((err: unknown) => {
-        token.throwIfCancelled();
-        log.warn(
-          { table, err: errMessage(err) },
-          'failed to verify the table; the feed is retried',
-        );
-        isConnectionSuspect = true;
-        openCallSource.cancel('the table could not be verified');
-      });
-    }
-  };
-
   const onEnded = (err: unknown): void => {
     if (source.token.isCancellationRequested) return;
     log.error({ table, err: errMessage(err) }, 'table watch ended; restart the process');
   };
 
   run(source.token).catch(onEnded);
-  if (options.verifyMs) {
-    const { verifyMs } = options;
-    runVerification(() => verifyMs(), source.token).catch(onEnded);
+  const { verifyMs } = options;
+  if (verifyMs) {
+    verifyRepeatedly(
+      {
+        clock,
+        feed,
+        table,
+        rowVersions,
+        verifyMs: () => verifyMs(),
+        // The feed has this long to report a change that the table already has.
+        settleMs: () => expectedChangeTimeoutMs + (options.pauseMs?.() ?? 0),
+        // A feed that fails is retried, and then reports all changes.
+        isReadable: () => failures === 0 && position !== undefined,
+        onMissedChange() {
+          reportMissedChange();
+          openCallSource.cancel('the table has a change that the feed did not report');
+        },
+        onFailure(err) {
+          log.warn(
+            { table, err: errMessage(err) },
+            'failed to verify the table; the feed is retried',
+          );
+          isConnectionSuspect = true;
+          openCallSource.cancel('the table could not be verified');
+        },
+      },
+      source.token,
+    ).catch(onEnded);
   }
 
   return {
--- a/test/daemon/gatewayfeeds.test.ts
+++ b/test/daemon/gatewayfeeds.test.ts
@@ -1,6 +1,10 @@
 import { describe, expect, it } from 'vitest';
 import { createSeededRandom } from '../../src/base/random.js';
-import { configurationWaitMs, targetPauseMs } from '../../src/daemon/gatewayfeeds.js';
+import {
+  configurationWaitMs,
+  targetPauseMs,
+  verificationMs,
+} from '../../src/daemon/gatewayfeeds.js';
 
 describe('the load of the gateways on the store', () => {
   it.each([1, 6, 27, 340])('stays within three idle calls a second for %i gateways', (gateways) => {
@@ -20,3 +24,17 @@
     expect([1, 6, 27, 340].map(targetPauseMs)).toEqual([400, 400, 945, 1_000]);
   });
 });
+
+describe('the verification of the configuration', () => {
+  it.each([1, 6, 27, 340])('is made about once a second by %i gateways together', (gateways) => {
+    const random = createSeededRandom(gateways);
+    const times = Array.from({ length: 2_000 }, () =>
+      verificationMs('configuration', gateways, random),
+    );
+    const meanMs = times.reduce((sum, ms) => sum + ms, 0) / times.length;
+    expect(meanMs / gateways).toBeGreaterThan(900);
+    expect(meanMs / gateways).toBeLessThan(1_100);
+    // A gateway that gets no hints verifies at its own rate.
+    expect(Math.max(...times)).toBeLessThanOrEqual(1_500 * gateways);
+  });
+});
