--- a/review/lib/target.mjs
+++ b/review/lib/target.mjs
@@ -52,7 +52,7 @@
       res.on('close', () => {
         running -= 1;
         run.endedAt = performance.now();
-        run.end = res.writableFinished ? 'answered' : 'connection closed';
+        run.end ??= res.writableFinished ? 'answered' : 'connection closed';
       });
       res.setHeader('X-Server-Stamp', `stamp.${id}.${requestId}`);
       res.setHeader('X-Load', `${running},0,${slots}`);
