Repeats: a line and a metric for each decision to send a request again

`attempt failed` gets `service`, `callerHas` and `lastEventId`. Each decision on a further attempt writes one line with its kind and its inputs, at most five a request, and counts in `cicadatide_repeats_total` or `cicadatide_repeats_refused_total`. No decision changes.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -13,6 +13,7 @@
 import { createPeers } from '../gateway/peers.js';
 import { createPlacer } from '../gateway/placement.js';
 import { createPrefillLoad } from '../gateway/prefillload.js';
+import { createRepeats } from '../gateway/repeats.js';
 import { createRetryBudget } from '../gateway/retrybudget.js';
 import { createRouteTable, type RouteTable } from '../gateway/routes.js';
 import { createGatewayServer } from '../gateway/server.js';
@@ -213,6 +214,11 @@
     crashDetector,
     quarantine,
     budget,
+    repeats: createRepeats({
+      log,
+      budget,
+      onDecision: (...decision) => metrics?.recordRepeat(...decision),
+    }),
     limits,
     speeds,
     streamAdmission: createStreamAdmission({
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 import { type CallResult } from '../gateway/calls.js';
+import { type RepeatKind } from '../gateway/repeats.js';
 import { type SpeedModel } from '../gateway/speeds.js';
 import { type TargetDirectory } from '../gateway/targets.js';
 
@@ -26,6 +27,8 @@
 /** Recorders of what happens at a gateway. */
 export interface GatewayMetrics {
   recordResult(result: GatewayResult): void;
+  /** Records the decision on sending a request to a target again. */
+  recordRepeat(service: string, kind: RepeatKind, isAllowed: boolean): void;
   recordCrash(service: string): void;
   recordMissedChange(table: string): void;
   recordIgnoredRow(table: string): void;
@@ -46,6 +49,18 @@
     labelNames: ['route'],
     registers,
   });
+  const repeats = new Counter({
+    name: 'cicadatide_repeats_total',
+    help: 'Attempts beyond the first of a request, by service and kind.',
+    labelNames: ['service', 'kind'],
+    registers,
+  });
+  const refusedRepeats = new Counter({
+    name: 'cicadatide_repeats_refused_total',
+    help: 'Further attempts that the retry budget refused, by service and kind.',
+    labelNames: ['service', 'kind'],
+    registers,
+  });
   const firstByte = new Histogram({
     name: 'cicadatide_first_byte_seconds',
     help: 'Time from arrival to the first byte of the answer.',
@@ -132,6 +147,8 @@
       if (firstByteMs !== undefined) firstByte.observe({ route }, firstByteMs / 1_000);
       duration.observe({ route }, durationMs / 1_000);
     },
+    recordRepeat: (service, kind, isAllowed) =>
+      (isAllowed ? repeats : refusedRepeats).inc({ service, kind }),
     recordCrash: (service) => crashes.inc({ service }),
     recordMissedChange: (table) => missedChanges.inc({ table }),
     recordIgnoredRow: (table) => ignoredRows.inc({ table }),
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -13,6 +13,7 @@
 import { placeAtBackup, recordAttemptEnd } from './outcomes.js';
 import { type Quarantine, type Quarantined } from '../quarantine/quarantine.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
+import { type Repeats } from './repeats.js';
 import { type RetryBudget } from './retrybudget.js';
 import { createRequestSender, isRetryable, priorityOf, remainingMs } from './sender.js';
 import { type SpeedModel } from './speeds.js';
@@ -34,7 +35,8 @@
   readonly failureTracker: FailureTracker;
   readonly crashDetector: CrashDetector;
   readonly quarantine: Pick<Quarantine, 'find' | 'claimTrial' | 'trackWaiting' | 'observeAnswer'>;
-  readonly budget: RetryBudget;
+  readonly budget: Pick<RetryBudget, 'deposit'>;
+  readonly repeats: Repeats;
   readonly limits: TargetLimits;
   readonly speeds: Pick<SpeedModel, 'observe'>;
   readonly streamAdmission: StreamAdmission;
@@ -69,7 +71,7 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { clock, random, log, protocol, placer, failureTracker, budget, streamAdmission } = options;
-  const { quarantine, limits } = options;
+  const { quarantine, limits, repeats } = options;
   const sendRequest = createRequestSender(clock, protocol, limits);
   const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
 
@@ -109,8 +111,15 @@
       };
       // The next attempt is a trial, which is sent in spite of a quarantine.
       let isTrial = false;
+      /** Rounds over the targets; a further one begins when none of the others is usable. */
+      let rounds = 1;
       budget.deposit();
 
+      const tryRepeat = (): boolean => {
+        const kind = rounds > 1 ? 'further-round' : 'untried';
+        return repeats.tryStart(call, progress.hasEvents ? 'continuation' : kind);
+      };
+
       const toResult = (outcome: CallResult['outcome']): CallResult => {
         pendingStream?.dispose();
         return {
@@ -191,6 +200,7 @@
             return finishUnserved(waitMs);
           // Targets that were full or changing their weights may accept the request a moment later.
           excluded.clear();
+          if (attempts > 0) rounds += 1;
           for (const target of ranOn) excluded.add(target);
           await sleep(clock, placementRetryDelayMs, token).catch(() => undefined);
           continue;
@@ -251,11 +261,14 @@
         log.info(
           {
             requestId: head.requestId,
+            service: call.service,
             target: target.id,
             attempt: attempts,
             end: attemptEnd.kind,
             cause: attemptEnd.cause,
             lostAt: 'lostAt' in attemptEnd ? attemptEnd.lostAt : undefined,
+            callerHas: response.hasStarted ? 'part' : 'nothing',
+            lastEventId: progress.lastEventId,
             remainingMs: Math.round(remainingMs(call)),
           },
           'attempt failed',
@@ -269,7 +282,7 @@
         }
         if (attemptEnd.kind === 'not-run') {
           // An unreachable target received nothing, so this retry does not count against the budget.
-          if (attemptEnd.cause !== 'unreachable' && !budget.tryWithdraw()) return finishUnserved();
+          if (attemptEnd.cause !== 'unreachable' && !tryRepeat()) return finishUnserved();
           if (attempts >= maxAttempts || placement.continueFrom) return finishUnserved();
           continue;
         }
@@ -278,7 +291,7 @@
         if (attemptEnd.kind === 'broken' && remainingMs(call) > minRemainingMs) {
           continuation = placeAtBackup(failureTracker, head, placement, progress);
           if (continuation && limits.tryTake(continuation.target)) {
-            budget.charge();
+            repeats.tryStart(call, 'backup');
             continue;
           }
           continuation = undefined;
@@ -286,7 +299,7 @@
         if (attemptEnd.kind === 'failed' && attemptEnd.response)
           failureResponse = attemptEnd.response;
         if (!isRetryable(call) || ranOn.size >= route.maxTargets) return finishUnserved();
-        if (!budget.tryWithdraw()) return finishUnserved();
+        if (!tryRepeat()) return finishUnserved();
       }
     },
   };
--- a/src/gateway/retrybudget.ts
+++ b/src/gateway/retrybudget.ts
@@ -1,5 +1,18 @@
 import { type Clock } from '../base/clock.js';
 
+/** Decision on one repeat, with its inputs. */
+export interface RepeatDecision {
+  readonly isAllowed: boolean;
+  /** Repeats in the window, without this one. */
+  readonly repeats: number;
+  /** Repeats that this gateway may send in the window. */
+  readonly allowed: number;
+  /** Requests in the window. */
+  readonly requests: number;
+  /** Gateways that share the fixed number; undefined while that is not known. */
+  readonly gateways: number | undefined;
+}
+
 /**
  * This gateway's part of the retries that all gateways together may send: a fraction of its own
  * requests and its part of a fixed number, within a sliding window.
@@ -7,10 +20,10 @@
 export interface RetryBudget {
   /** Records one request of a caller. */
   deposit(): void;
-  /** Withdraws one retry; returns false when the window has none left. */
-  tryWithdraw(): boolean;
+  /** Withdraws one retry, unless the window has none left. */
+  tryWithdraw(): RepeatDecision;
   /** Counts the continuation of a broken stream at its backup, which needs no budget. */
-  charge(): void;
+  charge(): RepeatDecision;
 }
 
 export interface RetryLimits {
@@ -27,7 +40,7 @@
 export function createRetryBudget(
   clock: Clock,
   limits: RetryLimits,
-  gatewayCount: () => number,
+  gatewayCount: () => number | undefined,
 ): RetryBudget {
   let requests: number[] = [];
   let retries: number[] = [];
@@ -38,22 +51,35 @@
     return first < 0 ? [] : times.slice(first);
   };
 
+  const decide = (): RepeatDecision => {
+    requests = trimToWindow(requests);
+    retries = trimToWindow(retries);
+    const gateways = gatewayCount();
+    const slack = limits.slack / Math.max(1, gateways ?? 1);
+    const allowed = limitFraction * (requests.length * limits.ratio + slack);
+    return {
+      isAllowed: retries.length + 1 <= allowed,
+      repeats: retries.length,
+      allowed,
+      requests: requests.length,
+      gateways,
+    };
+  };
+
   return {
     deposit() {
       requests.push(clock.now());
       if (requests.length % 64 === 0) requests = trimToWindow(requests);
     },
     tryWithdraw() {
-      requests = trimToWindow(requests);
-      retries = trimToWindow(retries);
-      const slack = limits.slack / Math.max(1, gatewayCount());
-      const allowed = limitFraction * (requests.length * limits.ratio + slack);
-      if (retries.length + 1 > allowed) return false;
-      retries.push(clock.now());
-      return true;
+      const decision = decide();
+      if (decision.isAllowed) retries.push(clock.now());
+      return decision;
     },
     charge() {
+      const decision = { ...decide(), isAllowed: true };
       retries.push(clock.now());
+      return decision;
     },
   };
 }
--- a/test/gateway/retrybudget.test.ts
+++ b/test/gateway/retrybudget.test.ts
@@ -6,7 +6,7 @@
 
 function withdrawAll(budget: ReturnType<typeof createRetryBudget>): number {
   let count = 0;
-  while (budget.tryWithdraw()) count += 1;
+  while (budget.tryWithdraw().isAllowed) count += 1;
   return count;
 }
 
@@ -34,7 +34,7 @@
         budget.deposit();
         requests.push(clock.now());
       }
-      while (budget.tryWithdraw()) retries.push(clock.now());
+      while (budget.tryWithdraw().isAllowed) retries.push(clock.now());
       await clock.advance(100);
       const since = (times: readonly number[], spanMs: number): number =>
         times.filter((at) => clock.now() - at <= spanMs).length;
@@ -47,6 +47,6 @@
     const budget = createRetryBudget(createManualClock(), limits, () => 1);
     withdrawAll(budget);
     budget.charge();
-    expect(budget.tryWithdraw()).toBe(false);
+    expect(budget.tryWithdraw().isAllowed).toBe(false);
   });
 });
