--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -183,15 +183,15 @@
     isChangingWeights,
     onCacheUse: (use) => peers.publishCacheUse(use),
   });
-  const budget = createRetryBudget(
+  const budget = createRetryBudget({
     clock,
-    {
+    limits: {
       ratio: settings.repeats.share,
       slack: settings.repeats.slack,
       windowMs: settings.repeats.window,
     },
-    () => peers.count,
-  );
+    gatewayCount: () => peers.count,
+  });
   const registry = new Registry();
   metrics = createGatewayMetrics(registry, {
     directory,
--- a/src/daemon/settings/gateway.ts
+++ b/src/daemon/settings/gateway.ts
@@ -51,12 +51,12 @@
     share: {
       type: types.ratio,
       fallback: '0.1',
-      doc: 'Allowed ratio of retries to requests.',
+      doc: 'Allowed ratio of retries to requests, for each service.',
     },
     slack: {
       type: types.amount,
       fallback: '10',
-      doc: 'Retries allowed to all gateways in addition to `share`.',
+      doc: 'Retries allowed to all gateways in addition to `share`, for each service.',
     },
     window: { type: types.duration, fallback: '10s', doc: 'Time over which retries are counted.' },
   },
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -113,7 +113,7 @@
       let isTrial = false;
       /** Rounds over the targets; a further one begins when none of the others is usable. */
       let rounds = 1;
-      budget.deposit();
+      budget.deposit(call.service);
 
       const tryRepeat = (): boolean => {
         const kind = rounds > 1 ? 'further-round' : 'untried';
--- a/src/gateway/repeats.ts
+++ b/src/gateway/repeats.ts
@@ -24,16 +24,16 @@
 }
 
 export function createRepeats({ log, budget, onDecision }: RepeatsOptions): Repeats {
-  const deciders: Readonly<Record<RepeatKind, () => RepeatDecision>> = {
-    backup: () => budget.charge(),
-    continuation: () => budget.tryWithdraw(),
-    untried: () => budget.tryWithdraw(),
-    'further-round': () => budget.tryWithdraw(),
+  const deciders: Readonly<Record<RepeatKind, (service: string) => RepeatDecision>> = {
+    backup: (service) => budget.charge(service),
+    continuation: (service) => budget.tryWithdraw(service),
+    untried: (service) => budget.tryWithdraw(service),
+    'further-round': (service) => budget.tryWithdraw(service),
   };
 
   return {
     tryStart({ head, service }, kind) {
-      const { isAllowed, allowed, ...inputs } = deciders[kind]();
+      const { isAllowed, allowed, ...inputs } = deciders[kind](service);
       log.info(
         {
           requestId: head.requestId,
--- a/test/gateway/repeats.test.ts
+++ b/test/gateway/repeats.test.ts
@@ -20,8 +20,12 @@
     done();
   };
   const limits = { ratio: 0.1, slack: 5, windowMs: 10_000 };
-  const budget = createRetryBudget(createManualClock(), limits, () => 4);
-  budget.deposit();
+  const budget = createRetryBudget({
+    clock: createManualClock(),
+    limits,
+    gatewayCount: () => 4,
+  });
+  budget.deposit('desk');
   const repeats = createRepeats({
     log: createLogger('gw-1', 'info', new Writable({ write })),
     budget,
--- a/test/standins/platform/site.ts
+++ b/test/standins/platform/site.ts
@@ -63,8 +63,8 @@
 export interface PlatformSite {
   readonly store: StoreStandin;
   startTarget(service: string, options: TargetStandinOptions): Promise<TargetStandin>;
-  /** Starts a gateway and waits until it is ready. */
-  startGateway(name: string, log?: Logger): Promise<DaemonProcess>;
+  /** Starts a gateway, with further lines of settings, and waits until it is ready. */
+  startGateway(name: string, log?: Logger, lines?: readonly string[]): Promise<DaemonProcess>;
   close(): Promise<void>;
 }
 
@@ -104,7 +104,7 @@
       store.put('servers', target.id, target.registration(service));
       return target;
     },
-    async startGateway(name, log = createNullLogger()) {
+    async startGateway(name, log = createNullLogger(), lines = []) {
       nextPeerPort += 1;
       const settings = parseGatewaySettings(
         [
@@ -120,6 +120,7 @@
           '[shutdown]',
           'balancer_wait = 100ms',
           'grace = 3s',
+          ...lines,
         ].join('\n'),
         'test.ini',
       );
