Target limits: a gateway that doesn't know its peers no longer takes a whole limit

Until a gateway has read the addresses of the others, `peers.count` is 1, so it took all of the limit that a target named, and several gateways that start together took a multiple of it. `peers.knownCount` is undefined until then; the gateway sends at most 0.2 requests a second to such a target meanwhile.

Test: five gateways that don't know their number.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -95,7 +95,7 @@
     random,
     log,
     directory,
-    gatewayCount: () => peers.count,
+    gatewayCount: () => peers.knownCount,
     requestHint: () => peers.scheduleHint(),
   });
   targetLimits = limits;
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -38,6 +38,8 @@
 export interface Peers extends Disposable {
   /** Number of registered gateways, including this one and any that no longer exist. */
   readonly count: number;
+  /** The same; undefined until the addresses of the others were read for the first time. */
+  readonly knownCount: number | undefined;
   /** In-flight requests of the peers at a target. */
   inFlight(targetId: string): InFlightLoad;
   /** True while a peer reports that the target changes its weights. */
@@ -122,6 +124,7 @@
   const states = new Map<string, PeerState>();
   let listener: PeerListener | undefined;
   let addresses: readonly HostPort[] = [];
+  let areAddressesKnown = false;
   let sequence = 0;
   let changing: readonly string[] = [];
   let cacheUses: CacheUse[] = [];
@@ -231,6 +234,9 @@
     get count() {
       return addresses.length + 1;
     },
+    get knownCount() {
+      return areAddressesKnown ? addresses.length + 1 : undefined;
+    },
     inFlight(targetId) {
       if (!sums || clock.now() - sumsAt > sumsMaxAgeMs) updateSums();
       return sums?.get(targetId) ?? noneInFlight;
@@ -252,6 +258,7 @@
     },
     setPeers(next) {
       addresses = next;
+      areAddressesKnown = true;
     },
     scheduleHint,
     publishChangingTargets(targetIds) {
--- a/src/gateway/targetlimits.ts
+++ b/src/gateway/targetlimits.ts
@@ -36,7 +36,8 @@
   readonly random: Random;
   readonly log: Logger;
   readonly directory: Pick<TargetDirectory, 'find'>;
-  gatewayCount(): number;
+  /** Gateways that share each limit, at least 1; undefined while that is not known. */
+  gatewayCount(): number | undefined;
   /** Called when peers should learn of a limit. */
   requestHint(): void;
 }
@@ -44,7 +45,10 @@
 /** Fraction of a limit that is used; a target counts in windows that are not those of the gateways. */
 const limitFraction = 0.8;
 
-/** Smallest rate of all gateways together. The end of a limit is learned from responses only. */
+/**
+ * Smallest rate of all gateways together, and rate of one that does not know how many they are. The
+ * end of a limit is learned from responses only.
+ */
 const minRatePerSecond = 0.2;
 
 /**
@@ -78,9 +82,11 @@
   const remainingPauseMs = (target: Target): number =>
     Math.max(0, (pausedUntil.get(target) ?? -Infinity) - clock.now());
 
-  const ratePerSecond = (limitPerSecond: number): number =>
-    Math.max(minRatePerSecond, limitPerSecond * limitFraction) /
-    Math.max(1, options.gatewayCount());
+  const ratePerSecond = (limitPerSecond: number): number => {
+    const gateways = options.gatewayCount();
+    if (gateways === undefined) return minRatePerSecond;
+    return Math.max(minRatePerSecond, limitPerSecond * limitFraction) / gateways;
+  };
 
   const recordName = (target: Target, limitPerSecond: number, namedAt: number): void => {
     const known = records.get(target);
--- a/test/gateway/targetlimits.test.ts
+++ b/test/gateway/targetlimits.test.ts
@@ -10,7 +10,11 @@
 /** Requests that a target may get within the window, by the stated rule. */
 const allowed = (limitPerSecond: number): number => 1.5 * limitPerSecond * (windowMs / 1_000) + 5;
 
-function setUp(gateways: number, seed = 1) {
+function setUp(
+  gateways: number,
+  seed = 1,
+  gatewayCount: () => number | undefined = () => gateways,
+) {
   const clock = createManualClock();
   const random = createSeededRandom(seed);
   const target = { id: 't', isRemoved: false } as Target;
@@ -20,15 +24,20 @@
       random,
       log: createNullLogger(),
       directory: { find: (id) => (id === 't' ? target : undefined) },
-      gatewayCount: () => gateways,
+      gatewayCount,
       requestHint: () => undefined,
     });
   return { clock, random, target, all: Array.from({ length: gateways }, create) };
 }
 
 /** Most requests in a window while callers press all gateways, with pauses of a random length. */
-async function mostInWindow(gateways: number, limitPerSecond: number, seed: number) {
-  const { clock, random, target, all } = setUp(gateways, seed);
+async function mostInWindow(
+  gateways: number,
+  limitPerSecond: number,
+  seed: number,
+  gatewayCount?: () => number | undefined,
+) {
+  const { clock, random, target, all } = setUp(gateways, seed, gatewayCount);
   for (const limits of all) limits.observe(target, limitPerSecond);
   const sentAt: number[] = [];
   for (let round = 0; round < 400; round += 1) {
@@ -60,6 +69,12 @@
     }
   });
 
+  it('is kept by gateways that do not know their number yet', async () => {
+    const { most, total } = await mostInWindow(5, 30, 1, () => undefined);
+    expect(total).toBeGreaterThan(0);
+    expect(most).toBeLessThanOrEqual(allowed(30));
+  });
+
   it('is used for the larger part while there is demand', async () => {
     const { total, durationMs } = await mostInWindow(5, 8, 1);
     expect(total / (durationMs / 1_000)).toBeGreaterThan(0.5 * 8);
