Retry budget: continuations are bounded, and the least useful repeats are refused first

All kinds of repeats also shared one part of the budget, so a further round over targets that had just turned a request away took the last repeats from streams that callers had in part.

Each kind may now use the budget up to its own fraction: continuations 0.95, targets that have not turned the request away 0.8, a further round 0.4. A refused continuation ends as a broken response does. A repeat is paid for when its target is known and not when the attempt before it failed, which is how the kinds are told apart; one that was paid for and not sent, as its target was unreachable, pays for the next. The decisions are in repeats.ts.

Tests against the code before: "expected 100 to be less than or equal to 20" (continuations at a backup) and "expected 16 to be less than or equal to 10" (further rounds at half of the budget); both in a scratch test with the interface before, now in repeats.test.ts and retrybudget.test.ts. The test of charge() is replaced by one of the order and sums of the kinds.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -213,7 +213,6 @@
     failureTracker,
     crashDetector,
     quarantine,
-    budget,
     repeats: createRepeats({
       log,
       budget,
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -1,6 +1,6 @@
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 import { type CallResult } from '../gateway/calls.js';
-import { type RepeatKind } from '../gateway/repeats.js';
+import { type RepeatKind } from '../gateway/retrybudget.js';
 import { type SpeedModel } from '../gateway/speeds.js';
 import { type TargetDirectory } from '../gateway/targets.js';
 
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -14,7 +14,6 @@
 import { type Quarantine, type Quarantined } from '../quarantine/quarantine.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
 import { type Repeats } from './repeats.js';
-import { type RetryBudget } from './retrybudget.js';
 import { createRequestSender, isRetryable, priorityOf, remainingMs } from './sender.js';
 import { type SpeedModel } from './speeds.js';
 import { type StreamAdmission } from './streamadmission.js';
@@ -35,7 +34,6 @@
   readonly failureTracker: FailureTracker;
   readonly crashDetector: CrashDetector;
   readonly quarantine: Pick<Quarantine, 'find' | 'claimTrial' | 'trackWaiting' | 'observeAnswer'>;
-  readonly budget: Pick<RetryBudget, 'deposit'>;
   readonly repeats: Repeats;
   readonly limits: TargetLimits;
   readonly speeds: Pick<SpeedModel, 'observe'>;
@@ -70,8 +68,8 @@
 const retryAfterSpreadMs = 350;
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { clock, random, log, protocol, placer, failureTracker, budget, streamAdmission } = options;
-  const { quarantine, limits, repeats } = options;
+  const { clock, random, log, protocol, placer, failureTracker, streamAdmission } = options;
+  const { quarantine, limits } = options;
   const sendRequest = createRequestSender(clock, protocol, limits);
   const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
 
@@ -111,14 +109,7 @@
       };
       // The next attempt is a trial, which is sent in spite of a quarantine.
       let isTrial = false;
-      /** Rounds over the targets; a further one begins when none of the others is usable. */
-      let rounds = 1;
-      budget.deposit(call.service);
-
-      const tryRepeat = (): boolean => {
-        const kind = rounds > 1 ? 'further-round' : 'untried';
-        return repeats.tryStart(call, progress.hasEvents ? 'continuation' : kind);
-      };
+      const repeats = options.repeats.start(call);
 
       const toResult = (outcome: CallResult['outcome']): CallResult => {
         pendingStream?.dispose();
@@ -198,9 +189,9 @@
           const maxWaitMs = route.objectiveMs * targetWaitFraction;
           if (waitedMs + waitMs > maxWaitMs || attempts >= maxAttempts)
             return finishUnserved(waitMs);
+          if (!repeats.tryStart(undefined, progress.hasEvents)) return finishUnserved(waitMs);
           // Targets that were full or changing their weights may accept the request a moment later.
           excluded.clear();
-          if (attempts > 0) rounds += 1;
           for (const target of ranOn) excluded.add(target);
           await sleep(clock, placementRetryDelayMs, token).catch(() => undefined);
           continue;
@@ -215,6 +206,7 @@
           }
         }
         if (choice && isTooLate(choice)) return finishStopping();
+        if (choice && !repeats.tryStart(choice.target, progress.hasEvents)) return finishUnserved();
         // Another request may have used the permit since the choice.
         if (choice && !limits.tryTake(choice.target)) continue;
         const placement = continuation ?? placer.place(placementRequest, choice as Choice);
@@ -251,6 +243,7 @@
         waiting?.dispose();
         options.onLoadChange();
         recordAttemptEnd(failureTracker, call.head, target, attemptEnd);
+        repeats.observeEnd(target, attemptEnd);
         if (attemptEnd.kind === 'done') {
           firstByteMs ??= clock.now() - arrivedAt;
           if (route.kind !== 'stream') observeFirstByte();
@@ -281,8 +274,6 @@
           if (stage !== 'underway') await isCrash;
         }
         if (attemptEnd.kind === 'not-run') {
-          // An unreachable target received nothing, so this retry does not count against the budget.
-          if (attemptEnd.cause !== 'unreachable' && !tryRepeat()) return finishUnserved();
           if (attempts >= maxAttempts || placement.continueFrom) return finishUnserved();
           continue;
         }
@@ -290,16 +281,13 @@
         isTrial = false;
         if (attemptEnd.kind === 'broken' && remainingMs(call) > minRemainingMs) {
           continuation = placeAtBackup(failureTracker, head, placement, progress);
-          if (continuation && limits.tryTake(continuation.target)) {
-            repeats.tryStart(call, 'backup');
-            continue;
-          }
+          const isPermitted = continuation && limits.tryTake(continuation.target);
+          if (isPermitted && repeats.tryStart(continuation?.target, true)) continue;
           continuation = undefined;
         }
         if (attemptEnd.kind === 'failed' && attemptEnd.response)
           failureResponse = attemptEnd.response;
         if (!isRetryable(call) || ranOn.size >= route.maxTargets) return finishUnserved();
-        if (!tryRepeat()) return finishUnserved();
       }
     },
   };
--- a/src/gateway/repeats.ts
+++ b/src/gateway/repeats.ts
@@ -1,21 +1,29 @@
 import { type Logger } from '../base/logging.js';
+import { type AttemptEnd } from './attempt.js';
 import { type GatewayCall } from './calls.js';
-import { type RepeatDecision, type RetryBudget } from './retrybudget.js';
-
-/**
- * Why a request is sent to a target again. `backup`: the engine that has a copy of the KV cache goes
- * on with the stream. `continuation`: another target goes on with a stream that the caller has in
- * part. `untried`: in the first round over the targets. `further-round`: targets that have turned the
- * request away are tried again.
- */
-export type RepeatKind = 'backup' | 'continuation' | 'untried' | 'further-round';
+import { type RepeatKind, type RetryBudget } from './retrybudget.js';
+import { type Target } from './targets.js';
 
 /** Decides whether requests are sent again, and records each decision. */
 export interface Repeats {
-  /** Withdraws one repeat from the budget; returns false when the budget refuses it. */
-  tryStart(call: Pick<GatewayCall, 'head' | 'service'>, kind: RepeatKind): boolean;
+  /** Records a request of a caller before its first attempt. */
+  start(call: RepeatedCall): RequestRepeats;
+}
+
+/** Repeats of one request: its attempts that reach a target after the first one that did. */
+export interface RequestRepeats {
+  /**
+   * Pays for the next attempt unless it is the first to arrive or was paid for already; returns
+   * false when the budget refuses it. `target` is undefined when the request waits until targets
+   * that have turned it away may accept it.
+   */
+  tryStart(target: Target | undefined, isContinuation: boolean): boolean;
+  /** Records the end of an attempt. */
+  observeEnd(target: Target, end: AttemptEnd): void;
 }
 
+type RepeatedCall = Pick<GatewayCall, 'head' | 'service'>;
+
 export interface RepeatsOptions {
   readonly log: Logger;
   readonly budget: RetryBudget;
@@ -23,31 +31,52 @@
   onDecision(service: string, kind: RepeatKind, isAllowed: boolean): void;
 }
 
-export function createRepeats({ log, budget, onDecision }: RepeatsOptions): Repeats {
-  const deciders: Readonly<Record<RepeatKind, (service: string) => RepeatDecision>> = {
-    backup: (service) => budget.charge(service),
-    continuation: (service) => budget.tryWithdraw(service),
-    untried: (service) => budget.tryWithdraw(service),
-    'further-round': (service) => budget.tryWithdraw(service),
-  };
-
+export function createRepeats({ log, budget, ...options }: RepeatsOptions): Repeats {
   return {
-    tryStart({ head, service }, kind) {
-      const { isAllowed, allowed, ...inputs } = deciders[kind](service);
-      log.info(
-        {
-          requestId: head.requestId,
-          service,
-          kind,
-          ...inputs,
-          allowed: Math.round(allowed * 10) / 10,
-          slackInMs: Math.round(inputs.slackInMs),
-          areGatewaysKnown: inputs.gateways !== undefined,
+    start({ head, service }) {
+      const { requestId } = head;
+      const turnedAwayBy = new Set<Target>();
+      let hasArrived = false;
+      let isPaid = false;
+      budget.deposit(service);
+
+      const kindOf = (target: Target | undefined, isContinuation: boolean): RepeatKind => {
+        if (isContinuation) return 'continuation';
+        const isTried = target ? turnedAwayBy.has(target) : turnedAwayBy.size > 0;
+        return isTried ? 'further-round' : 'untried';
+      };
+
+      return {
+        tryStart(target, isContinuation) {
+          if (!hasArrived || isPaid) return true;
+          const kind = kindOf(target, isContinuation);
+          const { isAllowed, allowed, slackInMs, ...inputs } = budget.tryWithdraw(service, kind);
+          isPaid = isAllowed;
+          log.info(
+            {
+              requestId,
+              service,
+              kind,
+              ...inputs,
+              allowed: Math.round(allowed * 10) / 10,
+              slackInMs: Math.round(slackInMs),
+              areGatewaysKnown: inputs.gateways !== undefined,
+            },
+            isAllowed
+              ? 'request is sent again'
+              : 'request is not sent again: the budget is used up',
+          );
+          options.onDecision(service, kind, isPaid);
+          return isPaid;
+        },
+        observeEnd(target, end) {
+          // Nothing was sent to an unreachable target, so what was paid is left for the next one.
+          if (end.kind === 'not-run' && end.cause === 'unreachable') return;
+          hasArrived = true;
+          isPaid = false;
+          if (end.kind === 'not-run') turnedAwayBy.add(target);
         },
-        isAllowed ? 'request is sent again' : 'request is not sent again: the budget is used up',
-      );
-      onDecision(service, kind, isAllowed);
-      return isAllowed;
+      };
     },
   };
 }
--- a/src/gateway/retrybudget.ts
+++ b/src/gateway/retrybudget.ts
@@ -1,12 +1,19 @@
 import { type Clock } from '../base/clock.js';
 import { createWindowCount, type WindowCount } from './windowcount.js';
 
+/**
+ * Why a request is sent to a target again. `continuation`: the caller has a part of the stream.
+ * `untried`: to a target that has not yet turned the request away. `further-round`: all usable
+ * targets have turned it away, and it is sent to one of them again.
+ */
+export type RepeatKind = 'continuation' | 'untried' | 'further-round';
+
 /** Decision on one repeat, with its inputs. */
 export interface RepeatDecision {
   readonly isAllowed: boolean;
   /** Repeats of the service in the window, without this one. */
   readonly repeats: number;
-  /** Repeats that this gateway may send in the window. */
+  /** Repeats that this gateway may send in the window, for this kind. */
   readonly allowed: number;
   /** Requests for the service in the window. */
   readonly requests: number;
@@ -23,10 +30,8 @@
 export interface RetryBudget {
   /** Records one request of a caller. */
   deposit(service: string): void;
-  /** Withdraws one repeat, unless the window has none left. */
-  tryWithdraw(service: string): RepeatDecision;
-  /** Counts the continuation of a broken stream at its backup, which needs no budget. */
-  charge(service: string): RepeatDecision;
+  /** Withdraws one repeat, unless the window has none left for this kind. */
+  tryWithdraw(service: string, kind: RepeatKind): RepeatDecision;
   /** Number of services with requests or repeats in memory. */
   readonly size: number;
 }
@@ -39,8 +44,15 @@
   readonly windowMs: number;
 }
 
-/** Fraction of the limit that is used; clocks and windows of the gateways are not aligned. */
-const limitFraction = 0.8;
+/**
+ * Fraction of the limit up to which each kind may use it, so that the most useful repeats are the
+ * last ones that are refused. None uses all of it: clocks and windows of the gateways are not aligned.
+ */
+const limitFractions: Readonly<Record<RepeatKind, number>> = {
+  continuation: 0.95,
+  untried: 0.8,
+  'further-round': 0.4,
+};
 
 interface ServiceRecord {
   readonly requests: WindowCount;
@@ -56,8 +68,8 @@
 
 export function createRetryBudget({ clock, limits, ...options }: RetryBudgetOptions): RetryBudget {
   const { windowMs } = limits;
-  const records = new Map<string, ServiceRecord>();
   const startedAt = clock.now();
+  const records = new Map<string, ServiceRecord>();
   let prunedAt = startedAt;
 
   /** Forgets services without requests and repeats in the window, such as those that are gone. */
@@ -78,37 +90,20 @@
     return record;
   };
 
-  const decide = ({ requests, repeats }: ServiceRecord): RepeatDecision => {
-    const requestCount = requests.sum('left out');
-    const repeatCount = repeats.sum('included');
-    const gateways = options.gatewayCount();
-    // Repeats before a restart are forgotten, and the peers learn of this gateway only later.
-    const slackInMs = Math.max(0, startedAt + windowMs - clock.now());
-    const slack = gateways === undefined || slackInMs > 0 ? 0 : limits.slack / gateways;
-    const allowed = limitFraction * (requestCount * limits.ratio + slack);
-    return {
-      isAllowed: repeatCount + 1 <= allowed,
-      repeats: repeatCount,
-      allowed,
-      requests: requestCount,
-      gateways,
-      slackInMs,
-    };
-  };
-
   return {
     deposit: (service) => recordOf(service).requests.add(),
-    tryWithdraw(service) {
-      const record = recordOf(service);
-      const decision = decide(record);
-      if (decision.isAllowed) record.repeats.add();
-      return decision;
-    },
-    charge(service) {
+    tryWithdraw(service, kind) {
       const record = recordOf(service);
-      const decision = { ...decide(record), isAllowed: true };
-      record.repeats.add();
-      return decision;
+      const requests = record.requests.sum('left out');
+      const repeats = record.repeats.sum('included');
+      const gateways = options.gatewayCount();
+      // Repeats before a restart are forgotten, and the peers learn of this gateway only later.
+      const slackInMs = Math.max(0, startedAt + windowMs - clock.now());
+      const slack = gateways === undefined || slackInMs > 0 ? 0 : limits.slack / gateways;
+      const allowed = limitFractions[kind] * (requests * limits.ratio + slack);
+      const isAllowed = repeats + 1 <= allowed;
+      if (isAllowed) record.repeats.add();
+      return { isAllowed, repeats, allowed, requests, gateways, slackInMs };
     },
     get size() {
       return records.size;
--- a/test/gateway/repeats.test.ts
+++ b/test/gateway/repeats.test.ts
@@ -1,17 +1,39 @@
 import { Writable } from 'node:stream';
-import { expect, it } from 'vitest';
-import { createLogger } from '../../src/base/logging.js';
+import { describe, expect, it } from 'vitest';
+import { createLogger, createNullLogger } from '../../src/base/logging.js';
+import { type AttemptEnd } from '../../src/gateway/attempt.js';
 import { type GatewayCall } from '../../src/gateway/calls.js';
-import { createRepeats } from '../../src/gateway/repeats.js';
+import { createRepeats, type RequestRepeats } from '../../src/gateway/repeats.js';
 import { createRetryBudget } from '../../src/gateway/retrybudget.js';
+import { type Target } from '../../src/gateway/targets.js';
 import { createManualClock } from '../standins/clock.js';
 
 const call = { head: { requestId: 'r-1' }, service: 'desk' } as GatewayCall;
 
+const first = { id: 't-1' } as Target;
+const second = { id: 't-2' } as Target;
+
+const full: AttemptEnd = { kind: 'not-run', cause: 'full' };
+const unreachable: AttemptEnd = { kind: 'not-run', cause: 'unreachable' };
+const failed: AttemptEnd = { kind: 'failed', cause: 'reset' };
+
+async function setUp(slack: number, log = createNullLogger()) {
+  const clock = createManualClock();
+  const limits = { ratio: 0, slack, windowMs: 10_000 };
+  const budget = createRetryBudget({ clock, limits, gatewayCount: () => 4 });
+  await clock.advance(limits.windowMs);
+  const decisions: string[] = [];
+  const repeats = createRepeats({
+    log,
+    budget,
+    onDecision: (...decision) => decisions.push(decision.join(' ')),
+  });
+  return { repeats, decisions, start: (): RequestRepeats => repeats.start(call) };
+}
+
 // Guards against repeats that logs and metrics do not explain.
 it('logs and counts each decision with its service, kind and inputs', async () => {
   const lines: unknown[] = [];
-  const counted: string[] = [];
   const write = (line: Buffer, _encoding: string, done: () => void): void => {
     const { msg, name, instance, hostname, pid, level, time, v, ...fields } = JSON.parse(
       line.toString(),
@@ -19,35 +41,26 @@
     lines.push([msg, fields]);
     done();
   };
-  const limits = { ratio: 0.1, slack: 5, windowMs: 10_000 };
-  const clock = createManualClock();
-  const budget = createRetryBudget({
-    clock,
-    limits,
-    gatewayCount: () => 4,
-  });
-  await clock.advance(limits.windowMs);
-  budget.deposit('desk');
-  const repeats = createRepeats({
-    log: createLogger('gw-1', 'info', new Writable({ write })),
-    budget,
-    onDecision: (...decision) => counted.push(decision.join(' ')),
-  });
-  repeats.tryStart(call, 'untried');
-  repeats.tryStart(call, 'further-round');
-  repeats.tryStart(call, 'backup');
-  expect({ lines, counted }).toMatchInlineSnapshot(`
+  const { decisions, start } = await setUp(
+    5,
+    createLogger('gw-1', 'info', new Writable({ write })),
+  );
+  const request = start();
+  request.observeEnd(first, full);
+  request.tryStart(second, false);
+  request.observeEnd(second, full);
+  request.tryStart(undefined, false);
+  expect({ lines, decisions }).toMatchInlineSnapshot(`
     {
-      "counted": [
+      "decisions": [
         "desk untried true",
         "desk further-round false",
-        "desk backup true",
       ],
       "lines": [
         [
           "request is sent again",
           {
-            "allowed": 1.1,
+            "allowed": 1,
             "areGatewaysKnown": true,
             "gateways": 4,
             "kind": "untried",
@@ -61,7 +74,7 @@
         [
           "request is not sent again: the budget is used up",
           {
-            "allowed": 1.1,
+            "allowed": 0.5,
             "areGatewaysKnown": true,
             "gateways": 4,
             "kind": "further-round",
@@ -72,21 +85,64 @@
             "slackInMs": 0,
           },
         ],
-        [
-          "request is sent again",
-          {
-            "allowed": 1.1,
-            "areGatewaysKnown": true,
-            "gateways": 4,
-            "kind": "backup",
-            "repeats": 1,
-            "requestId": "r-1",
-            "requests": 1,
-            "service": "desk",
-            "slackInMs": 0,
-          },
-        ],
       ],
     }
   `);
 });
+
+describe('repeats of a request', () => {
+  it('are only the attempts after the first one that arrived', async () => {
+    const { decisions, start } = await setUp(100);
+    const request = start();
+    expect(request.tryStart(first, false)).toBe(true);
+    request.observeEnd(first, unreachable);
+    expect(request.tryStart(second, false)).toBe(true);
+    expect(decisions).toEqual([]);
+    request.observeEnd(second, failed);
+    expect(request.tryStart(first, false)).toBe(true);
+    request.observeEnd(first, unreachable);
+    expect(request.tryStart(first, false)).toBe(true);
+    expect(decisions).toEqual(['desk untried true']);
+  });
+
+  it('are paid for once although a permit of the target or a wait comes between', async () => {
+    const { decisions, start } = await setUp(100);
+    const request = start();
+    request.observeEnd(first, full);
+    for (let tries = 0; tries < 3; tries += 1)
+      expect(request.tryStart(undefined, false)).toBe(true);
+    expect(request.tryStart(second, false)).toBe(true);
+    expect(decisions).toEqual(['desk further-round true']);
+  });
+
+  it('differ by kind: parts of a stream, targets not tried, targets that turned it away', async () => {
+    const { decisions, start } = await setUp(1_000);
+    const request = start();
+    for (const [target, isContinuation] of [
+      [second, false],
+      [first, false],
+      [undefined, false],
+      [second, true],
+    ] as const) {
+      request.observeEnd(first, full);
+      request.tryStart(target, isContinuation);
+    }
+    expect(decisions).toEqual([
+      'desk untried true',
+      'desk further-round true',
+      'desk further-round true',
+      'desk continuation true',
+    ]);
+  });
+
+  it('are refused for continuations too when the budget is used up', async () => {
+    const { start } = await setUp(40);
+    let sent = 0;
+    for (let index = 0; index < 100; index += 1) {
+      const request = start();
+      request.observeEnd(first, { kind: 'broken', cause: 'reset' });
+      if (request.tryStart(second, true)) sent += 1;
+    }
+    expect(sent).toBe(9);
+  });
+});
--- a/test/gateway/retrybudget.test.ts
+++ b/test/gateway/retrybudget.test.ts
@@ -1,12 +1,16 @@
 import { describe, expect, it } from 'vitest';
-import { createRetryBudget } from '../../src/gateway/retrybudget.js';
+import {
+  createRetryBudget,
+  type RepeatKind,
+  type RetryBudget,
+} from '../../src/gateway/retrybudget.js';
 import { createManualClock } from '../standins/clock.js';
 
 const limits = { ratio: 0.2, slack: 50, windowMs: 10_000 };
 
-function withdrawAll(budget: ReturnType<typeof createRetryBudget>): number {
+function withdrawAll(budget: RetryBudget, kind: RepeatKind = 'untried'): number {
   let count = 0;
-  while (budget.tryWithdraw('s').isAllowed) count += 1;
+  while (budget.tryWithdraw('s', kind).isAllowed) count += 1;
   return count;
 }
 
@@ -25,32 +29,38 @@
     expect(retries).toBeLessThanOrEqual(500 * limits.ratio + limits.slack);
   });
 
-  it('never exceeds the limit in any window while the request rate varies', async () => {
-    const clock = createManualClock();
-    const budget = createRetryBudget({ clock, limits, gatewayCount: () => 1 });
-    const retries: number[] = [];
-    const requests: number[] = [];
-    for (let step = 0; step < 300; step += 1) {
-      const requestsPerStep = step % 100 < 50 ? 8 : 1;
-      for (let count = 0; count < requestsPerStep; count += 1) {
-        budget.deposit('s');
-        requests.push(clock.now());
+  it.each<RepeatKind>(['continuation', 'untried', 'further-round'])(
+    'never exceeds the limit in any window with %s while the request rate varies',
+    async (kind) => {
+      const clock = createManualClock();
+      const budget = createRetryBudget({ clock, limits, gatewayCount: () => 1 });
+      const retries: number[] = [];
+      const requests: number[] = [];
+      for (let step = 0; step < 300; step += 1) {
+        const requestsPerStep = step % 100 < 50 ? 8 : 1;
+        for (let count = 0; count < requestsPerStep; count += 1) {
+          budget.deposit('s');
+          requests.push(clock.now());
+        }
+        while (budget.tryWithdraw('s', kind).isAllowed) retries.push(clock.now());
+        await clock.advance(100);
+        const since = (times: readonly number[], spanMs: number): number =>
+          times.filter((at) => clock.now() - at <= spanMs).length;
+        const allowed = since(requests, 2 * limits.windowMs) * limits.ratio + limits.slack;
+        expect(since(retries, limits.windowMs)).toBeLessThanOrEqual(allowed);
       }
-      while (budget.tryWithdraw('s').isAllowed) retries.push(clock.now());
-      await clock.advance(100);
-      const since = (times: readonly number[], spanMs: number): number =>
-        times.filter((at) => clock.now() - at <= spanMs).length;
-      const allowed = since(requests, 2 * limits.windowMs) * limits.ratio + limits.slack;
-      expect(since(retries, limits.windowMs)).toBeLessThanOrEqual(allowed);
-    }
-  });
+    },
+  );
 
-  it('counts the retry of a stream even when the budget is exhausted', () => {
-    const budget = createRetryBudget({ clock: createManualClock(), limits, gatewayCount: () => 1 });
-    for (let count = 0; count < 100; count += 1) budget.deposit('s');
-    expect(withdrawAll(budget)).toBeGreaterThan(0);
-    budget.charge('s');
-    expect(budget.tryWithdraw('s').isAllowed).toBe(false);
+  it('refuses the least useful repeats first, and continuations at the limit', () => {
+    const clock = createManualClock();
+    const budget = createRetryBudget({ clock, limits, gatewayCount: () => 1 });
+    for (let count = 0; count < 1_000; count += 1) budget.deposit('s');
+    const counts = (['further-round', 'untried', 'continuation'] as const).map((kind) =>
+      withdrawAll(budget, kind),
+    );
+    expect(counts).toEqual([80, 80, 30]);
+    expect(withdrawAll(budget, 'untried')).toBe(0);
   });
 
   it('refuses a service repeats that the requests of another one would pay for', () => {
