--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -13,7 +13,7 @@
 import { placeAtBackup, recordAttemptEnd } from './outcomes.js';
 import { type Quarantine, type Quarantined } from '../quarantine/quarantine.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
-import { type RetryBudget } from './retrybudget.js';
+import { type Repeats } from './repeats.js';
 import { createRequestSender, isRetryable, priorityOf, remainingMs } from './sender.js';
 import { type SpeedModel } from './speeds.js';
 import { type StreamAdmission } from './streamadmission.js';
@@ -34,7 +34,7 @@
   readonly failureTracker: FailureTracker;
   readonly crashDetector: CrashDetector;
   readonly quarantine: Pick<Quarantine, 'find' | 'claimTrial' | 'trackWaiting' | 'observeAnswer'>;
-  readonly budget: RetryBudget;
+  readonly repeats: Repeats;
   readonly limits: TargetLimits;
   readonly speeds: Pick<SpeedModel, 'observe'>;
   readonly streamAdmission: StreamAdmission;
@@ -68,7 +68,7 @@
 const retryAfterSpreadMs = 350;
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { clock, random, log, protocol, placer, failureTracker, budget, streamAdmission } = options;
+  const { clock, random, log, protocol, placer, failureTracker, streamAdmission } = options;
   const { quarantine, limits } = options;
   const sendRequest = createRequestSender(clock, protocol, limits);
   const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
@@ -109,7 +109,7 @@
       };
       // The next attempt is a trial, which is sent in spite of a quarantine.
       let isTrial = false;
-      budget.deposit();
+      const repeats = options.repeats.start(call);
 
       const toResult = (outcome: CallResult['outcome']): CallResult => {
         pendingStream?.dispose();
@@ -189,6 +189,7 @@
           const maxWaitMs = route.objectiveMs * targetWaitFraction;
           if (waitedMs + waitMs > maxWaitMs || attempts >= maxAttempts)
             return finishUnserved(waitMs);
+          if (!repeats.tryStart(undefined, progress.hasEvents)) return finishUnserved(waitMs);
           // Targets that were full or changing their weights may accept the request a moment later.
           excluded.clear();
           for (const target of ranOn) excluded.add(target);
@@ -205,6 +206,7 @@
           }
         }
         if (choice && isTooLate(choice)) return finishStopping();
+        if (choice && !repeats.tryStart(choice.target, progress.hasEvents)) return finishUnserved();
         // Another request may have used the permit since the choice.
         if (choice && !limits.tryTake(choice.target)) continue;
         const placement = continuation ?? placer.place(placementRequest, choice as Choice);
@@ -241,6 +243,7 @@
         waiting?.dispose();
         options.onLoadChange();
         recordAttemptEnd(failureTracker, call.head, target, attemptEnd);
+        repeats.observeEnd(target, attemptEnd);
         if (attemptEnd.kind === 'done') {
           firstByteMs ??= clock.now() - arrivedAt;
           if (route.kind !== 'stream') observeFirstByte();
@@ -251,11 +254,14 @@
         log.info(
           {
             requestId: head.requestId,
+            service: call.service,
             target: target.id,
             attempt: attempts,
             end: attemptEnd.kind,
             cause: attemptEnd.cause,
             lostAt: 'lostAt' in attemptEnd ? attemptEnd.lostAt : undefined,
+            callerHas: response.hasStarted ? 'part' : 'nothing',
+            lastEventId: progress.lastEventId,
             remainingMs: Math.round(remainingMs(call)),
           },
           'attempt failed',
@@ -268,8 +274,6 @@
           if (stage !== 'underway') await isCrash;
         }
         if (attemptEnd.kind === 'not-run') {
-          // An unreachable target received nothing, so this retry does not count against the budget.
-          if (attemptEnd.cause !== 'unreachable' && !budget.tryWithdraw()) return finishUnserved();
           if (attempts >= maxAttempts || placement.continueFrom) return finishUnserved();
           continue;
         }
@@ -277,16 +281,13 @@
         isTrial = false;
         if (attemptEnd.kind === 'broken' && remainingMs(call) > minRemainingMs) {
           continuation = placeAtBackup(failureTracker, head, placement, progress);
-          if (continuation && limits.tryTake(continuation.target)) {
-            budget.charge();
-            continue;
-          }
+          const isPermitted = continuation && limits.tryTake(continuation.target);
+          if (isPermitted && repeats.tryStart(continuation?.target, true)) continue;
           continuation = undefined;
         }
         if (attemptEnd.kind === 'failed' && attemptEnd.response)
           failureResponse = attemptEnd.response;
         if (!isRetryable(call) || ranOn.size >= route.maxTargets) return finishUnserved();
-        if (!budget.tryWithdraw()) return finishUnserved();
       }
     },
   };
--- a/src/gateway/retrybudget.ts
+++ b/src/gateway/retrybudget.ts
@@ -1,59 +1,112 @@
 import { type Clock } from '../base/clock.js';
+import { createWindowCount, type WindowCount } from './windowcount.js';
 
 /**
- * This gateway's part of the retries that all gateways together may send: a fraction of its own
- * requests and its part of a fixed number, within a sliding window.
+ * Why a request is sent to a target again. `continuation`: the caller has a part of the stream.
+ * `untried`: to a target that has not yet turned the request away. `further-round`: all usable
+ * targets have turned it away, and it is sent to one of them again.
+ */
+export type RepeatKind = 'continuation' | 'untried' | 'further-round';
+
+/** Decision on one repeat, with its inputs. */
+export interface RepeatDecision {
+  readonly isAllowed: boolean;
+  /** Repeats of the service in the window, without this one. */
+  readonly repeats: number;
+  /** Repeats that this gateway may send in the window, for this kind. */
+  readonly allowed: number;
+  /** Requests for the service in the window. */
+  readonly requests: number;
+  /** Gateways that share the fixed number; undefined while that is not known. */
+  readonly gateways: number | undefined;
+  /** Time until this gateway may use its part of the fixed number, in milliseconds. */
+  readonly slackInMs: number;
+}
+
+/**
+ * This gateway's part of the repeats that all gateways together may send to a service: a fraction of
+ * its own requests for the service and its part of a fixed number, within a sliding window.
  */
 export interface RetryBudget {
   /** Records one request of a caller. */
-  deposit(): void;
-  /** Withdraws one retry; returns false when the window has none left. */
-  tryWithdraw(): boolean;
-  /** Counts the continuation of a broken stream at its backup, which needs no budget. */
-  charge(): void;
+  deposit(service: string): void;
+  /** Withdraws one repeat, unless the window has none left for this kind. */
+  tryWithdraw(service: string, kind: RepeatKind): RepeatDecision;
+  /** Number of services with requests or repeats in memory. */
+  readonly size: number;
 }
 
 export interface RetryLimits {
   /** Retries per request. */
   readonly ratio: number;
-  /** Retries of all gateways together in addition to the ratio. */
+  /** Retries of all gateways together in addition to the ratio, for each service. */
   readonly slack: number;
   readonly windowMs: number;
 }
 
-/** Fraction of the limit that is used; clocks and windows of the gateways are not aligned. */
-const limitFraction = 0.8;
-
-export function createRetryBudget(
-  clock: Clock,
-  limits: RetryLimits,
-  gatewayCount: () => number,
-): RetryBudget {
-  let requests: number[] = [];
-  let retries: number[] = [];
-
-  const trimToWindow = (times: number[]): number[] => {
-    const first = times.findIndex((at) => clock.now() - at < limits.windowMs);
-    if (first === 0) return times;
-    return first < 0 ? [] : times.slice(first);
+/**
+ * Fraction of the limit up to which each kind may use it, so that the most useful repeats are the
+ * last ones that are refused. None uses all of it: clocks and windows of the gateways are not aligned.
+ */
+const limitFractions: Readonly<Record<RepeatKind, number>> = {
+  continuation: 0.95,
+  untried: 0.8,
+  'further-round': 0.4,
+};
+
+interface ServiceRecord {
+  readonly requests: WindowCount;
+  readonly repeats: WindowCount;
+}
+
+export interface RetryBudgetOptions {
+  readonly clock: Clock;
+  readonly limits: RetryLimits;
+  /** Number of gateways that share the fixed number, at least 1; undefined while it is not known. */
+  gatewayCount(): number | undefined;
+}
+
+export function createRetryBudget({ clock, limits, ...options }: RetryBudgetOptions): RetryBudget {
+  const { windowMs } = limits;
+  const startedAt = clock.now();
+  const records = new Map<string, ServiceRecord>();
+  let prunedAt = startedAt;
+
+  /** Forgets services without requests and repeats in the window, such as those that are gone. */
+  const prune = (): void => {
+    if (clock.now() - prunedAt < windowMs) return;
+    prunedAt = clock.now();
+    for (const [service, { requests, repeats }] of records)
+      if (requests.sum('included') + repeats.sum('included') === 0) records.delete(service);
+  };
+
+  const recordOf = (service: string): ServiceRecord => {
+    prune();
+    const known = records.get(service);
+    if (known) return known;
+    const requests = createWindowCount(clock, windowMs);
+    const record = { requests, repeats: createWindowCount(clock, windowMs) };
+    records.set(service, record);
+    return record;
   };
 
   return {
-    deposit() {
-      requests.push(clock.now());
-      if (requests.length % 64 === 0) requests = trimToWindow(requests);
-    },
-    tryWithdraw() {
-      requests = trimToWindow(requests);
-      retries = trimToWindow(retries);
-      const slack = limits.slack / Math.max(1, gatewayCount());
-      const allowed = limitFraction * (requests.length * limits.ratio + slack);
-      if (retries.length + 1 > allowed) return false;
-      retries.push(clock.now());
-      return true;
+    deposit: (service) => recordOf(service).requests.add(),
+    tryWithdraw(service, kind) {
+      const record = recordOf(service);
+      const requests = record.requests.sum('left out');
+      const repeats = record.repeats.sum('included');
+      const gateways = options.gatewayCount();
+      // Repeats before a restart are forgotten, and the peers learn of this gateway only later.
+      const slackInMs = Math.max(0, startedAt + windowMs - clock.now());
+      const slack = gateways === undefined || slackInMs > 0 ? 0 : limits.slack / gateways;
+      const allowed = limitFractions[kind] * (requests * limits.ratio + slack);
+      const isAllowed = repeats + 1 <= allowed;
+      if (isAllowed) record.repeats.add();
+      return { isAllowed, repeats, allowed, requests, gateways, slackInMs };
     },
-    charge() {
-      retries.push(clock.now());
+    get size() {
+      return records.size;
     },
   };
 }
--- a/test/standins/platform/site.ts
+++ b/test/standins/platform/site.ts
@@ -63,11 +63,16 @@
 export interface PlatformSite {
   readonly store: StoreStandin;
   startTarget(service: string, options: TargetStandinOptions): Promise<TargetStandin>;
-  /** Starts a gateway and waits until it is ready. */
-  startGateway(name: string, log?: Logger): Promise<DaemonProcess>;
+  /** Starts a gateway, with further lines of settings, and waits until it is ready. */
+  startGateway(name: string, log?: Logger, lines?: readonly string[]): Promise<DaemonProcess>;
+  /** Starts a gateway and waits until it may use its part of the fixed number of repeats. */
+  startSettledGateway(name: string): Promise<DaemonProcess>;
   close(): Promise<void>;
 }
 
+/** Window of the retry budget of a settled gateway, which uses the fixed number after one window. */
+const settledWindowMs = 250;
+
 let nextPeerPort = 23_100 + (process.pid % 2_000);
 
 const pause = (durationMs: number): Promise<void> =>
@@ -96,7 +101,7 @@
   store.put('op', 'config', configuration(1));
   const targets: TargetStandin[] = [];
   const gateways: DaemonProcess[] = [];
-  return {
+  const site: PlatformSite = {
     store,
     async startTarget(service, options) {
       const target = await startTargetStandin(options);
@@ -104,7 +109,7 @@
       store.put('servers', target.id, target.registration(service));
       return target;
     },
-    async startGateway(name, log = createNullLogger()) {
+    async startGateway(name, log = createNullLogger(), lines = []) {
       nextPeerPort += 1;
       const settings = parseGatewaySettings(
         [
@@ -120,6 +125,7 @@
           '[shutdown]',
           'balancer_wait = 100ms',
           'grace = 3s',
+          ...lines,
         ].join('\n'),
         'test.ini',
       );
@@ -141,10 +147,17 @@
       await until(() => isReady(gateway));
       return gateway;
     },
+    async startSettledGateway(name) {
+      const lines = ['[repeats]', `window = ${settledWindowMs}ms`];
+      const gateway = await site.startGateway(name, createNullLogger(), lines);
+      await pause(settledWindowMs);
+      return gateway;
+    },
     async close() {
       for (const gateway of gateways) gateway.stop();
       for (const target of targets) await target.close();
       await store.close();
     },
   };
+  return site;
 }
