Log the steps of a planned stop and the requests that it cuts

Callers saw streams that were closed around SIGTERM without their end, and the log could not tell why: no line said how far a stop had come, how much of the grace was left, how late the process was, or how many complete responses still waited for their callers to read.

Each step (stop began, new requests refused, running requests interrupted, stopped) now has a line with the active requests, the responses that are complete but not read yet, the grace that is left and the delay of the event loop; the line of the interruption names up to 32 requests with their age and the bytes that were sent. `request ended` has `stopping`, `remainingGraceMs` and `sentBytes` while the process stops. Lines are written after 10 ms instead of 200 ms from the first signal on, still in the background.

New metric: cicadatide_event_loop_delay_seconds. The stop moves from gateway.ts to gatewaystop.ts; what it does is unchanged.

--- a/src/base/eventloop.ts
+++ b/src/base/eventloop.ts
@@ -1,4 +1,6 @@
 import { performance, type PerformanceNodeTiming } from 'node:perf_hooks';
+import { type Clock } from './clock.js';
+import { type Disposable } from './lifecycle.js';
 
 /** Event loop usage between two readings. */
 export interface LoopUsage {
@@ -31,3 +33,43 @@
     },
   };
 }
+
+/** Measures how late the event loop handles its events, in milliseconds. */
+export interface DelayMeter extends Disposable {
+  /** Longest delay of a timer in the last second. */
+  readonly recentMs: number;
+  /** Longest time for which an event that is handled now may have waited. */
+  readonly boundMs: number;
+}
+
+const beatMs = 100;
+
+/** Beats of one second. */
+const maxBeats = 10;
+
+export function createDelayMeter(clock: Clock): DelayMeter {
+  let beatAt = clock.now();
+  let delays: readonly number[] = [0];
+  const beat = (): void => {
+    const now = clock.now();
+    delays = [...delays.slice(1 - maxBeats), Math.max(0, now - beatAt - beatMs)];
+    beatAt = now;
+    schedule();
+  };
+  let timer: Disposable | undefined;
+  function schedule(): void {
+    timer = clock.setTimer(beatMs, beat);
+  }
+  schedule();
+  const sinceBeatMs = (): number => clock.now() - beatAt;
+  return {
+    get recentMs() {
+      return Math.max(...delays, sinceBeatMs() - beatMs);
+    },
+    // An event may have come during the last beat or since then.
+    get boundMs() {
+      return (delays.at(-1) ?? 0) + sinceBeatMs();
+    },
+    dispose: () => timer?.dispose(),
+  };
+}
--- a/src/base/logstream.ts
+++ b/src/base/logstream.ts
@@ -6,6 +6,8 @@
   readonly stream: Writable;
   /** Lines dropped because the reader was too slow; a failed write counts as one. */
   readonly dropped: number;
+  /** Writes later lines almost at once, because the process may be killed soon. */
+  shortenDelay(): void;
   /** Writes the buffered lines; resolves when they are written or after the timeout. */
   flush(timeoutMs: number): Promise<void>;
 }
@@ -13,6 +15,9 @@
 /** Lines are buffered for this time, so that a busy process writes only a few times a second. */
 const flushIntervalMs = 200;
 
+/** The same after `shortenDelay`. */
+const shortIntervalMs = 10;
+
 /**
  * Limit of the buffer, about 2,000 lines or some seconds of a busy process; further lines are
  * dropped.
@@ -29,6 +34,7 @@
   let dropped = 0;
   let reportedDrops = 0;
   let isWriting = false;
+  let intervalMs = flushIntervalMs;
   let timer: NodeJS.Timeout | undefined;
   const flushWaiters: (() => void)[] = [];
 
@@ -70,7 +76,7 @@
       else {
         bufferedLines.push(String(line));
         bufferedBytes += line.length;
-        timer ??= setTimeout(startWrite, flushIntervalMs);
+        timer ??= setTimeout(startWrite, intervalMs);
       }
       done();
     },
@@ -81,6 +87,10 @@
     get dropped() {
       return dropped;
     },
+    shortenDelay() {
+      intervalMs = shortIntervalMs;
+      startWrite();
+    },
     flush(timeoutMs) {
       return new Promise((resolve) => {
         const limit = setTimeout(resolve, timeoutMs);
--- a/src/daemon/agent.ts
+++ b/src/daemon/agent.ts
@@ -22,7 +22,7 @@
 import { registerAgentMetrics } from './metrics.js';
 import { createOperatorServer } from './operators/server.js';
 import { createPlatform } from './platform.js';
-import { type DaemonProcess, waitUntilIdle } from './process.js';
+import { type DaemonProcess, logInterrupted, waitUntilIdle } from './process.js';
 import { type Settings } from './settings/schema.js';
 
 /** External dependencies of an agent; tests and measurements replace them. */
@@ -149,7 +149,8 @@
       engine?.leave();
       service?.leave();
       await sleep(clock, settings.shutdown.balancer_wait, noCancellation);
-      await waitUntilIdle(clock, log, activeCount, settings.shutdown.drain);
+      await waitUntilIdle(clock, activeCount, settings.shutdown.drain);
+      logInterrupted(log, activeCount());
       closeAll();
     },
     stop() {
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -39,7 +39,7 @@
 import { createAtMostOnceCalls } from './atmostonce.js';
 import { startOrders } from './orders.js';
 import { createPlatform } from './platform.js';
-import { type DaemonProcess, waitUntilIdle } from './process.js';
+import { type DaemonProcess, logInterrupted, waitUntilIdle } from './process.js';
 import { type Settings } from './settings/schema.js';
 
 /** External dependencies of an entry; tests, measurements and the quickstart replace them. */
@@ -191,7 +191,8 @@
       await sleep(clock, settings.shutdown.balancer_wait, noCancellation);
       callerServer.stopAccepting();
       const closed = closeHttp(callerServer.server);
-      await waitUntilIdle(clock, log, () => callerServer.active, settings.shutdown.drain);
+      await waitUntilIdle(clock, () => callerServer.active, settings.shutdown.drain);
+      logInterrupted(log, callerServer.active);
       callerServer.server.closeAllConnections();
       await closed;
       closeAll();
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -1,8 +1,9 @@
 import { randomUUID } from 'node:crypto';
 import { Registry } from 'prom-client';
-import { createCancellationSource, noCancellation } from '../base/cancellation.js';
-import { type Clock, sleep, systemClock } from '../base/clock.js';
+import { createCancellationSource } from '../base/cancellation.js';
+import { type Clock, systemClock } from '../base/clock.js';
 import { errMessage } from '../base/errors.js';
+import { createDelayMeter } from '../base/eventloop.js';
 import { createDisposableStore } from '../base/lifecycle.js';
 import { systemRandom } from '../base/random.js';
 import { type RowChange } from '../configuration/watch.js';
@@ -31,21 +32,13 @@
 import { registerGateway } from './gatewaypeers.js';
 import { createGatewayQuarantine, type GatewayQuarantine } from './gatewayquarantine.js';
 import { createRolloutGateway } from './gatewayrollout.js';
+import { createGatewayStop } from './gatewaystop.js';
 import { type GatewayOptions } from './gatewayplatform.js';
 import { closeHttp, listenHttp } from './listen.js';
 import { createOperatorServer, sendJson } from './operators/server.js';
-import { type DaemonProcess, waitUntilIdle } from './process.js';
+import { type DaemonProcess } from './process.js';
 import { type ProcessLoad, watchProcessLoad } from './processload.js';
 
-/** Part of the shutdown grace period that is reserved for closing connections. */
-const closeReserveMs = 600;
-
-/**
- * Time after the last response in which connections stay open. A caller may have sent its next
- * request before it learned of the shutdown; it gets a refusal instead of a reset.
- */
-const lingerMs = 250;
-
 /** Starts a gateway, which forwards requests straight to targets that have no agent. */
 export async function startGateway(options: GatewayOptions): Promise<DaemonProcess> {
   const { settings, platform, log } = options;
@@ -201,8 +194,15 @@
     limitedTargets: () => limits.size,
     droppedLogLines: options.droppedLogLines,
   });
-  /** When running requests are interrupted; Infinity until the process is stopped. */
-  let interruptsAt = Infinity;
+  const loopDelay = resources.add(createDelayMeter(clock));
+  const plannedStop = createGatewayStop({
+    clock,
+    log,
+    delay: loopDelay,
+    balancerWaitMs: settings.shutdown.balancer_wait,
+    graceMs: settings.shutdown.grace,
+    close: () => stop(),
+  });
   const dispatcher = createDispatcher({
     clock,
     random,
@@ -223,7 +223,7 @@
         directory.all.filter(({ registration }) => registration.weights.size > 0).length /
         peers.count,
     }),
-    remainingGraceMs: () => interruptsAt - clock.now(),
+    remainingGraceMs: plannedStop.remainingGraceMs,
     onLoadChange: () => peers.scheduleHint(),
   });
 
@@ -233,6 +233,7 @@
     log,
     protocol,
     dispatcher,
+    remainingGraceMs: plannedStop.remainingGraceMs,
     routes: () => routes,
     onResult: (result) => metrics?.recordResult(result),
   });
@@ -242,6 +243,7 @@
       log,
       registry,
       callerServer: callerServer.server,
+      delay: loopDelay,
       active: () => callerServer.active,
     }),
   );
@@ -341,14 +343,17 @@
   const operatorsAddress = await listenHttp(operatorServer, settings.listen.operators);
   log.info({ callersAddress, operatorsAddress, dataCentre }, 'gateway started');
 
-  const stop = (): number => {
+  function stop(): number {
     const interruptedCount = callerServer.active;
     stopSource.cancel('gateway stopped');
     resources.dispose();
+    closeHttp(callerServer.server).catch((err: unknown) => {
+      log.debug({ err: errMessage(err) }, 'caller listener was already closed');
+    });
     callerServer.server.closeAllConnections();
     operatorServer.closeAllConnections();
     return interruptedCount;
-  };
+  }
 
   return {
     addresses: { callers: callersAddress, operators: operatorsAddress, internal: '' },
@@ -356,23 +361,8 @@
       return callerServer.active;
     },
     async drain() {
-      const startedAt = clock.now();
-      interruptsAt = startedAt + settings.shutdown.grace - closeReserveMs;
       isDraining = true;
-      callerServer.closeAfterResponses();
-      await sleep(clock, settings.shutdown.balancer_wait, noCancellation);
-      callerServer.refuseNew();
-      await waitUntilIdle(clock, log, () => callerServer.active, interruptsAt - clock.now());
-      const interruptedCount = callerServer.interruptAll();
-      await sleep(clock, lingerMs, noCancellation);
-      closeHttp(callerServer.server).catch((err: unknown) => {
-        log.debug({ err: errMessage(err) }, 'caller listener was already closed');
-      });
-      stop();
-      log.info(
-        { cut: interruptedCount, tookMs: Math.round(clock.now() - startedAt) },
-        'gateway stopped',
-      );
+      await plannedStop.run(callerServer);
     },
     stop,
   };
--- a/src/daemon/process.ts
+++ b/src/daemon/process.ts
@@ -21,16 +21,17 @@
 /** Interval between checks for requests that are still running. */
 const drainPollMs = 50;
 
-/** Waits until no request is running or the limit has passed; logs how many still run then. */
+/** Waits until no request is running or the limit has passed. */
 export async function waitUntilIdle(
   clock: Clock,
-  log: Logger,
   activeCount: () => number,
   limitMs: number,
 ): Promise<void> {
   const deadline = clock.now() + limitMs;
   while (activeCount() > 0 && clock.now() < deadline)
     await sleep(clock, drainPollMs, noCancellation);
-  if (activeCount() > 0)
-    log.warn({ cut: activeCount() }, 'drain timed out; interrupting running requests');
+}
+
+export function logInterrupted(log: Logger, cut: number): void {
+  if (cut > 0) log.warn({ cut }, 'drain timed out; interrupting running requests');
 }
--- a/src/daemon/processload.ts
+++ b/src/daemon/processload.ts
@@ -1,7 +1,7 @@
 import { type Server } from 'node:http';
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 import { type Clock } from '../base/clock.js';
-import { createLoopMeter } from '../base/eventloop.js';
+import { createLoopMeter, type DelayMeter } from '../base/eventloop.js';
 import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
 
@@ -16,6 +16,7 @@
   readonly log: Logger;
   readonly registry: Registry;
   readonly callerServer: Server;
+  readonly delay: DelayMeter;
   /** Number of requests in progress. */
   active(): number;
 }
@@ -33,7 +34,7 @@
  * wait in the accept queue when there are about as many new connections as iterations.
  */
 export function watchProcessLoad(options: ProcessLoadOptions): ProcessLoad {
-  const { clock, log, registry, callerServer, active } = options;
+  const { clock, log, registry, callerServer, delay, active } = options;
   const registers = [registry];
   const loopMeter = createLoopMeter();
   let acceptedConnections = 0;
@@ -48,6 +49,14 @@
     help: 'Iterations of the event loop.',
     registers,
   });
+  const loopDelay: Gauge = new Gauge({
+    name: 'cicadatide_event_loop_delay_seconds',
+    help: 'Longest delay of a timer in the last second.',
+    registers,
+    collect() {
+      loopDelay.set(delay.recentMs / 1_000);
+    },
+  });
   const connections = new Counter({
     name: 'cicadatide_connections_total',
     help: 'Connections accepted from callers.',
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
+import { type ActiveRequestSummary, createActiveRequests } from '../base/activerequests.js';
 import { type CancellationSource } from '../base/cancellation.js';
 import { cancelOnClose } from '../base/callerclose.js';
 import { type Clock } from '../base/clock.js';
@@ -24,6 +25,10 @@
   readonly server: Server;
   /** Number of requests in progress. */
   readonly active: number;
+  /** Number of complete responses that their callers have not read yet. */
+  readonly flushing: number;
+  /** The oldest requests in progress, at most `limit`. */
+  summarize(limit: number): readonly ActiveRequestSummary[];
   /**
    * Makes the responses to later requests announce that their connection closes. Connections of
    * earlier requests stay open, because their callers may have sent the next request already.
@@ -46,6 +51,8 @@
   readonly log: Logger;
   readonly protocol: WireProtocol;
   readonly dispatcher: Dispatcher;
+  /** Time until running requests are interrupted, for the log; Infinity before a stop. */
+  remainingGraceMs(): number;
   /** Routes of the newest configuration; undefined before the first one. */
   routes(): RouteTable | undefined;
   onResult(result: CallResult & { readonly route: string; readonly durationMs: number }): void;
@@ -95,6 +102,7 @@
 export function createGatewayServer(options: GatewayServerOptions): GatewayServer {
   const { clock, random, log, protocol, dispatcher, routes, onResult } = options;
   const starts = createStartQueue(clock);
+  const requests = createActiveRequests(clock);
   let active = 0;
   let isClosing = false;
   let isRefusing = false;
@@ -181,6 +189,11 @@
     active += 1;
     const head = protocol.readCaller(req.headers);
     const response = createCallerResponse(res, protocol, head.requestId);
+    const request = requests.add(head.requestId, req, res);
+    request.closed.then(
+      () => requests.remove(request),
+      () => undefined,
+    );
     const logFields = { route: '', team: '', version: -1 };
     if (isClosing) res.shouldKeepAlive = false;
     res.on('error', (err) => {
@@ -218,6 +231,11 @@
             durationMs: Math.round(durationMs),
             promptTokens: head.promptTokens || undefined,
             maxOutputTokens: head.maxOutputTokens || undefined,
+            ...(isClosing && {
+              stopping: true,
+              remainingGraceMs: Math.round(options.remainingGraceMs()),
+              sentBytes: request.sentBytes(),
+            }),
           },
           'request ended',
         );
@@ -244,6 +262,10 @@
     get active() {
       return active;
     },
+    get flushing() {
+      return requests.flushing;
+    },
+    summarize: (limit) => requests.summarize(limit),
     closeAfterResponses() {
       isClosing = true;
     },
--- a/test/base/logstream.test.ts
+++ b/test/base/logstream.test.ts
@@ -40,3 +40,19 @@
   client.destroy();
   server.close();
 });
+
+it('writes lines without a flush soon after its delay was shortened', async () => {
+  const path = join(tmpdir(), `logstream-short-${process.pid}.log`);
+  const descriptor = openSync(path, 'w');
+  const log = createLogStream(descriptor);
+  log.stream.write('before\n');
+  log.shortenDelay();
+  log.stream.write('after\n');
+  await new Promise((resolve) => {
+    setTimeout(resolve, 100);
+  });
+  const text = readFileSync(path, 'utf8');
+  closeSync(descriptor);
+  rmSync(path);
+  expect(text).toBe('before\nafter\n');
+});
--- a/test/docs/operators.test.ts
+++ b/test/docs/operators.test.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import { Registry } from 'prom-client';
 import { expect, test } from 'vitest';
+import { createDelayMeter } from '../../src/base/eventloop.js';
 import { createNullLogger } from '../../src/base/logging.js';
 import { recordSchemas, schemaVersions } from '../../src/configuration/records.js';
 import { createConfigurationReplica } from '../../src/configuration/replica.js';
@@ -63,7 +64,9 @@
       });
       const clock = createManualClock();
       const log = createNullLogger();
-      watchProcessLoad({ clock, log, registry, callerServer: createServer(), active: () => 0 });
+      const delay = createDelayMeter(clock);
+      const active = (): number => 0;
+      watchProcessLoad({ clock, log, registry, callerServer: createServer(), delay, active });
     }),
   ];
   const tables = readPage('metrics.md')
--- a/test/standins/platform/caller.ts
+++ b/test/standins/platform/caller.ts
@@ -23,6 +23,7 @@
   gateway: DaemonProcess,
   requestId: string,
   route = 'fit',
+  deadlineMs = 1_500,
 ): Promise<CallerResult> {
   const sentAt = performance.now();
   return new Promise((resolve) => {
@@ -40,7 +41,7 @@
       headers: {
         Host: 'site.test',
         'X-Request-Id': requestId,
-        'X-Deadline-Ms': '1500',
+        'X-Deadline-Ms': String(deadlineMs),
         'X-Api-Key': 'key-a',
         'X-Model': model,
         'X-Token-Count': '900,40',
