Let only a second SIGINT shorten a planned stop

Callers lost streams and calls around SIGTERM. Cause: each second signal, also a SIGTERM that a supervisor repeats, closed all connections and ended the process with code 4.

Before, on a real process with three streams of 80 events:

a repeated SIGTERM cuts no running stream AssertionError: "events": 80 -> 13, "isComplete": true -> false (also a SIGINT after a SIGTERM, a SIGTERM after a SIGINT)

A SIGTERM never shortens a stop now; a second SIGINT does, whether or not a SIGTERM came before. After it, the process waits 100 ms, so that the requests that it cuts log their end.

--- a/src/daemon/exit.ts
+++ b/src/daemon/exit.ts
@@ -9,37 +9,62 @@
 /** Log output that is written in the background. */
 export type LogOutput = Pick<LogStream, 'shortenDelay' | 'flush'>;
 
+export type StopSignal = 'SIGTERM' | 'SIGINT';
+
+/** What a process does when it receives a signal. */
+export type SignalAction = 'drain' | 'continue' | 'interrupt';
+
 /** Time to flush the last log lines when the process exits. */
 const flushMs = 300;
 
-/** Drains the process on the first SIGTERM or SIGINT and exits immediately on the second. */
+/** Time for interrupted requests to log their end. */
+const interruptMs = 100;
+
+/**
+ * Decides what a signal does after those that were received before it. Supervisors repeat SIGTERM,
+ * so only a second SIGINT, which a person sends from a terminal, shortens a stop.
+ */
+export function signalAction(signal: StopSignal, received: readonly StopSignal[]): SignalAction {
+  if (received.length === 0) return 'drain';
+  return signal === 'SIGINT' && received.includes('SIGINT') ? 'interrupt' : 'continue';
+}
+
+/** Drains the process on the first SIGTERM or SIGINT; see {@link signalAction} for later ones. */
 export function handleSignals(daemon: DaemonProcess, log: Logger, output?: LogOutput): void {
-  let signals = 0;
+  const received: StopSignal[] = [];
   const exit = (code: number): void => {
     const end = (): void => process.exit(code);
     if (output) output.flush(flushMs).then(end, end);
     else end();
   };
-  const onSignal = (signal: string): void => {
-    signals += 1;
+  const actions: Readonly<Record<SignalAction, (signal: StopSignal) => void>> = {
+    drain(signal) {
+      log.info({ signal, active: daemon.active }, 'draining before shutdown');
+      daemon.drain().then(
+        () => exit(exitCodes.ok),
+        (err: unknown) => {
+          log.error({ err: errMessage(err) }, 'shutdown failed');
+          exit(exitCodes.failed);
+        },
+      );
+    },
+    continue(signal) {
+      log.info(
+        { signal, active: daemon.active },
+        'still draining; a second SIGINT exits immediately',
+      );
+    },
+    interrupt(signal) {
+      const cut = daemon.stop();
+      log.warn({ signal, cut }, 'second SIGINT received; exiting immediately');
+      setTimeout(() => exit(exitCodes.interrupted), interruptMs);
+    },
+  };
+  const onSignal = (signal: StopSignal): void => {
     output?.shortenDelay();
-    if (signals > 1) {
-      const interruptedCount = daemon.stop();
-      log.warn({ signal, cut: interruptedCount }, 'second signal received; exiting immediately');
-      exit(exitCodes.interrupted);
-      return;
-    }
-    log.info(
-      { signal, active: daemon.active },
-      'draining before shutdown; a second signal exits immediately',
-    );
-    daemon.drain().then(
-      () => exit(exitCodes.ok),
-      (err: unknown) => {
-        log.error({ err: errMessage(err) }, 'shutdown failed');
-        exit(exitCodes.failed);
-      },
-    );
+    const action = signalAction(signal, received);
+    if (!received.includes(signal)) received.push(signal);
+    actions[action](signal);
   };
   process.on('SIGTERM', onSignal);
   process.on('SIGINT', onSignal);
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -20,7 +20,7 @@
   --help           print this text and exit
 
 exit codes: 0 ok, 1 start failed, 2 wrong arguments, 3 wrong settings,
-            4 ended by a second signal before running requests finished
+            4 ended by a second SIGINT before running requests finished
 `;
 
 const startByRole: Readonly<
