Handle signals from the start of a process on

A SIGTERM or SIGHUP in the first moments of a process ended it by the default action, because the handlers were installed once the gateway had started. Entry and agent had no handler for SIGHUP at all, so each one ended them.

The first module that is evaluated installs the handlers; signals wait until the process can act on them. A SIGTERM while the settings are read ends the process with code 0 before it accepts requests, a later one begins a planned stop once the listeners are open. SIGHUP validates the settings in all roles. Signals that come while Node.js itself starts still have their default action.

--- a/src/daemon/exit.ts
+++ b/src/daemon/exit.ts
@@ -2,6 +2,7 @@
 import { type Logger } from '../base/logging.js';
 import { type LogStream } from '../base/logstream.js';
 import { type DaemonProcess } from './process.js';
+import { type SignalQueue, type StopSignal } from './signals.js';
 
 /** Exit codes of the daemon. */
 export const exitCodes = { ok: 0, failed: 1, usage: 2, settings: 3, interrupted: 4 } as const;
@@ -9,8 +10,6 @@
 /** Log output that is written in the background. */
 export type LogOutput = Pick<LogStream, 'shortenDelay' | 'flush'>;
 
-export type StopSignal = 'SIGTERM' | 'SIGINT';
-
 /** What a process does when it receives a signal. */
 export type SignalAction = 'drain' | 'continue' | 'interrupt';
 
@@ -29,22 +28,38 @@
   return signal === 'SIGINT' && received.includes('SIGINT') ? 'interrupt' : 'continue';
 }
 
-/** Drains the process on the first SIGTERM or SIGINT; see {@link signalAction} for later ones. */
-export function handleSignals(daemon: DaemonProcess, log: Logger, output?: LogOutput): void {
+/** Ends the process once the last log lines are written. */
+export function exitAfterFlush(code: number, output?: LogOutput): void {
+  const end = (): void => process.exit(code);
+  if (output) output.flush(flushMs).then(end, end);
+  else end();
+}
+
+export interface SignalOptions {
+  readonly daemon: DaemonProcess;
+  readonly log: Logger;
+  readonly signals: SignalQueue;
+  readonly output?: LogOutput;
+  readonly settingsPath: string;
+  /** Reads and validates the settings; throws when they are invalid. */
+  readSettings(path: string): unknown;
+}
+
+/**
+ * Drains the process on the first SIGTERM or SIGINT; see {@link signalAction} for later ones. On
+ * SIGHUP only validates the settings: changed settings apply after a restart.
+ */
+export function handleSignals(options: SignalOptions): void {
+  const { daemon, log, signals, output, settingsPath: path } = options;
   const received: StopSignal[] = [];
-  const exit = (code: number): void => {
-    const end = (): void => process.exit(code);
-    if (output) output.flush(flushMs).then(end, end);
-    else end();
-  };
   const actions: Readonly<Record<SignalAction, (signal: StopSignal) => void>> = {
     drain(signal) {
       log.info({ signal, active: daemon.active }, 'draining before shutdown');
       daemon.drain().then(
-        () => exit(exitCodes.ok),
+        () => exitAfterFlush(exitCodes.ok, output),
         (err: unknown) => {
           log.error({ err: errMessage(err) }, 'shutdown failed');
-          exit(exitCodes.failed);
+          exitAfterFlush(exitCodes.failed, output);
         },
       );
     },
@@ -57,15 +72,28 @@
     interrupt(signal) {
       const cut = daemon.stop();
       log.warn({ signal, cut }, 'second SIGINT received; exiting immediately');
-      setTimeout(() => exit(exitCodes.interrupted), interruptMs);
+      setTimeout(() => exitAfterFlush(exitCodes.interrupted, output), interruptMs);
     },
   };
-  const onSignal = (signal: StopSignal): void => {
+  const reload = (): void => {
+    try {
+      options.readSettings(path);
+      log.info({ path }, 'settings were read again; they take effect at the next start');
+    } catch (err) {
+      log.error(
+        { path, err: errMessage(err) },
+        'settings are invalid; the process keeps its current settings',
+      );
+    }
+  };
+  signals.listen(({ signal }) => {
+    if (signal === 'SIGHUP') {
+      reload();
+      return;
+    }
     output?.shortenDelay();
     const action = signalAction(signal, received);
     if (!received.includes(signal)) received.push(signal);
     actions[action](signal);
-  };
-  process.on('SIGTERM', onSignal);
-  process.on('SIGINT', onSignal);
+  });
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
+import { signals } from './earlysignals.js';
 import { parseArgs } from 'node:util';
 import { errMessage, SettingsError } from '../base/errors.js';
 import { createLogger, type Logger } from '../base/logging.js';
@@ -60,8 +61,12 @@
     return exitCodes.ok;
   }
   const log = createLogger(settings.process.instance, settings.process.log_level);
+  if (signals.isStopRequested) {
+    log.info('stopped before it accepted requests');
+    return exitCodes.ok;
+  }
   const daemon = await startByRole[settings.process.role](settings, log);
-  handleSignals(daemon, log);
+  handleSignals({ daemon, log, signals, settingsPath: args.config, readSettings });
   return undefined;
 }
 
--- a/test/daemon/exit.test.ts
+++ b/test/daemon/exit.test.ts
@@ -1,5 +1,6 @@
 import { expect, it } from 'vitest';
-import { signalAction, type StopSignal } from '../../src/daemon/exit.js';
+import { signalAction } from '../../src/daemon/exit.js';
+import { type StopSignal } from '../../src/daemon/signals.js';
 
 const sequences: readonly (readonly StopSignal[])[] = [
   ['SIGTERM', 'SIGTERM', 'SIGTERM'],
--- a/test/standins/platform/process.ts
+++ b/test/standins/platform/process.ts
@@ -1,6 +1,6 @@
 import { execFileSync, spawn } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { writeFile } from 'node:fs/promises';
+import { constants, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { type FileHandle, open } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { until } from './site.js';
@@ -19,8 +19,11 @@
   /** Set once the process has ended. */
   readonly end: ProcessEnd | undefined;
   signal(signal: NodeJS.Signals): void;
-  /** Completes the settings of a process that was started with `holdsSettings`. */
-  releaseSettings(): Promise<void>;
+  /**
+   * Waits until a process that was started with `holdsSettings` opens its settings. They are
+   * complete once the returned function was called.
+   */
+  holdSettings(): Promise<() => Promise<void>>;
   /** Port for callers; the process must be started. */
   callersPort(): number;
   /** Waits until a line with this message is logged. */
@@ -102,7 +105,20 @@
       return end;
     },
     signal: (signal) => void child.kill(signal),
-    releaseSettings: () => writeFile(settingsPath, settings.join('\n')),
+    async holdSettings() {
+      let pipe: FileHandle | undefined;
+      // The pipe can't be opened for writing until a reader has opened it.
+      await until(async () => {
+        pipe = await open(settingsPath, constants.O_WRONLY + constants.O_NONBLOCK).catch(
+          () => undefined,
+        );
+        return pipe !== undefined;
+      });
+      return async () => {
+        await pipe?.writeFile(settings.join('\n'));
+        await pipe?.close();
+      };
+    },
     callersPort: () => Number(new URL(String(find('gateway started')?.['callersAddress'])).port),
     async logged(msg) {
       await until(() => find(msg) !== undefined || end !== undefined);
