Wait for responses that have not left the process in a planned stop

Callers that read slowly lost the rest of answers that were already complete for the gateway. A request counted as done when its last bytes were handed to Node.js; `closeIdleConnections`, at the moment in which new requests are refused, and the end of the stop destroy connections whose response is complete but not written, and the log said `ok`.

A request is active until its response is flushed or its connection closed; `request ended` comes then, with `broken` or `left` when the caller did not get the whole response. Connections are closed as idle only if they have no active request, and after their last bytes.

--- a/src/base/activerequests.ts
+++ b/src/base/activerequests.ts
@@ -1,4 +1,5 @@
-import { type IncomingMessage, type ServerResponse } from 'node:http';
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type Socket } from 'node:net';
 import { type Clock } from './clock.js';
 
 /** A request of a caller until its response has left the process or its connection is closed. */
@@ -6,6 +7,8 @@
   readonly requestId: string;
   /** The response is complete, and bytes of it wait for the caller to read. */
   readonly isFlushing: boolean;
+  /** All bytes of the response have left the process. */
+  readonly isFlushed: boolean;
   /** Resolves when the response has left the process or the connection is closed. */
   readonly closed: Promise<void>;
   /** Bytes of the response that were passed to the connection. */
@@ -25,12 +28,34 @@
   readonly flushing: number;
   add(requestId: string, req: IncomingMessage, res: ServerResponse): ActiveRequest;
   remove(request: ActiveRequest): void;
+  /**
+   * Closes the connections that have no active request and on which no request has begun. Node's
+   * `closeIdleConnections` also closes those whose response is complete but not flushed.
+   */
+  closeIdleConnections(): void;
   /** The oldest requests that are not flushing. */
   summarize(limit: number): readonly ActiveRequestSummary[];
 }
 
-export function createActiveRequests(clock: Clock): ActiveRequests {
-  const requests = new Map<ActiveRequest, number>();
+interface Connection {
+  active: number;
+  /** Bytes that were read until its last request ended. */
+  readBytes: number;
+}
+
+interface Entry {
+  readonly startedAt: number;
+  readonly socket: Socket;
+}
+
+/** Keeps the active requests and the connections of a server. */
+export function createActiveRequests(clock: Clock, server: Server): ActiveRequests {
+  const requests = new Map<ActiveRequest, Entry>();
+  const connections = new Map<Socket, Connection>();
+  server.on('connection', (socket) => {
+    connections.set(socket, { active: 0, readBytes: 0 });
+    socket.once('close', () => connections.delete(socket));
+  });
   return {
     get size() {
       return requests.size;
@@ -49,6 +74,9 @@
         get isFlushing() {
           return res.writableEnded && !res.writableFinished && !res.destroyed;
         },
+        get isFlushed() {
+          return res.writableFinished;
+        },
         // A pipelined response gets its socket late and emits no close event before that.
         closed: new Promise((resolve) => {
           const onClose = (): void => {
@@ -61,15 +89,26 @@
         }),
         sentBytes: () => Math.max(0, passedBytes() - bytesBefore),
       };
-      requests.set(request, clock.now());
+      requests.set(request, { startedAt: clock.now(), socket });
+      const connection = connections.get(socket);
+      if (connection) connection.active += 1;
       return request;
     },
     remove(request) {
+      const socket = requests.get(request)?.socket;
       requests.delete(request);
+      const connection = socket && connections.get(socket);
+      if (!connection) return;
+      connection.active -= 1;
+      if (connection.active === 0) connection.readBytes = socket.bytesRead;
+    },
+    closeIdleConnections() {
+      for (const [socket, { active, readBytes }] of connections)
+        if (active === 0 && socket.bytesRead === readBytes) socket.destroySoon();
     },
     summarize(limit) {
       const summaries: ActiveRequestSummary[] = [];
-      for (const [request, startedAt] of requests) {
+      for (const [request, { startedAt }] of requests) {
         if (summaries.length >= limit) break;
         if (request.isFlushing) continue;
         const ageMs = Math.round(clock.now() - startedAt);
--- a/src/daemon/gatewaystop.ts
+++ b/src/daemon/gatewaystop.ts
@@ -32,6 +32,9 @@
  */
 const lingerMs = 250;
 
+/** Longest time for requests whose connections were closed to log their end. */
+const logWaitMs = 100;
+
 /** Requests that one log line names. */
 const maxNamedRequests = 32;
 
@@ -64,6 +67,7 @@
       await sleep(clock, lingerMs, noCancellation);
       const last = state();
       close();
+      await waitUntilIdle(clock, () => callerServer.active, logWaitMs);
       log.info({ ...last, cut, tookMs: Math.round(clock.now() - startedAt) }, 'gateway stopped');
     },
   };
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -102,8 +102,12 @@
 export function createGatewayServer(options: GatewayServerOptions): GatewayServer {
   const { clock, random, log, protocol, dispatcher, routes, onResult } = options;
   const starts = createStartQueue(clock);
-  const requests = createActiveRequests(clock);
-  let active = 0;
+  const server = createServer({
+    maxHeaderSize: parserMaxHeaderBytes,
+    keepAliveTimeout: defaultIdleTimeoutMs,
+    noDelay: true,
+  });
+  const requests = createActiveRequests(clock, server);
   let isClosing = false;
   let isRefusing = false;
   let isInterrupting = false;
@@ -126,6 +130,12 @@
     };
   };
 
+  /** Result of a request whose complete response was not read in full. */
+  const toUnread = (result: CallResult): CallResult =>
+    result.outcome === 'broken'
+      ? result
+      : { ...result, outcome: isInterrupting ? 'broken' : 'left' };
+
   const serve = async (
     req: IncomingMessage,
     res: ServerResponse,
@@ -186,7 +196,6 @@
 
   const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
     const arrivedAt = clock.now();
-    active += 1;
     const head = protocol.readCaller(req.headers);
     const response = createCallerResponse(res, protocol, head.requestId);
     const request = requests.add(head.requestId, req, res);
@@ -209,8 +218,11 @@
         else response.sendLocal('failed');
         return refuse(response, 'failed');
       })
-      .then((result) => {
-        active -= 1;
+      .then(async (served) => {
+        // A complete response may still wait for the caller to read it.
+        await request.closed;
+        requests.remove(request);
+        const result = request.isFlushed ? served : toUnread(served);
         const durationMs = clock.now() - arrivedAt;
         const status =
           response.status || (localResponses[result.outcome as LocalResponse]?.status ?? 0);
@@ -246,10 +258,7 @@
       );
   };
 
-  const server = createServer(
-    { maxHeaderSize: parserMaxHeaderBytes, keepAliveTimeout: defaultIdleTimeoutMs, noDelay: true },
-    onRequest,
-  );
+  server.on('request', onRequest);
   server.on('connection', (socket) => {
     // Each request adds listeners to its socket, and callers may pipeline many requests.
     socket.setMaxListeners(0);
@@ -260,7 +269,7 @@
   return {
     server,
     get active() {
-      return active;
+      return requests.size;
     },
     get flushing() {
       return requests.flushing;
@@ -271,11 +280,11 @@
     },
     refuseNew() {
       isRefusing = true;
-      server.closeIdleConnections();
+      requests.closeIdleConnections();
     },
     interruptAll() {
       isInterrupting = true;
-      const count = active;
+      const count = requests.size - requests.flushing;
       for (const source of [...sources]) source.cancel('gateway is stopping');
       return count;
     },
