Exit when a port is in use at the start

A gateway whose port was taken wrote EADDRINUSE and then neither served nor exited, so a supervisor had nothing to restart: what was started before the listener (feeds, sockets, timers) kept the process running. Entry and agent did the same for each of their listeners.

A start that fails ends the process explicitly, with code 3 for settings and 1 otherwise; the message names the address and the remedy. Not changed: the socket for hints between gateways only logs a warning when its port is taken.

--- a/src/adapters/connect/listener.ts
+++ b/src/adapters/connect/listener.ts
@@ -2,7 +2,7 @@
 import { type AddressInfo } from 'node:net';
 import { type ConnectRouter } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
-import { type HostPort } from '../../base/address.js';
+import { type HostPort, toListenError } from '../../base/address.js';
 import { serverCredential } from './credential.js';
 
 /** HTTP/2 listener for calls from other processes of the system. */
@@ -58,7 +58,7 @@
     session.on('error', () => session.destroy());
   });
   await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
+    server.once('error', (err) => reject(toListenError(bind, err)));
     server.listen(bind.port, bind.host, resolve);
   });
   const { port } = server.address() as AddressInfo;
--- a/src/base/address.ts
+++ b/src/base/address.ts
@@ -1,3 +1,5 @@
+import { errMessage, ListenError } from './errors.js';
+
 /** IP address and port of a listener or a peer. */
 export interface HostPort {
   readonly host: string;
@@ -19,3 +21,12 @@
 export function formatHostPort({ host, port }: HostPort): string {
   return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
 }
+
+/** Creates the error of a listener that could not be started. */
+export function toListenError(address: HostPort, err: unknown): Error {
+  return new ListenError(
+    `can't listen on ${formatHostPort(address)}: ${errMessage(err)}; ` +
+      'free the address or set another one in [listen]',
+    { cause: err },
+  );
+}
--- a/src/base/errors.ts
+++ b/src/base/errors.ts
@@ -12,6 +12,9 @@
 /** A settings file is missing, unreadable or invalid. The message names the remedy. */
 export const SettingsError = CicadatideError.subclass('SettingsError');
 
+/** An address of the settings can't be bound. The message names the remedy. */
+export const ListenError = CicadatideError.subclass('ListenError');
+
 /** A store call failed and nothing took effect: a read, or a write not sent or rejected. */
 export const StoreUnavailableError = CicadatideError.subclass('StoreUnavailableError');
 
--- a/src/daemon/listen.ts
+++ b/src/daemon/listen.ts
@@ -1,13 +1,14 @@
 import { type Server } from 'node:http';
 import { type AddressInfo } from 'node:net';
-import { type HostPort } from '../base/address.js';
+import { type HostPort, toListenError } from '../base/address.js';
 
 /** Starts an HTTP listener and returns its URL with the port in use. */
 export async function listenHttp(server: Server, bind: HostPort): Promise<string> {
   await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
+    const onError = (err: Error): void => reject(toListenError(bind, err));
+    server.once('error', onError);
     server.listen(bind.port, bind.host, () => {
-      server.off('error', reject);
+      server.off('error', onError);
       resolve();
     });
   });
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -6,7 +6,7 @@
 import { readVersion } from '../base/version.js';
 import { startAgent } from './agent.js';
 import { startEntry } from './entry.js';
-import { exitCodes, handleSignals } from './exit.js';
+import { exitAfterFlush, exitCodes, handleSignals } from './exit.js';
 import { type DaemonProcess } from './process.js';
 import { readSettings } from './settings/read.js';
 import { type Role, type Settings } from './settings/schema.js';
@@ -75,5 +75,6 @@
   if (code !== undefined) process.exitCode = code;
 } catch (err) {
   process.stderr.write(`cicadatided: ${errMessage(err)}\n`);
-  process.exitCode = err instanceof SettingsError ? exitCodes.settings : exitCodes.failed;
+  // What was started before the error would keep the process running.
+  exitAfterFlush(err instanceof SettingsError ? exitCodes.settings : exitCodes.failed);
 }
--- a/test/daemon/start.test.ts
+++ b/test/daemon/start.test.ts
@@ -1,4 +1,6 @@
 import { rmSync } from 'node:fs';
+import { createServer } from 'node:http';
+import { type AddressInfo } from 'node:net';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 import {
   bundleGateway,
@@ -63,3 +65,18 @@
     expect(await gateway.exited()).toMatchObject({ code: 0, signal: null });
   });
 });
+
+describe('a port that is in use', () => {
+  it.each(['callersPort', 'operatorsPort'])('ends the start with code 1 (%s)', async (name) => {
+    const other = createServer();
+    await new Promise<void>((resolve) => {
+      other.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = other.address() as AddressInfo;
+    const gateway = start({ [name]: port });
+    const end = await gateway.exited().catch(() => undefined);
+    other.close();
+    expect(end).toMatchObject({ code: 1, signal: null });
+    expect(gateway.stderr).toContain(`127.0.0.1:${port}`);
+  });
+});
--- a/test/standins/platform/process.ts
+++ b/test/standins/platform/process.ts
@@ -38,6 +38,7 @@
   readonly bundle: string;
   readonly storePort: number;
   readonly callersPort?: number;
+  readonly operatorsPort?: number;
   readonly graceMs?: number;
   /** The process waits for its settings, which it reads from a pipe. */
   readonly holdsSettings?: boolean;
@@ -52,7 +53,14 @@
 
 /** Starts a gateway; returns before it accepts requests. */
 export function spawnGateway(options: GatewayChildOptions): GatewayChild {
-  const { bundle, storePort, callersPort = 0, graceMs = 4_000, holdsSettings = false } = options;
+  const {
+    bundle,
+    storePort,
+    callersPort = 0,
+    operatorsPort = 0,
+    graceMs = 4_000,
+    holdsSettings = false,
+  } = options;
   const folder = mkdtempSync(join(tmpdir(), 'gateway-'));
   const settingsPath = join(folder, 'gateway.ini');
   const settings = [
@@ -61,7 +69,7 @@
     'data_centre = north',
     '[listen]',
     `callers = 127.0.0.1:${callersPort}`,
-    'operators = 127.0.0.1:0',
+    `operators = 127.0.0.1:${operatorsPort}`,
     'peers = 127.0.0.1:0',
     '[store]',
     `address = 127.0.0.1:${storePort}`,
