--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,11 +1,12 @@
 #!/usr/bin/env node
+import { signals } from './earlysignals.js';
 import { parseArgs } from 'node:util';
 import { errMessage, SettingsError } from '../base/errors.js';
 import { createLogger, type Logger } from '../base/logging.js';
 import { readVersion } from '../base/version.js';
 import { startAgent } from './agent.js';
 import { startEntry } from './entry.js';
-import { exitCodes, handleSignals } from './exit.js';
+import { exitAfterFlush, exitCodes, handleSignals } from './exit.js';
 import { type DaemonProcess } from './process.js';
 import { readSettings } from './settings/read.js';
 import { type Role, type Settings } from './settings/schema.js';
@@ -20,7 +21,7 @@
   --help           print this text and exit
 
 exit codes: 0 ok, 1 start failed, 2 wrong arguments, 3 wrong settings,
-            4 ended by a second signal before running requests finished
+            4 ended by a second SIGINT before running requests finished
 `;
 
 const startByRole: Readonly<
@@ -60,8 +61,12 @@
     return exitCodes.ok;
   }
   const log = createLogger(settings.process.instance, settings.process.log_level);
+  if (signals.isStopRequested) {
+    log.info('stopped before it accepted requests');
+    return exitCodes.ok;
+  }
   const daemon = await startByRole[settings.process.role](settings, log);
-  handleSignals(daemon, log);
+  handleSignals({ daemon, log, signals, settingsPath: args.config, readSettings });
   return undefined;
 }
 
@@ -70,5 +75,6 @@
   if (code !== undefined) process.exitCode = code;
 } catch (err) {
   process.stderr.write(`cicadatided: ${errMessage(err)}\n`);
-  process.exitCode = err instanceof SettingsError ? exitCodes.settings : exitCodes.failed;
+  // What was started before the error would keep the process running.
+  exitAfterFlush(err instanceof SettingsError ? exitCodes.settings : exitCodes.failed);
 }
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
+import { type ActiveRequestSummary, createActiveRequests } from '../base/activerequests.js';
 import { type CancellationSource } from '../base/cancellation.js';
 import { cancelOnClose } from '../base/callerclose.js';
 import { type Clock } from '../base/clock.js';
@@ -24,6 +25,10 @@
   readonly server: Server;
   /** Number of requests in progress. */
   readonly active: number;
+  /** Number of complete responses that their callers have not read yet. */
+  readonly flushing: number;
+  /** The oldest requests in progress, at most `limit`. */
+  summarize(limit: number): readonly ActiveRequestSummary[];
   /**
    * Makes the responses to later requests announce that their connection closes. Connections of
    * earlier requests stay open, because their callers may have sent the next request already.
@@ -46,6 +51,8 @@
   readonly log: Logger;
   readonly protocol: WireProtocol;
   readonly dispatcher: Dispatcher;
+  /** Time until running requests are interrupted, for the log; Infinity before a stop. */
+  remainingGraceMs(): number;
   /** Routes of the newest configuration; undefined before the first one. */
   routes(): RouteTable | undefined;
   onResult(result: CallResult & { readonly route: string; readonly durationMs: number }): void;
@@ -95,7 +102,12 @@
 export function createGatewayServer(options: GatewayServerOptions): GatewayServer {
   const { clock, random, log, protocol, dispatcher, routes, onResult } = options;
   const starts = createStartQueue(clock);
-  let active = 0;
+  const server = createServer({
+    maxHeaderSize: parserMaxHeaderBytes,
+    keepAliveTimeout: defaultIdleTimeoutMs,
+    noDelay: true,
+  });
+  const requests = createActiveRequests(clock, server);
   let isClosing = false;
   let isRefusing = false;
   let isInterrupting = false;
@@ -118,6 +130,12 @@
     };
   };
 
+  /** Result of a request whose complete response was not read in full. */
+  const toUnread = (result: CallResult): CallResult =>
+    result.outcome === 'broken'
+      ? result
+      : { ...result, outcome: isInterrupting ? 'broken' : 'left' };
+
   const serve = async (
     req: IncomingMessage,
     res: ServerResponse,
@@ -178,9 +196,13 @@
 
   const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
     const arrivedAt = clock.now();
-    active += 1;
     const head = protocol.readCaller(req.headers);
     const response = createCallerResponse(res, protocol, head.requestId);
+    const request = requests.add(head.requestId, req, res);
+    request.closed.then(
+      () => requests.remove(request),
+      () => undefined,
+    );
     const logFields = { route: '', team: '', version: -1 };
     if (isClosing) res.shouldKeepAlive = false;
     res.on('error', (err) => {
@@ -196,8 +218,11 @@
         else response.sendLocal('failed');
         return refuse(response, 'failed');
       })
-      .then((result) => {
-        active -= 1;
+      .then(async (served) => {
+        // A complete response may still wait for the caller to read it.
+        await request.closed;
+        requests.remove(request);
+        const result = request.isFlushed ? served : toUnread(served);
         const durationMs = clock.now() - arrivedAt;
         const status =
           response.status || (localResponses[result.outcome as LocalResponse]?.status ?? 0);
@@ -218,6 +243,11 @@
             durationMs: Math.round(durationMs),
             promptTokens: head.promptTokens || undefined,
             maxOutputTokens: head.maxOutputTokens || undefined,
+            ...(isClosing && {
+              stopping: true,
+              remainingGraceMs: Math.round(options.remainingGraceMs()),
+              sentBytes: request.sentBytes(),
+            }),
           },
           'request ended',
         );
@@ -228,10 +258,7 @@
       );
   };
 
-  const server = createServer(
-    { maxHeaderSize: parserMaxHeaderBytes, keepAliveTimeout: defaultIdleTimeoutMs, noDelay: true },
-    onRequest,
-  );
+  server.on('request', onRequest);
   server.on('connection', (socket) => {
     // Each request adds listeners to its socket, and callers may pipeline many requests.
     socket.setMaxListeners(0);
@@ -242,18 +269,22 @@
   return {
     server,
     get active() {
-      return active;
+      return requests.size;
+    },
+    get flushing() {
+      return requests.flushing;
     },
+    summarize: (limit) => requests.summarize(limit),
     closeAfterResponses() {
       isClosing = true;
     },
     refuseNew() {
       isRefusing = true;
-      server.closeIdleConnections();
+      requests.closeIdleConnections();
     },
     interruptAll() {
       isInterrupting = true;
-      const count = active;
+      const count = requests.size - requests.flushing;
       for (const source of [...sources]) source.cancel('gateway is stopping');
       return count;
     },
