Log of a failed attempt: silence of its target, what goes on, progress of the caller

The line now has silentMs, sinceReachableMs, answersOthers, goesOn, callerHasHead, callerHasEvents, lastEventId and, while the process stops, remainingGraceMs. The stand-in target can pause a stream and lack copies. No logic is changed.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -7,6 +7,7 @@
 import { isEndUnknown, responseFault } from './responsecheck.js';
 import { createEventSplitter } from './events.js';
 import { type Exchange, type ExchangeRequest } from './exchange.js';
+import { type SilenceFacts } from './silence.js';
 import { type Target } from './targets.js';
 
 /**
@@ -25,8 +26,14 @@
       readonly cause: string;
       readonly response?: BufferedResponse;
       readonly lostAt?: ResponseStage;
+      readonly silence: SilenceFacts;
     }
-  | { readonly kind: 'broken'; readonly cause: string; readonly lostAt?: ResponseStage };
+  | {
+      readonly kind: 'broken';
+      readonly cause: string;
+      readonly lostAt?: ResponseStage;
+      readonly silence: SilenceFacts;
+    };
 
 /**
  * How far the response of an attempt had come when its connection was lost. An engine sends the head
@@ -157,9 +164,20 @@
     settle(result);
   };
 
+  /** True when the target has begun to respond to this request or to one sent clearly later. */
+  const isOvertaken = (): boolean =>
+    targetRes !== undefined ||
+    target.newestRespondedSentAt(options.priority) - startedAt > reorderToleranceMs;
+
+  const silenceFacts = (): SilenceFacts => ({
+    silentMs: clock.now() - lastByteAt,
+    sinceReachableMs: target.connections.sinceReachableMs(),
+    answersOthers: isOvertaken(),
+  });
+
   const fail = (cause: string, lostAt?: ResponseStage): void => {
     const kind = progress.hasEvents || isForwarding ? 'broken' : 'failed';
-    end({ kind, cause, ...(lostAt && { lostAt }) });
+    end({ kind, cause, silence: silenceFacts(), ...(lostAt && { lostAt }) });
   };
 
   const markUnderway = (): void => {
@@ -259,6 +277,7 @@
       end({
         kind: 'failed',
         cause: `response status ${targetRes.statusCode}`,
+        silence: silenceFacts(),
         response: { res: targetRes, body: Buffer.concat(buffered) },
       });
       return;
@@ -284,11 +303,6 @@
     else fail(err.message, stage);
   };
 
-  /** True when the target has begun to respond to this request or to one sent clearly later. */
-  const isOvertaken = (): boolean =>
-    targetRes !== undefined ||
-    target.newestRespondedSentAt(options.priority) - startedAt > reorderToleranceMs;
-
   /**
    * Fails the attempt when its target is unreachable or hangs and the request can continue elsewhere.
    * A target that loads weights or prefills a long prompt sends nothing either, so missing bytes
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -10,7 +10,7 @@
 import { type CrashDetector } from './crashes.js';
 import { fitsGrace } from './graceperiod.js';
 import { type FailureTracker } from './failuretracker.js';
-import { placeAtBackup, recordAttemptEnd } from './outcomes.js';
+import { describeFailure, placeAtBackup, recordAttemptEnd } from './outcomes.js';
 import { type Quarantine, type Quarantined } from '../quarantine/quarantine.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
 import { type RetryBudget } from './retrybudget.js';
@@ -62,6 +62,10 @@
  */
 const targetWaitFraction = 0.5;
 
+/** JSON has no infinite numbers; the field is left out instead. */
+const finiteOrNone = (value: number): number | undefined =>
+  Number.isFinite(value) ? value : undefined;
+
 /** Retry-After of responses; a random part spreads the retries of callers. */
 const minRetryAfterMs = 150;
 
@@ -174,6 +178,13 @@
         return toResult('not-ready');
       };
 
+      /** What can go on with the request after its attempt at `placement` failed, for the log. */
+      const describeSuccessor = (placement: Placement): 'backup' | 'other-target' | 'none' => {
+        if (placeAtBackup(failureTracker, head, placement, progress)) return 'backup';
+        const mayRetry = isRetryable(call) && ranOn.size + 1 < route.maxTargets;
+        return mayRetry && placer.choose(placementRequest, excluded) ? 'other-target' : 'none';
+      };
+
       for (;;) {
         if (token.isCancellationRequested || remainingMs(call) < minRemainingMs)
           return finishUnserved();
@@ -255,8 +266,10 @@
             attempt: attempts,
             end: attemptEnd.kind,
             cause: attemptEnd.cause,
-            lostAt: 'lostAt' in attemptEnd ? attemptEnd.lostAt : undefined,
+            ...describeFailure(attemptEnd, progress, response.hasStarted),
+            goesOn: attemptEnd.kind === 'not-run' ? undefined : describeSuccessor(placement),
             remainingMs: Math.round(remainingMs(call)),
+            remainingGraceMs: finiteOrNone(Math.round(options.remainingGraceMs())),
           },
           'attempt failed',
         );
--- a/src/gateway/outcomes.ts
+++ b/src/gateway/outcomes.ts
@@ -58,3 +58,21 @@
     continueFrom: { address: backup.registration.address, handle: head.requestId },
   };
 }
+
+/** Fields of the log line of an attempt without a whole answer; times in milliseconds. */
+export function describeFailure(
+  attemptEnd: AttemptEnd,
+  { hasEvents, lastEventId }: Progress,
+  hasStarted: boolean,
+): Readonly<Record<string, unknown>> {
+  const callerHas = { callerHasHead: hasStarted, callerHasEvents: hasEvents, lastEventId };
+  if (attemptEnd.kind !== 'failed' && attemptEnd.kind !== 'broken') return callerHas;
+  const { lostAt, silence } = attemptEnd;
+  return {
+    ...callerHas,
+    lostAt,
+    silentMs: Math.round(silence.silentMs),
+    sinceReachableMs: Math.round(silence.sinceReachableMs),
+    answersOthers: silence.answersOthers,
+  };
+}
--- a/test/standins/platform/target.ts
+++ b/test/standins/platform/target.ts
@@ -8,6 +8,10 @@
   /** Number of events of a stream, and the time between them. */
   readonly events: number;
   readonly gapMs: number;
+  /** Pause of a stream before one of its events, for example after a preemption. */
+  readonly pause?: { readonly beforeEvent: number; readonly durationMs: number };
+  /** False when there was no room for copies, so no stream can go on from one here. */
+  readonly hasCopies?: boolean;
   /** Crashes when it begins to write an answer to a prompt with this part; it is back later. */
   readonly deadlyPart?: string;
   /** Headers that are added to each response, rejections included. */
@@ -179,6 +183,7 @@
   const sendEvents = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     const firstEvent = Number(req.headers['last-event-id'] ?? 0) + 1;
     for (let event = firstEvent; event <= behaviour.events; event += 1) {
+      if (event === behaviour.pause?.beforeEvent) await pause(behaviour.pause.durationMs);
       if (res.destroyed) return;
       if (behaviour.fault === 'cut' && event > behaviour.events / 2) {
         res.write(`id: ${event}\ndata: to`);
@@ -201,7 +206,8 @@
     arrivals.push({ requestId, at: performance.now() });
     const body = await readBody(req);
     for (const [name, value] of Object.entries(behaviour.headers ?? {})) res.setHeader(name, value);
-    if (behaviour.fault === 'full' || isBusy) {
+    const lacksCopy = behaviour.hasCopies === false && req.headers['kv-from'] !== undefined;
+    if (behaviour.fault === 'full' || isBusy || lacksCopy) {
       res.setHeader('X-Request-Id', requestId);
       res.writeHead(503, { 'X-Not-Run': '1', 'X-Instance': id });
       res.end();
