A silent run is given up only when its target is gone or another is reserved for it

What callers saw: streams that an engine preempts or that wait for its memory stand still for 1 to 2 s and go on.

Cause: the hang check ended an attempt for silence alone and left it to the dispatcher to find out whether another engine, a copy and the retry budget existed. For a stream that may run only once, a backup was taken for a certainty, though an engine without room keeps no copy and answers 503. The same held for resumable streams without another engine or budget, and for safe calls, whose sound but slow answer was replaced by a 502.

Ruled out: streams whose engine sends a byte now and then and streams of an engine that only accepts connections end at the caller's deadline and at the route's timeout, before and after this change.

A target that accepts no connections or was replaced ends the run, as before. A target that accepts them ends it only when src/gateway/moves.ts has reserved a run elsewhere: the route allows it, a target may take it in the time that is left, and the budget is withdrawn. Otherwise the run stays until its deadline, and one line says why.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -9,6 +9,7 @@
 import { type CallResult, type GatewayCall } from './calls.js';
 import { type CrashDetector } from './crashes.js';
 import { fitsGrace } from './graceperiod.js';
+import { createMover } from './moves.js';
 import { type FailureTracker } from './failuretracker.js';
 import { describeFailure, placeAtBackup, recordAttemptEnd } from './outcomes.js';
 import { type Quarantine, type Quarantined } from '../quarantine/quarantine.js';
@@ -75,6 +76,7 @@
   const { clock, random, log, protocol, placer, failureTracker, budget, streamAdmission } = options;
   const { quarantine, limits } = options;
   const sendRequest = createRequestSender(clock, protocol, limits);
+  const reserveMove = createMover({ placer, limits, quarantine });
   const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
 
   /** Forwards the failure response of a target to the caller. */
@@ -103,6 +105,7 @@
       let failureResponse: BufferedResponse | undefined;
       let lastPlacement: Placement | undefined;
       let continuation: Placement | undefined;
+      let isStayLogged = false;
       const pendingStream = route.kind === 'stream' ? streamAdmission.start(call) : undefined;
       const placementRequest: PlacementRequest = {
         service: call.service,
@@ -180,6 +183,7 @@
 
       /** What can go on with the request after its attempt at `placement` failed, for the log. */
       const describeSuccessor = (placement: Placement): 'backup' | 'other-target' | 'none' => {
+        if (continuation) return 'other-target';
         if (placeAtBackup(failureTracker, head, placement, progress)) return 'backup';
         const mayRetry = isRetryable(call) && ranOn.size + 1 < route.maxTargets;
         return mayRetry && placer.choose(placementRequest, excluded) ? 'other-target' : 'none';
@@ -232,6 +236,24 @@
         };
         let waiting: Disposable | undefined;
         const attempt = sendRequest(call, placement, progress, ranOn.size, {
+          isReplaced: () => failureTracker.isReplaced(target),
+          tryMove({ silentMs, answersOthers }) {
+            const move = reserveMove({
+              ...{ call, placementRequest, progress, isTooLate },
+              excluded: new Set([...excluded, target]),
+              ranOnCount: ranOn.size + 1,
+              tryWithdraw: () => budget.tryWithdraw(),
+            });
+            if (move.kind === 'reserved') continuation = move.placement;
+            else if (!isStayLogged) {
+              const silence = { silentMs: Math.round(silentMs), answersOthers };
+              const { requestId } = head;
+              const fields = { requestId, target: target.id, ...silence, reason: move.reason };
+              log.info(fields, 'silent attempt stays at its target');
+              isStayLogged = true;
+            }
+            return move.kind === 'reserved';
+          },
           onFirstByte() {
             firstByteMs ??= clock.now() - arrivedAt;
             observeFirstByte();
@@ -288,6 +310,7 @@
         }
         ranOn.add(target);
         isTrial = false;
+        if (continuation) continue;
         if (attemptEnd.kind === 'broken' && remainingMs(call) > minRemainingMs) {
           continuation = placeAtBackup(failureTracker, head, placement, progress);
           if (continuation && limits.tryTake(continuation.target)) {
--- a/src/gateway/failuretracker.ts
+++ b/src/gateway/failuretracker.ts
@@ -15,6 +15,8 @@
   observe(target: Target, outcome: TargetOutcome): void;
   /** True while the target is unreachable, or once another incarnation has its address. */
   isDown(target: Target): boolean;
+  /** True once another incarnation has the address of the target. */
+  isReplaced(target: Target): boolean;
   /** Recent fraction of failed requests, from 0 to 1. */
   failureRate(target: Target): number;
 }
@@ -97,6 +99,7 @@
       const record = records.get(target);
       return record !== undefined && (record.isDown || record.isReplaced);
     },
+    isReplaced: (target) => records.get(target)?.isReplaced ?? false,
     failureRate(target) {
       const record = records.get(target);
       return record ? decayedRate(record) : 0;
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -13,7 +13,7 @@
 const probeAfterMs = 300;
 
 /**
- * Time without bytes after which an attempt may fail although its target accepts connections, as a
+ * Time without bytes after which an attempt may move although its target accepts connections, as a
  * multiple of the route's objective; for the conditions see `AttemptOptions.hangTimeoutMs`. Callers
  * of streams time out after four times the objective.
  */
@@ -40,7 +40,7 @@
   placement: Placement,
   progress: Progress,
   ranOnCount: number,
-  listener: Pick<AttemptOptions, 'onFirstByte' | 'onUnderway'>,
+  listener: Pick<AttemptOptions, 'onFirstByte' | 'onUnderway' | 'isReplaced' | 'tryMove'>,
 ) => Attempt;
 
 export function createRequestSender(
@@ -78,8 +78,7 @@
       request: { method: call.method, path: call.path, headers, body: call.body },
       requestId: head.requestId,
       isStream,
-      isRetryable: mayRetry,
-      hasBackup: placement.backup !== undefined,
+      isWatched: mayRetry || placement.backup !== undefined,
       callerResponse: call.response,
       progress,
       remainingMs: remainingMs(call),
