A caller that reads slowly does not make its target count as silent

What callers saw: a stream or a long answer to a caller that takes no bytes for 1 s (2.5 objectives) was given up, or run again elsewhere, although its target was sound.

Cause: while a caller reads too slowly, the gateway takes no bytes from the target, and the silence that it caused itself counted as the target's.

Evidence: the new case of test/gateway/attempt.test.ts failed on the commit before: "waits when its caller reads too slowly: expected 'broken' to be 'waiting'".

Change: a paused response is not checked for silence, and its silence begins anew when the caller has caught up. Each pause registers one listener for the drain instead of one for each chunk. Deadlines apply as before.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -151,6 +151,8 @@
   let bufferedBytes = 0;
   let bodyBytes = 0;
   let isForwarding = false;
+  /** The caller reads too slowly, so no bytes are taken from the target. */
+  let isPaused = false;
   let stage: ResponseStage = 'waiting';
   let hasFirstEvents = false;
   let settle: (end: AttemptEnd) => void = () => undefined;
@@ -193,8 +195,14 @@
 
   const forward = (chunk: Buffer): void => {
     if (callerResponse.write(chunk)) return;
+    if (isPaused) return;
+    isPaused = true;
     exchange.current?.pause();
-    callerResponse.onDrain(() => exchange.current?.resume());
+    callerResponse.onDrain(() => {
+      isPaused = false;
+      lastByteAt = clock.now();
+      exchange.current?.resume();
+    });
   };
 
   const forwardBuffered = (): void => {
@@ -311,6 +319,7 @@
   const isReachable = (): boolean => target.connections.sinceReachableMs() < options.probeAfterMs;
 
   const nextStep = (acceptsConnections: Reachability): ReturnType<typeof nextSilenceStep> => {
+    if (isPaused) return 'wait';
     const isReplaced = options.isReplaced();
     return nextSilenceStep({ ...silenceFacts(), acceptsConnections, isReplaced }, options);
   };
--- a/test/gateway/attempt.test.ts
+++ b/test/gateway/attempt.test.ts
@@ -13,6 +13,8 @@
   /** Another target can be reserved. */
   readonly mayMove: boolean;
   readonly isReplaced: boolean;
+  /** The caller takes no bytes. */
+  readonly isCallerSlow: boolean;
   /** The target began to respond to a request that was sent this much later. */
   readonly overtakenByMs: number;
   readonly acceptsConnections: boolean;
@@ -24,6 +26,7 @@
   isWatched: true,
   mayMove: true,
   isReplaced: false,
+  isCallerSlow: false,
   overtakenByMs: 500,
   acceptsConnections: true,
   sendsEvent: false,
@@ -52,7 +55,8 @@
   const callerResponse = {
     hasStarted: false,
     writeHead: () => undefined,
-    write: () => true,
+    write: () => !options.isCallerSlow,
+    onDrain: () => undefined,
   } as unknown as CallerResponse;
   let end: AttemptEnd | undefined;
   const attempt = startAttempt({
@@ -120,6 +124,7 @@
       { mayMove: false, sendsEvent: true, acceptsConnections: false },
       'broken',
     ],
+    ['waits when its caller reads too slowly', { sendsEvent: true, isCallerSlow: true }, 'waiting'],
   ])('%s', async (_name, more, expected) => {
     expect(await runSilentStream(more)).toBe(expected);
   });
