An entry waits for a silent agent with the only run of a request until its deadline

Cause: a stream without progress is resumed for 1 s; then the attempt fails, whatever can go on with the request. For a request that may be repeated another attempt follows; for one that may not the entry refused.

Evidence: test/streams/attempt.test.ts, "the only run of a request is resumed when its agent was silent for some seconds": without the option the same faults end with "no progress on the stream".

Change: the attempt of such a request is resumed until its deadline, or until the agent rejects the resume or refuses connections. Agents keep a run without a reader for 5 s as before. Requests that may be repeated are unchanged.

--- a/src/routing/attempt.ts
+++ b/src/routing/attempt.ts
@@ -102,19 +102,23 @@
 
 const cancelTimeoutMs = 1_000;
 
-/** Dispatches an attempt and records its timings in the target health. */
+/**
+ * Dispatches an attempt and records its timings in the target health. With `isOnlyRun` the request
+ * may not run again, so the attempt waits for a silent agent until the token is cancelled.
+ */
 export function startAttempt(
   deps: AttemptDependencies,
   choice: Choice,
   init: DispatchInit,
   token: CancellationToken,
+  isOnlyRun = false,
 ): RunningAttempt {
   const { clock, log, directory, health, onFirstToken } = deps;
   const { agent } = choice;
   const target = targetOf(agent);
   const source = createCancellationSource(token);
   const tracked = directory.trackRequest(agent.address);
-  const chunks = streamAttempt(agent.connection, init, source.token, clock);
+  const chunks = streamAttempt(agent.connection, init, source.token, { clock, isOnlyRun });
   const startedAt = clock.now();
   let terminalStep: AttemptStep | undefined;
   let hasFirstToken = false;
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -150,7 +150,7 @@
       deliveredTokens: progress.deliveredTokens,
       delivered: progress.chunks.slice(-maxDeliveredChunks),
     });
-    return startAttempt(deps, choice, init, token);
+    return startAttempt(deps, choice, init, token, req.isIdempotent === false);
   };
 
   /** Records a failed attempt in the progress of its request and logs it. */
--- a/src/streams/attempt.ts
+++ b/src/streams/attempt.ts
@@ -26,6 +26,15 @@
   readonly afterSeq: number;
 }
 
+export interface StreamOptions {
+  readonly clock?: Clock;
+  /**
+   * The request may run only once, so nothing else can serve it: a silent stream is resumed until the
+   * token is cancelled or the agent rejects it.
+   */
+  readonly isOnlyRun?: boolean;
+}
+
 type AgentConnection = PeerConnection<AgentClient>;
 
 type OpenStream = (signal: AbortSignal) => AsyncIterable<Chunk>;
@@ -41,6 +50,8 @@
 
 const retryDelayMs = 50;
 
+const maxRetryDelayMs = 500;
+
 /** Consecutive resumes without a new chunk; after one more interruption the attempt fails. */
 const maxResumesWithoutChunk = 3;
 
@@ -101,7 +112,7 @@
   init: ResumeInit,
   dispatch: OpenStream | undefined,
   token: CancellationToken,
-  clock: Clock,
+  { clock = systemClock, isOnlyRun = false }: StreamOptions,
 ): AsyncGenerator<Chunk> {
   const { requestId, attempt, team } = init;
   const reassembly = createReassembly(requestId, attempt, init.afterSeq);
@@ -165,11 +176,14 @@
     if (isNonRetryable || isConnectionRefused(lastError)) throw lastError;
     recoveryDeadline ??= clock.now() + recoveryTimeoutMs;
     resumesWithoutChunk += 1;
-    if (clock.now() >= recoveryDeadline || resumesWithoutChunk > maxResumesWithoutChunk)
-      throw lastError;
+    const isOverdue = clock.now() >= recoveryDeadline;
+    if (!isOnlyRun && (isOverdue || resumesWithoutChunk > maxResumesWithoutChunk)) throw lastError;
     reassembly.clearPending();
-    if (resumesWithoutChunk > 1) await sleep(clock, retryDelayMs * resumesWithoutChunk, token);
-    currentTimeoutMs = Math.max(1, recoveryDeadline - clock.now());
+    if (resumesWithoutChunk > 1) {
+      const delayMs = Math.min(maxRetryDelayMs, retryDelayMs * resumesWithoutChunk);
+      await sleep(clock, delayMs, token);
+    }
+    currentTimeoutMs = isOnlyRun ? recoveryTimeoutMs : Math.max(1, recoveryDeadline - clock.now());
     openStream = resume;
   }
 }
@@ -182,12 +196,12 @@
   connection: AgentConnection,
   init: DispatchInit,
   token: CancellationToken,
-  clock: Clock = systemClock,
+  options: StreamOptions = {},
 ): AsyncGenerator<Chunk> {
   const { requestId, attempt, team } = init;
   const afterSeq = init.delivered.at(-1)?.seq ?? 0;
   const dispatch: OpenStream = (signal) => connection.client.dispatch(init, { signal });
-  return streamChunks(connection, { requestId, attempt, team, afterSeq }, dispatch, token, clock);
+  return streamChunks(connection, { requestId, attempt, team, afterSeq }, dispatch, token, options);
 }
 
 /** Yields the numbered chunks of a running attempt after the given one. */
@@ -197,5 +211,5 @@
   token: CancellationToken,
   clock: Clock = systemClock,
 ): AsyncGenerator<Chunk> {
-  return streamChunks(connection, init, undefined, token, clock);
+  return streamChunks(connection, init, undefined, token, { clock });
 }
--- a/test/streams/attempt.test.ts
+++ b/test/streams/attempt.test.ts
@@ -27,7 +27,12 @@
   Array.from({ length: count }, (_, at) => `w${at} `).join('');
 
 /** Reads a text of `count` words through streams with the given faults; later ones have none. */
-async function streamThroughFaults(plans: readonly StreamPlan[], count: number, startMs: number) {
+async function streamThroughFaults(
+  plans: readonly StreamPlan[],
+  count: number,
+  startMs: number,
+  isOnlyRun = false,
+) {
   const clock = createManualClock();
   const toChunk = (fields: { seq: number; part: Chunk['part'] }): Chunk =>
     create(ChunkSchema, { requestId: 'request', attempt: 1, ...fields });
@@ -106,7 +111,8 @@
   const init = { requestId: 'request', attempt: 1, team: 'red', delivered: [] } as unknown;
   const result = { text: '', seqs: [] as number[], outcome: 'no answer', endedAt: 0 };
   const read = async (): Promise<void> => {
-    const chunks = streamAttempt(connection, init as DispatchInit, noCancellation, clock);
+    const options = { clock, isOnlyRun };
+    const chunks = streamAttempt(connection, init as DispatchInit, noCancellation, options);
     for await (const chunk of chunks) {
       result.seqs.push(chunk.seq);
       if (chunk.part.case === 'text') result.text += chunk.part.value.text;
@@ -184,3 +190,16 @@
   );
   expect({ outcome, opened, endedAt }).toMatchSnapshot();
 });
+
+// Guards against a lost run of a request that may run only once when its agent is silent for 4 to 5 s.
+test('the only run of a request is resumed when its agent was silent for some seconds', async () => {
+  const silent = { ...noFaults, fault: 'silent' } as const;
+  const plans = [{ ...silent, after: 3 }, silent, silent, silent];
+  expect(await streamThroughFaults(plans, 10, 0)).toMatchObject({
+    outcome: 'no progress on the stream',
+  });
+  expect(await streamThroughFaults(plans, 10, 0, true)).toMatchObject({
+    outcome: 'ended',
+    text: words(10),
+  });
+});
