--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -9,8 +9,9 @@
 import { type CallResult, type GatewayCall } from './calls.js';
 import { type CrashDetector } from './crashes.js';
 import { fitsGrace } from './graceperiod.js';
+import { createMover } from './moves.js';
 import { type FailureTracker } from './failuretracker.js';
-import { placeAtBackup, recordAttemptEnd } from './outcomes.js';
+import { describeFailure, placeAtBackup, recordAttemptEnd } from './outcomes.js';
 import { type Quarantine, type Quarantined } from '../quarantine/quarantine.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
 import { type Repeats } from './repeats.js';
@@ -62,6 +63,10 @@
  */
 const targetWaitFraction = 0.5;
 
+/** JSON has no infinite numbers; the field is left out instead. */
+const finiteOrNone = (value: number): number | undefined =>
+  Number.isFinite(value) ? value : undefined;
+
 /** Retry-After of responses; a random part spreads the retries of callers. */
 const minRetryAfterMs = 150;
 
@@ -71,6 +76,7 @@
   const { clock, random, log, protocol, placer, failureTracker, streamAdmission } = options;
   const { quarantine, limits } = options;
   const sendRequest = createRequestSender(clock, protocol, limits);
+  const reserveMove = createMover({ placer, limits, quarantine });
   const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
 
   /** Forwards the failure response of a target to the caller. */
@@ -99,6 +105,7 @@
       let failureResponse: BufferedResponse | undefined;
       let lastPlacement: Placement | undefined;
       let continuation: Placement | undefined;
+      let isStayLogged = false;
       const pendingStream = route.kind === 'stream' ? streamAdmission.start(call) : undefined;
       const placementRequest: PlacementRequest = {
         service: call.service,
@@ -174,6 +181,14 @@
         return toResult('not-ready');
       };
 
+      /** What can go on with the request after its attempt at `placement` failed, for the log. */
+      const describeSuccessor = (placement: Placement): 'backup' | 'other-target' | 'none' => {
+        if (continuation) return 'other-target';
+        if (placeAtBackup(failureTracker, head, placement, progress)) return 'backup';
+        const mayRetry = isRetryable(call) && ranOn.size + 1 < route.maxTargets;
+        return mayRetry && placer.choose(placementRequest, excluded) ? 'other-target' : 'none';
+      };
+
       for (;;) {
         if (token.isCancellationRequested || remainingMs(call) < minRemainingMs)
           return finishUnserved();
@@ -223,6 +238,24 @@
         };
         let waiting: Disposable | undefined;
         const attempt = sendRequest(call, placement, progress, ranOn.size, {
+          isReplaced: () => failureTracker.isReplaced(target),
+          tryMove({ silentMs, answersOthers }) {
+            const move = reserveMove({
+              ...{ call, placementRequest, progress, isTooLate },
+              excluded: new Set([...excluded, target]),
+              ranOnCount: ranOn.size + 1,
+              tryWithdraw: (other) => repeats.tryReplace(other, progress.hasEvents),
+            });
+            if (move.kind === 'reserved') continuation = move.placement;
+            else if (!isStayLogged) {
+              const silence = { silentMs: Math.round(silentMs), answersOthers };
+              const { requestId } = head;
+              const fields = { requestId, target: target.id, ...silence, reason: move.reason };
+              log.info(fields, 'silent attempt stays at its target');
+              isStayLogged = true;
+            }
+            return move.kind === 'reserved';
+          },
           onFirstByte() {
             firstByteMs ??= clock.now() - arrivedAt;
             observeFirstByte();
@@ -259,10 +292,10 @@
             attempt: attempts,
             end: attemptEnd.kind,
             cause: attemptEnd.cause,
-            lostAt: 'lostAt' in attemptEnd ? attemptEnd.lostAt : undefined,
-            callerHas: response.hasStarted ? 'part' : 'nothing',
-            lastEventId: progress.lastEventId,
+            ...describeFailure(attemptEnd, progress, response.hasStarted),
+            goesOn: attemptEnd.kind === 'not-run' ? undefined : describeSuccessor(placement),
             remainingMs: Math.round(remainingMs(call)),
+            remainingGraceMs: finiteOrNone(Math.round(options.remainingGraceMs())),
           },
           'attempt failed',
         );
@@ -279,6 +312,7 @@
         }
         ranOn.add(target);
         isTrial = false;
+        if (continuation) continue;
         if (attemptEnd.kind === 'broken' && remainingMs(call) > minRemainingMs) {
           continuation = placeAtBackup(failureTracker, head, placement, progress);
           const isPermitted = continuation && limits.tryTake(continuation.target);
--- a/src/gateway/repeats.ts
+++ b/src/gateway/repeats.ts
@@ -18,8 +18,10 @@
    * that have turned it away may accept it.
    */
   tryStart(target: Target | undefined, isContinuation: boolean): boolean;
+  /** Pays for an attempt that replaces the running one, which has reached its target. */
+  tryReplace(target: Target, isContinuation: boolean): boolean;
   /** Records the end of an attempt. */
-  observeEnd(target: Target, end: AttemptEnd): void;
+  observeEnd(target: Target, end: Pick<AttemptEnd, 'kind'> & { readonly cause?: string }): void;
 }
 
 type RepeatedCall = Pick<GatewayCall, 'head' | 'service'>;
@@ -46,29 +48,31 @@
         return isTried ? 'further-round' : 'untried';
       };
 
+      const tryPay = (target: Target | undefined, isContinuation: boolean): boolean => {
+        const kind = kindOf(target, isContinuation);
+        const { isAllowed, allowed, slackInMs, ...inputs } = budget.tryWithdraw(service, kind);
+        log.info(
+          {
+            requestId,
+            service,
+            kind,
+            ...inputs,
+            allowed: Math.round(allowed * 10) / 10,
+            slackInMs: Math.round(slackInMs),
+            areGatewaysKnown: inputs.gateways !== undefined,
+          },
+          isAllowed ? 'request is sent again' : 'request is not sent again: the budget is used up',
+        );
+        options.onDecision(service, kind, isAllowed);
+        return isAllowed;
+      };
+
       return {
         tryStart(target, isContinuation) {
-          if (!hasArrived || isPaid) return true;
-          const kind = kindOf(target, isContinuation);
-          const { isAllowed, allowed, slackInMs, ...inputs } = budget.tryWithdraw(service, kind);
-          isPaid = isAllowed;
-          log.info(
-            {
-              requestId,
-              service,
-              kind,
-              ...inputs,
-              allowed: Math.round(allowed * 10) / 10,
-              slackInMs: Math.round(slackInMs),
-              areGatewaysKnown: inputs.gateways !== undefined,
-            },
-            isAllowed
-              ? 'request is sent again'
-              : 'request is not sent again: the budget is used up',
-          );
-          options.onDecision(service, kind, isPaid);
-          return isPaid;
+          if (hasArrived && !isPaid) isPaid = tryPay(target, isContinuation);
+          return !hasArrived || isPaid;
         },
+        tryReplace: tryPay,
         observeEnd(target, end) {
           // Nothing was sent to an unreachable target, so what was paid is left for the next one.
           if (end.kind === 'not-run' && end.cause === 'unreachable') return;
--- a/test/gateway/attempt.test.ts
+++ b/test/gateway/attempt.test.ts
@@ -8,8 +8,13 @@
 import { createManualClock } from '../standins/clock.js';
 
 interface Case {
-  readonly isRetryable: boolean;
-  readonly hasBackup: boolean;
+  /** Another target or a backup may go on with the request. */
+  readonly isWatched: boolean;
+  /** Another target can be reserved. */
+  readonly mayMove: boolean;
+  readonly isReplaced: boolean;
+  /** The caller takes no bytes. */
+  readonly isCallerSlow: boolean;
   /** The target began to respond to a request that was sent this much later. */
   readonly overtakenByMs: number;
   readonly acceptsConnections: boolean;
@@ -18,8 +23,10 @@
 }
 
 const defaultCase: Case = {
-  isRetryable: true,
-  hasBackup: false,
+  isWatched: true,
+  mayMove: true,
+  isReplaced: false,
+  isCallerSlow: false,
   overtakenByMs: 500,
   acceptsConnections: true,
   sendsEvent: false,
@@ -48,7 +55,8 @@
   const callerResponse = {
     hasStarted: false,
     writeHead: () => undefined,
-    write: () => true,
+    write: () => !options.isCallerSlow,
+    onDrain: () => undefined,
   } as unknown as CallerResponse;
   let end: AttemptEnd | undefined;
   const attempt = startAttempt({
@@ -58,8 +66,9 @@
     request: { method: 'POST', path: '/', headers: [], body: undefined },
     requestId: 'r',
     isStream: true,
-    isRetryable: options.isRetryable,
-    hasBackup: options.hasBackup,
+    isWatched: options.isWatched,
+    isReplaced: () => options.isReplaced,
+    tryMove: () => options.mayMove,
     callerResponse,
     progress: {
       lastEventId: undefined,
@@ -97,17 +106,25 @@
     ['fails when the target responded to later requests', {}, 'failed'],
     ['waits at an overloaded target that responds to no request', { overtakenByMs: 0 }, 'waiting'],
     ['fails when the target does not accept connections', { acceptsConnections: false }, 'failed'],
-    ['waits when it may not run elsewhere', { isRetryable: false }, 'waiting'],
     [
-      'waits before its first event even if another engine has a copy',
-      { isRetryable: false, hasBackup: true },
+      'fails when the target was replaced, even if nothing is reserved',
+      { isReplaced: true, mayMove: false },
+      'failed',
+    ],
+    ['waits when nothing may go on with it', { isWatched: false }, 'waiting'],
+    ['waits when no other target is reserved', { mayMove: false }, 'waiting'],
+    ['breaks after its first event once another is reserved', { sendsEvent: true }, 'broken'],
+    [
+      'waits after its first event when no other target is reserved',
+      { mayMove: false, sendsEvent: true },
       'waiting',
     ],
     [
-      'breaks after its first event if another engine has a copy',
-      { isRetryable: false, hasBackup: true, sendsEvent: true },
+      'breaks after its first event when the target does not accept connections',
+      { mayMove: false, sendsEvent: true, acceptsConnections: false },
       'broken',
     ],
+    ['waits when its caller reads too slowly', { sendsEvent: true, isCallerSlow: true }, 'waiting'],
   ])('%s', async (_name, more, expected) => {
     expect(await runSilentStream(more)).toBe(expected);
   });
--- a/test/gateway/repeats.test.ts
+++ b/test/gateway/repeats.test.ts
@@ -1,7 +1,6 @@
 import { Writable } from 'node:stream';
 import { describe, expect, it } from 'vitest';
 import { createLogger, createNullLogger } from '../../src/base/logging.js';
-import { type AttemptEnd } from '../../src/gateway/attempt.js';
 import { type GatewayCall } from '../../src/gateway/calls.js';
 import { createRepeats, type RequestRepeats } from '../../src/gateway/repeats.js';
 import { createRetryBudget } from '../../src/gateway/retrybudget.js';
@@ -13,9 +12,9 @@
 const first = { id: 't-1' } as Target;
 const second = { id: 't-2' } as Target;
 
-const full: AttemptEnd = { kind: 'not-run', cause: 'full' };
-const unreachable: AttemptEnd = { kind: 'not-run', cause: 'unreachable' };
-const failed: AttemptEnd = { kind: 'failed', cause: 'reset' };
+const full = { kind: 'not-run', cause: 'full' } as const;
+const unreachable = { kind: 'not-run', cause: 'unreachable' } as const;
+const failed = { kind: 'failed', cause: 'reset' } as const;
 
 async function setUp(slack: number, log = createNullLogger()) {
   const clock = createManualClock();
@@ -135,6 +134,16 @@
     ]);
   });
 
+  it('are counted when they replace a running attempt, also one that was paid for', async () => {
+    const { decisions, start } = await setUp(40);
+    const request = start();
+    expect(request.tryReplace(second, false)).toBe(true);
+    request.observeEnd(first, failed);
+    expect(request.tryStart(second, false)).toBe(true);
+    expect(request.tryReplace(first, true)).toBe(true);
+    expect(decisions).toEqual(['desk untried true', 'desk untried true', 'desk continuation true']);
+  });
+
   it('are refused for continuations too when the budget is used up', async () => {
     const { start } = await setUp(40);
     let sent = 0;
