--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -7,6 +7,7 @@
 import { systemRandom } from '../base/random.js';
 import { type RowChange } from '../configuration/watch.js';
 import { createCacheModel } from '../gateway/cachemodel.js';
+import { type CacheSalts, createCacheSalts } from '../gateway/cachesalt.js';
 import { createDispatcher } from '../gateway/dispatcher.js';
 import { createFailureTracker } from '../gateway/failuretracker.js';
 import { createKvStores } from '../gateway/kvstores.js';
@@ -57,6 +58,7 @@
   const { instance, data_centre: dataCentre } = settings.process;
 
   let routes: RouteTable | undefined;
+  let cacheSalts: CacheSalts | undefined;
   const desiredWeights = createDesiredWeightsHistory(clock);
   let feeds: GatewayFeeds | undefined;
   let processLoad: ProcessLoad | undefined;
@@ -173,6 +175,7 @@
     speeds,
     dataCentre,
     service: (name) => routes?.configuration.services.find((spec) => spec.name === name),
+    cacheSalts: () => cacheSalts,
     desiredWeights,
     weightsBounds: {
       deadlineMs: settings.weights.deadline,
@@ -264,6 +267,7 @@
 
   const applyConfiguration = (configuration: SiteConfiguration): void => {
     routes = createRouteTable(configuration);
+    cacheSalts = createCacheSalts(configuration);
     callerServer.setIdleTimeout(configuration.limits.idleTimeoutMs);
     speeds.configure(configuration.services);
     const engine = configuration.services.find((spec) => spec.engine)?.engine;
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -2,6 +2,7 @@
 import { type Random } from '../base/random.js';
 import { type ServiceSpec, type TeamSpec } from '../ports/site.js';
 import { type CallerHead, type Dispatch } from '../ports/wire.js';
+import { type CacheSalts } from './cachesalt.js';
 import { type FailureTracker } from './failuretracker.js';
 import { addLoads, lowestPriority, tokensAhead } from './inflight.js';
 import { type KvStore } from './kvstores.js';
@@ -40,6 +41,8 @@
   readonly target: Target;
   readonly version: number | undefined;
   readonly salt: string | undefined;
+  /** Other requests may use the parts that are cached under the salt. */
+  readonly isShareable: boolean;
   readonly source: FetchSource;
   readonly prefillTokens: number;
   /** Expected time to the first byte. */
@@ -86,7 +89,10 @@
   readonly prefillLoad: PrefillLoad;
   readonly speeds: SpeedModel;
   readonly dataCentre: string;
+  /** Service in the configuration in force; undefined when it is no longer listed. */
   service(name: string): ServiceSpec | undefined;
+  /** Salts under the configuration in force; undefined before the first one. */
+  cacheSalts(): CacheSalts | undefined;
   readonly desiredWeights: Pick<DesiredWeightsHistory, 'superseded'>;
   readonly weightsBounds: WeightsBounds;
   /** Time since a call to the store last failed, in milliseconds; Infinity when none has. */
@@ -106,14 +112,8 @@
  */
 const readyMarginChunks = 4;
 
-/**
- * Returns the cache salt of a team. Cache entries are shared within one version of the weights and,
- * for isolated teams, only within the team. The salt contains the version because KV stores keep
- * entries of older versions.
- */
-export function cacheSaltOf(version: number, team: TeamSpec | undefined): string {
-  return team?.isIsolated ? `v${version}.team.${team.name}` : `v${version}`;
-}
+/** Salt of a request whose parts no other request may use. */
+const privateSaltOf = ({ requestId }: CallerHead): string => `request.${requestId}`;
 
 /**
  * Work of a target before the first byte of a request; undefined when the prompts of other requests,
@@ -141,7 +141,11 @@
     },
     choose({ service, head, team, priority }, excluded) {
       const spec = options.service(service);
-      const isEngine = spec?.engine !== undefined && head.model !== undefined;
+      // Requests that were admitted before a configuration dropped their service are still sent to it.
+      const isEngineService = spec
+        ? spec.engine !== undefined
+        : directory.usable(service).some(({ registration }) => registration.weights.size > 0);
+      const isEngine = isEngineService && head.model !== undefined;
       const targets = reachable(service, excluded).filter((target) => limits.waitMs(target) === 0);
       const views = new Map<string, TransferView>();
       const viewOf = (salt: string): TransferView => {
@@ -151,17 +155,19 @@
       };
       const details = targets.map((target) => {
         const version = isEngine ? target.weightsVersion(head.model as string) : undefined;
-        if (version === undefined) {
-          // The version is unknown; a salt of its own prevents hits on stale cache entries.
-          const salt = isEngine ? `request.${head.requestId}` : undefined;
-          return { target, version, salt, source: noSource, prefillTokens: head.promptTokens };
+        const sharedSalt =
+          version === undefined ? undefined : options.cacheSalts()?.saltOf(version, team);
+        if (sharedSalt === undefined) {
+          // Without the version or the team it is unknown which cached parts the request may use.
+          const salt = isEngine ? privateSaltOf(head) : undefined;
+          const { promptTokens: prefillTokens } = head;
+          return { target, version, salt, isShareable: false, source: noSource, prefillTokens };
         }
-        const salt = cacheSaltOf(version, team);
-        const view = viewOf(salt);
+        const view = viewOf(sharedSalt);
         const cached = view.cachedTokens(target.id);
         const source = view.findSource(target, cached);
         const prefillTokens = Math.max(0, head.promptTokens - cached - source.tokens);
-        return { target, version, salt, source, prefillTokens };
+        return { target, version, salt: sharedSalt, isShareable: true, source, prefillTokens };
       });
       const speeds = options.speeds.speedsOf(service);
       const candidates = details.map(({ target, version, source, prefillTokens }): Candidate => {
@@ -205,10 +211,10 @@
       };
     },
     place({ service, head, needsBackup }, choice) {
-      const { target, salt, version, source, prefillTokens, expectedMs } = choice;
+      const { target, salt, isShareable, version, source, prefillTokens, expectedMs } = choice;
       const { parts, model } = head;
       let saveTo: KvStore | undefined;
-      if (salt !== undefined && version !== undefined && parts.length > 0) {
+      if (isShareable && salt !== undefined && parts.length > 0) {
         saveTo = transfers.findSaveTarget(service, salt, parts);
         const { store, tokens } = source;
         const fetch = tokens > 0 ? { store, tokens } : undefined;
--- a/test/standins/platform/caller.ts
+++ b/test/standins/platform/caller.ts
@@ -23,6 +23,7 @@
   gateway: DaemonProcess,
   requestId: string,
   route = 'fit',
+  key = 'key-a',
 ): Promise<CallerResult> {
   const sentAt = performance.now();
   return new Promise((resolve) => {
@@ -41,7 +42,7 @@
         Host: 'site.test',
         'X-Request-Id': requestId,
         'X-Deadline-Ms': '1500',
-        'X-Api-Key': 'key-a',
+        'X-Api-Key': key,
         'X-Model': model,
         'X-Token-Count': '900,40',
         'X-Prompt-Prefix': `aa:500,${requestId}:400`,
