Share no parts that a team cached before it was isolated (WALL)

The set of isolated teams is now a part of the salt of shared parts, so that a change of the set leaves the old parts behind. It is derived from the configuration alone: all gateways agree without a message, also after a restart.

Ruled out: a counter of changes, which a gateway that starts later can't know; the version of the configuration, with which each change of any route would empty the caches.

'differs from the one under which a team cached parts before it was isolated' failed before (2 salts for 3 requests) and passes.

--- a/src/gateway/cachesalt.ts
+++ b/src/gateway/cachesalt.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import { type SiteConfiguration, type TeamSpec } from '../ports/site.js';
 
 /**
@@ -13,16 +14,29 @@
   saltOf(weightsVersion: number, team: TeamSpec | undefined): string | undefined;
 }
 
-/** Salts contain the version of the weights because KV stores keep parts of older versions. */
+/** Hexadecimal digits of the digest of the isolated teams. */
+const digestLength = 12;
+
+/**
+ * The salt of shared parts names the set of isolated teams: when a team becomes isolated, the others no
+ * longer find what it cached before. It contains the version of the weights because KV stores keep
+ * parts of older versions.
+ */
 export function createCacheSalts({ teams }: Pick<SiteConfiguration, 'teams'>): CacheSalts {
   const byName = new Map((teams ?? []).map((team) => [team.name, team]));
+  const isolated = [...byName.values()].filter(({ isIsolated }) => isIsolated);
+  const names = isolated.map(({ name }) => name).sort();
+  const digest = createHash('sha256').update(JSON.stringify(names)).digest('hex');
+  const sharedScope = names.length > 0 ? `.without.${digest.slice(0, digestLength)}` : '';
 
   return {
     saltOf(weightsVersion, team) {
-      if (!team) return `v${weightsVersion}`;
+      if (!team) return `v${weightsVersion}${sharedScope}`;
       const current = byName.get(team.name);
       if (!current) return undefined;
-      return current.isIsolated ? `v${weightsVersion}.team.${team.name}` : `v${weightsVersion}`;
+      return current.isIsolated
+        ? `v${weightsVersion}.team.${team.name}`
+        : `v${weightsVersion}${sharedScope}`;
     },
   };
 }
--- a/test/daemon/cachesharing.test.ts
+++ b/test/daemon/cachesharing.test.ts
@@ -64,6 +64,21 @@
 
 // Guards against teams that use what an isolated team has cached (WALL).
 describe('the cache salt of a request', () => {
+  it('differs from the one under which a team cached parts before it was isolated', async () => {
+    await sendPrompt(gateway, 'a-before');
+    const tenants = [
+      { name: 'team-a', apiKeys: ['key-a'], isolated: true },
+      { name: 'team-b', apiKeys: ['key-b'], isolated: false },
+    ];
+    site.store.put('op', 'config', configuration(2, { tenants }));
+    await waitForConfiguration(2);
+    await sendPrompt(gateway, 'a-after');
+    await sendPrompt(gateway, 'b-after', 'fit', 'key-b');
+    const salts = ['a-before', 'a-after', 'b-after'].map(saltOf);
+    expect(salts).not.toContain(undefined);
+    expect(new Set(salts).size).toBe(3);
+  });
+
   it('is kept when a configuration drops the service while the body is on its way', async () => {
     const finish = beginPrompt('b-moved');
     await sendPrompt(gateway, 'a-before');
--- a/test/gateway/cachesalt.test.ts
+++ b/test/gateway/cachesalt.test.ts
@@ -19,11 +19,24 @@
     expect(createCacheSalts({ teams: undefined }).saltOf(1, undefined)).toBe('v1');
   });
 
+  it('of the other teams change when a team becomes isolated', () => {
+    const before = createCacheSalts({ teams: [team('a'), team('b')] });
+    const after = createCacheSalts({ teams: [team('a', true), team('b')] });
+    expect(after.saltOf(1, team('b'))).not.toBe(before.saltOf(1, team('b')));
+    expect(after.saltOf(1, undefined)).not.toBe(before.saltOf(1, undefined));
+  });
+
   it('follow the configuration and not what it said of the team before', () => {
     const salts = createCacheSalts({ teams: [team('a', true)] });
     expect(salts.saltOf(1, team('a', false))).toBe('v1.team.a');
   });
 
+  it('do not depend on the order of the teams', () => {
+    const teams = [team('a', true), team('b', true), team('c')];
+    const reversed = createCacheSalts({ teams: [...teams].reverse() });
+    expect(reversed.saltOf(1, team('c'))).toBe(createCacheSalts({ teams }).saltOf(1, team('c')));
+  });
+
   it('are unknown for a team that the configuration no longer has', () => {
     expect(createCacheSalts({ teams: [team('a')] }).saltOf(1, team('gone'))).toBeUndefined();
     expect(createCacheSalts({ teams: undefined }).saltOf(1, team('gone'))).toBeUndefined();
