--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -14,6 +14,7 @@
 import { createPeers } from '../gateway/peers.js';
 import { createPlacer } from '../gateway/placement.js';
 import { createPrefillLoad } from '../gateway/prefillload.js';
+import { createRepeats } from '../gateway/repeats.js';
 import { createRetryBudget } from '../gateway/retrybudget.js';
 import { createRouteTable, type RouteTable } from '../gateway/routes.js';
 import { createGatewayServer } from '../gateway/server.js';
@@ -185,15 +186,15 @@
     isChangingWeights,
     onCacheUse: (use) => peers.publishCacheUse(use),
   });
-  const budget = createRetryBudget(
+  const budget = createRetryBudget({
     clock,
-    {
+    limits: {
       ratio: settings.repeats.share,
       slack: settings.repeats.slack,
       windowMs: settings.repeats.window,
     },
-    () => peers.count,
-  );
+    gatewayCount: () => peers.count,
+  });
   const registry = new Registry();
   metrics = createGatewayMetrics(registry, {
     directory,
@@ -216,6 +217,11 @@
     crashDetector,
     quarantine,
     budget,
+    repeats: createRepeats({
+      log,
+      budget,
+      onDecision: (...decision) => metrics?.recordRepeat(...decision),
+    }),
     limits,
     speeds,
     streamAdmission: createStreamAdmission({
