--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -127,7 +127,8 @@
 
 /** Sends a request to one target and forwards its response to the caller. */
 export function startAttempt(options: AttemptOptions): Attempt {
-  const { clock, protocol, target, requestId, callerResponse, progress, isStream } = options;
+  const { clock, protocol, target, requestId, progress, isStream } = options;
+  const writer = options.callerResponse.openWriter(progress.lastEventId);
   const splitter = createEventSplitter();
   const inFlight = target.startRequest(options.prefillTokens, options.priority);
   const timers: Disposable[] = [];
@@ -169,14 +170,20 @@
   };
 
   const forward = (chunk: Buffer): void => {
-    if (callerResponse.write(chunk)) return;
+    if (writer.write(chunk)) return;
     exchange.current?.pause();
-    callerResponse.onDrain(() => exchange.current?.resume());
+    writer.onDrain(() => exchange.current?.resume());
+  };
+
+  /** Begins or goes on with the response to the caller; false when the attempt has failed instead. */
+  const beginResponse = (res: IncomingMessage): boolean => {
+    if (writer.begin(res, isStream)) return true;
+    fail('the caller has a part of the response of another target');
+    return false;
   };
 
   const forwardBuffered = (): void => {
-    if (!targetRes) return;
-    if (!callerResponse.hasStarted) callerResponse.writeHead(targetRes);
+    if (!targetRes || !beginResponse(targetRes)) return;
     isForwarding = true;
     for (const chunk of buffered) forward(chunk);
     buffered = [];
@@ -189,18 +196,17 @@
       fail(`event is still incomplete after ${maxBufferedBytes} bytes`);
       return;
     }
-    if (!batch) return;
+    if (!batch || !targetRes || !beginResponse(targetRes)) return;
     inFlight.markPrefilled();
     if (hasFirstEvents) markUnderway();
     hasFirstEvents = true;
     if (!progress.hasEvents) options.onFirstByte();
-    if (!callerResponse.hasStarted && targetRes) callerResponse.writeHead(targetRes, true);
     const now = clock.now();
     if (progress.hasEvents)
       progress.longestPauseMs = Math.max(progress.longestPauseMs, now - progress.lastEventAt);
     progress.lastEventAt = now;
     progress.hasEvents = true;
-    progress.contentType ??= targetRes?.headers['content-type'];
+    progress.contentType ??= targetRes.headers['content-type'];
     progress.lastEventId = batch.lastId ?? progress.lastEventId;
     forward(batch.bytes);
   };
@@ -272,9 +278,10 @@
         fail('stream ended in the middle of an event', stage);
         return;
       }
-      if (!callerResponse.hasStarted) callerResponse.writeHead(targetRes, true);
+      if (!beginResponse(targetRes)) return;
     } else if (!isForwarding) forwardBuffered();
-    callerResponse.end();
+    if (isEnded) return;
+    writer.end();
     markUnderway();
     end({ kind: 'done' });
   };
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,4 +1,3 @@
-import { type IncomingMessage } from 'node:http';
 import { type Clock, sleep } from '../base/clock.js';
 import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
@@ -77,9 +76,10 @@
 
   /** Forwards the failure response of a target to the caller. */
   const forwardFailure = (response: CallerResponse, { res, body }: BufferedResponse): void => {
-    response.writeHead(res as IncomingMessage);
-    if (body.length > 0) response.write(body);
-    response.end();
+    const writer = response.openWriter(undefined);
+    if (!writer.begin(res, false)) return;
+    if (body.length > 0) writer.write(body);
+    writer.end();
   };
 
   return {
@@ -288,6 +288,7 @@
         }
         ranOn.add(target);
         isTrial = false;
+        if (!response.mayResumeAfter(progress.lastEventId)) return finishUnserved();
         if (attemptEnd.kind === 'broken' && remainingMs(call) > minRemainingMs) {
           continuation = placeAtBackup(failureTracker, head, placement, progress);
           if (continuation && limits.tryTake(continuation.target)) {
--- a/src/gateway/response.ts
+++ b/src/gateway/response.ts
@@ -42,6 +42,20 @@
   'timed-out': { status: 504, isRetryable: false, remedy: 'the request may have run' },
 };
 
+/** Writes the response of one target; ignored once another target has the response. */
+export interface ResponseWriter {
+  /**
+   * Sends the head of the target's response, unless the stream that this target goes on with has begun.
+   * The length of a stream is left out, because another target may go on with it. Returns false
+   * when the caller has a part of another target's response, which this one can't complete.
+   */
+  begin(res: IncomingMessage, isStream: boolean): boolean;
+  /** Returns false when the caller reads too slowly; `onDrain` reports when it has caught up. */
+  write(chunk: Buffer): boolean;
+  onDrain(listener: () => void): void;
+  end(): void;
+}
+
 /** Response to one request of a caller. */
 export interface CallerResponse {
   readonly hasStarted: boolean;
@@ -50,14 +64,12 @@
   /** Status that was sent to the caller, 0 before the head. */
   readonly status: number;
   /**
-   * Sends the head of a target's response. The length of a stream is left out, because another target
-   * may go on with it.
+   * Creates the writer of one target. `resumesAfter` is the id of the last event that the caller has
+   * and after which the target was asked to go on; undefined for a run from the beginning.
    */
-  writeHead(res: IncomingMessage, isStream?: boolean): void;
-  /** Returns false when the caller reads too slowly; `onDrain` reports when it has caught up. */
-  write(chunk: Buffer): boolean;
-  onDrain(listener: () => void): void;
-  end(): void;
+  openWriter(resumesAfter: string | undefined): ResponseWriter;
+  /** True when a target that goes on after the event could still complete the response. */
+  mayResumeAfter(lastEventId: string | undefined): boolean;
   /** Ends a started response so that it does not look complete. */
   abort(): void;
   /** Sends a response that the gateway makes itself, unless one has started. */
@@ -71,6 +83,40 @@
 ): CallerResponse {
   let hasStarted = false;
   let isFinished = false;
+  let isStream = false;
+  let owner: ResponseWriter | undefined;
+
+  const mayResumeAfter = (lastEventId: string | undefined): boolean =>
+    !hasStarted || (isStream && lastEventId !== undefined);
+
+  const openWriter = (resumesAfter: string | undefined): ResponseWriter => {
+    const writer: ResponseWriter = {
+      begin(targetRes, isStreamOfTarget) {
+        if (owner === writer) return true;
+        if (isFinished || !mayResumeAfter(resumesAfter)) return false;
+        owner = writer;
+        if (hasStarted) return isStreamOfTarget;
+        hasStarted = true;
+        isStream = isStreamOfTarget;
+        const headers = protocol.toCaller(targetRes.rawHeaders);
+        const length = targetRes.headers['content-length'];
+        // A response without a length is sent chunked, so that the caller can recognise its end.
+        if (length !== undefined && !isStream) headers.push('Content-Length', length);
+        res.writeHead(targetRes.statusCode ?? 502, headers);
+        return true;
+      },
+      // A caller that disconnected reads nothing; the response must not wait for it.
+      write: (chunk) => owner !== writer || res.destroyed || res.write(chunk),
+      onDrain: (listener) => res.once('drain', listener),
+      end() {
+        if (isFinished || owner !== writer) return;
+        isFinished = true;
+        res.end();
+      },
+    };
+    return writer;
+  };
+
   return {
     get hasStarted() {
       return hasStarted;
@@ -81,22 +127,8 @@
     get status() {
       return hasStarted ? res.statusCode : 0;
     },
-    writeHead(targetRes, isStream = false) {
-      hasStarted = true;
-      const headers = protocol.toCaller(targetRes.rawHeaders);
-      const length = targetRes.headers['content-length'];
-      // A response without a length is sent chunked, so that the caller can recognise its end.
-      if (length !== undefined && !isStream) headers.push('Content-Length', length);
-      res.writeHead(targetRes.statusCode ?? 502, headers);
-    },
-    // A caller that disconnected reads nothing; the response must not wait for it.
-    write: (chunk) => res.destroyed || res.write(chunk),
-    onDrain: (listener) => res.once('drain', listener),
-    end() {
-      if (isFinished) return;
-      isFinished = true;
-      res.end();
-    },
+    openWriter,
+    mayResumeAfter,
     abort() {
       if (isFinished) return;
       isFinished = true;
--- a/test/gateway/attempt.test.ts
+++ b/test/gateway/attempt.test.ts
@@ -46,9 +46,7 @@
     startRequest: () => ({ markPrefilled: () => undefined, dispose: () => undefined }),
   } as unknown as Target;
   const callerResponse = {
-    hasStarted: false,
-    writeHead: () => undefined,
-    write: () => true,
+    openWriter: () => ({ begin: () => true, write: () => true }),
   } as unknown as CallerResponse;
   let end: AttemptEnd | undefined;
   const attempt = startAttempt({
