Pass on no refusal of a target that may have run the request (REFUSED)

What the head of a response says is now decided in one table (src/gateway/responsestatus.ts). The three statuses without the proof end the attempt as a failure that may have run; the caller gets 502, or the answer of another target where the route allows it. 408 with the proof counts as not run, as 429 and 503 did.

Ruled out: 421, which targets send before they look at the request; local refusals of the gateway, which are sent only while no target may have run the request (finishUnserved).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,6 +5,7 @@
 import { type TargetHead, type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse } from './response.js';
 import { isEndUnknown, responseFault } from './responsecheck.js';
+import { meaningOf } from './responsestatus.js';
 import { createEventSplitter } from './events.js';
 import { type Exchange, type ExchangeRequest } from './exchange.js';
 import { type Target } from './targets.js';
@@ -118,13 +119,6 @@
 /** Least time between two checks of a target that sends nothing. */
 const minCheckIntervalMs = 150;
 
-const notRunStatuses: Readonly<Record<number, NotRunCause>> = {
-  421: 'misdirected',
-  429: 'full',
-  503: 'full',
-  400: 'misdirected',
-};
-
 /** Sends a request to one target and forwards its response to the caller. */
 export function startAttempt(options: AttemptOptions): Attempt {
   const { clock, protocol, target, requestId, progress, isStream } = options;
@@ -227,13 +221,15 @@
     }
     const status = message.statusCode ?? 0;
     options.onHead(head, status);
-    const cause = notRunStatuses[status];
-    if (cause && (head.isNotRun || status === 421)) {
-      end({ kind: 'not-run', cause, head });
+    const meaning = meaningOf(status, head);
+    if (meaning.kind === 'not-run') {
+      end({ kind: 'not-run', cause: meaning.cause, head });
       return;
     }
-    if (head.isSigned) stage = 'head';
-    else fail(`response with status ${status} is not signed by the target`);
+    if (!head.isSigned) fail(`response with status ${status} is not signed by the target`);
+    else if (meaning.kind === 'failed' && !meaning.isForwardable)
+      fail(`response with status ${status} does not prove that the request has not run`);
+    else stage = 'head';
   };
 
   const isOk = (): boolean => {
--- a/test/standins/platform/rawsite.ts
+++ b/test/standins/platform/rawsite.ts
@@ -46,7 +46,7 @@
         'X-Request-Id': requestId,
         'X-Deadline-Ms': '1500',
         'X-Api-Key': 'key-a',
-        ...(route === 'fit' && {
+        ...((route === 'fit' || route === 'reply') && {
           'X-Model': model,
           'X-Token-Count': '90,40',
           'X-Prompt-Prefix': `aa:50,${requestId}:40`,
