--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,6 +5,7 @@
 import { type TargetHead, type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse } from './response.js';
 import { isEndUnknown, responseFault } from './responsecheck.js';
+import { meaningOf } from './responsestatus.js';
 import { createEventSplitter } from './events.js';
 import { type Exchange, type ExchangeRequest } from './exchange.js';
 import { nextSilenceStep, type Reachability, type SilenceFacts } from './silence.js';
@@ -130,16 +131,10 @@
 /** Least time between two checks of a target that sends nothing. */
 const minCheckIntervalMs = 150;
 
-const notRunStatuses: Readonly<Record<number, NotRunCause>> = {
-  421: 'misdirected',
-  429: 'full',
-  503: 'full',
-  400: 'misdirected',
-};
-
 /** Sends a request to one target and forwards its response to the caller. */
 export function startAttempt(options: AttemptOptions): Attempt {
-  const { clock, protocol, target, requestId, callerResponse, progress, isStream } = options;
+  const { clock, protocol, target, requestId, progress, isStream } = options;
+  const writer = options.callerResponse.openWriter(progress.lastEventId);
   const splitter = createEventSplitter();
   const inFlight = target.startRequest(options.prefillTokens, options.priority);
   const timers: Disposable[] = [];
@@ -194,20 +189,26 @@
   };
 
   const forward = (chunk: Buffer): void => {
-    if (callerResponse.write(chunk)) return;
+    if (writer.write(chunk)) return;
     if (isPaused) return;
     isPaused = true;
     exchange.current?.pause();
-    callerResponse.onDrain(() => {
+    writer.onDrain(() => {
       isPaused = false;
       lastByteAt = clock.now();
       exchange.current?.resume();
     });
   };
 
+  /** Begins or goes on with the response to the caller; false when the attempt has failed instead. */
+  const beginResponse = (res: IncomingMessage): boolean => {
+    if (writer.begin(res, isStream)) return true;
+    fail('the caller has a part of the response of another target');
+    return false;
+  };
+
   const forwardBuffered = (): void => {
-    if (!targetRes) return;
-    if (!callerResponse.hasStarted) callerResponse.writeHead(targetRes);
+    if (!targetRes || !beginResponse(targetRes)) return;
     isForwarding = true;
     for (const chunk of buffered) forward(chunk);
     buffered = [];
@@ -220,18 +221,17 @@
       fail(`event is still incomplete after ${maxBufferedBytes} bytes`);
       return;
     }
-    if (!batch) return;
+    if (!batch || !targetRes || !beginResponse(targetRes)) return;
     inFlight.markPrefilled();
     if (hasFirstEvents) markUnderway();
     hasFirstEvents = true;
     if (!progress.hasEvents) options.onFirstByte();
-    if (!callerResponse.hasStarted && targetRes) callerResponse.writeHead(targetRes, true);
     const now = clock.now();
     if (progress.hasEvents)
       progress.longestPauseMs = Math.max(progress.longestPauseMs, now - progress.lastEventAt);
     progress.lastEventAt = now;
     progress.hasEvents = true;
-    progress.contentType ??= targetRes?.headers['content-type'];
+    progress.contentType ??= targetRes.headers['content-type'];
     progress.lastEventId = batch.lastId ?? progress.lastEventId;
     forward(batch.bytes);
   };
@@ -252,13 +252,15 @@
     }
     const status = message.statusCode ?? 0;
     options.onHead(head, status);
-    const cause = notRunStatuses[status];
-    if (cause && (head.isNotRun || status === 421)) {
-      end({ kind: 'not-run', cause, head });
+    const meaning = meaningOf(status, head);
+    if (meaning.kind === 'not-run') {
+      end({ kind: 'not-run', cause: meaning.cause, head });
       return;
     }
-    if (head.isSigned) stage = 'head';
-    else fail(`response with status ${status} is not signed by the target`);
+    if (!head.isSigned) fail(`response with status ${status} is not signed by the target`);
+    else if (meaning.kind === 'failed' && !meaning.isForwardable)
+      fail(`response with status ${status} does not prove that the request has not run`);
+    else stage = 'head';
   };
 
   const isOk = (): boolean => {
@@ -304,9 +306,10 @@
         fail('stream ended in the middle of an event', stage);
         return;
       }
-      if (!callerResponse.hasStarted) callerResponse.writeHead(targetRes, true);
+      if (!beginResponse(targetRes)) return;
     } else if (!isForwarding) forwardBuffered();
-    callerResponse.end();
+    if (isEnded) return;
+    writer.end();
     markUnderway();
     end({ kind: 'done' });
   };
--- a/test/gateway/attempt.test.ts
+++ b/test/gateway/attempt.test.ts
@@ -53,10 +53,11 @@
     startRequest: () => ({ markPrefilled: () => undefined, dispose: () => undefined }),
   } as unknown as Target;
   const callerResponse = {
-    hasStarted: false,
-    writeHead: () => undefined,
-    write: () => !options.isCallerSlow,
-    onDrain: () => undefined,
+    openWriter: () => ({
+      begin: () => true,
+      write: () => !options.isCallerSlow,
+      onDrain: () => undefined,
+    }),
   } as unknown as CallerResponse;
   let end: AttemptEnd | undefined;
   const attempt = startAttempt({
--- a/test/standins/platform/caller.ts
+++ b/test/standins/platform/caller.ts
@@ -24,6 +24,7 @@
   requestId: string,
   route = 'fit',
   deadlineMs = 1_500,
+  key = 'key-a',
 ): Promise<CallerResult> {
   const sentAt = performance.now();
   return new Promise((resolve) => {
@@ -42,7 +43,7 @@
         Host: 'site.test',
         'X-Request-Id': requestId,
         'X-Deadline-Ms': String(deadlineMs),
-        'X-Api-Key': 'key-a',
+        'X-Api-Key': key,
         'X-Model': model,
         'X-Token-Count': '900,40',
         'X-Prompt-Prefix': `aa:500,${requestId}:400`,
