Retry budget: a repeat that lands on a reused address counts at the service it reached

When addresses change hands, a repeat can reach a target of another service, which answers 421. If the id in the answer is listed for another service, the repeat is charged there too.

Unit test, before: "expected 1 to be 2".

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -216,6 +216,7 @@
     repeats: createRepeats({
       log,
       budget,
+      serviceOf: (targetId) => directory.find(targetId)?.registration.service,
       onDecision: (...decision) => metrics?.recordRepeat(...decision),
     }),
     limits,
--- a/src/gateway/repeats.ts
+++ b/src/gateway/repeats.ts
@@ -27,6 +27,8 @@
 export interface RepeatsOptions {
   readonly log: Logger;
   readonly budget: RetryBudget;
+  /** Service of a listed target. */
+  serviceOf(targetId: string): string | undefined;
   /** Called after each decision. */
   onDecision(service: string, kind: RepeatKind, isAllowed: boolean): void;
 }
@@ -72,9 +74,16 @@
         observeEnd(target, end) {
           // Nothing was sent to an unreachable target, so what was paid is left for the next one.
           if (end.kind === 'not-run' && end.cause === 'unreachable') return;
+          const wasRepeat = hasArrived;
           hasArrived = true;
           isPaid = false;
-          if (end.kind === 'not-run') turnedAwayBy.add(target);
+          if (end.kind !== 'not-run') return;
+          turnedAwayBy.add(target);
+          const respondingId = end.head?.targetId;
+          const arrivalService =
+            respondingId === undefined ? undefined : options.serviceOf(respondingId);
+          if (wasRepeat && arrivalService !== undefined && arrivalService !== service)
+            budget.charge(arrivalService);
         },
       };
     },
--- a/src/gateway/retrybudget.ts
+++ b/src/gateway/retrybudget.ts
@@ -32,6 +32,8 @@
   deposit(service: string): void;
   /** Withdraws one repeat, unless the window has none left for this kind. */
   tryWithdraw(service: string, kind: RepeatKind): RepeatDecision;
+  /** Counts a repeat that has arrived at a target of this service without having been meant for it. */
+  charge(service: string): void;
   /** Number of services with requests or repeats in memory. */
   readonly size: number;
 }
@@ -105,6 +107,7 @@
       if (isAllowed) record.repeats.add();
       return { isAllowed, repeats, allowed, requests, gateways, slackInMs };
     },
+    charge: (service) => recordOf(service).repeats.add(),
     get size() {
       return records.size;
     },
--- a/test/gateway/repeats.test.ts
+++ b/test/gateway/repeats.test.ts
@@ -6,6 +6,7 @@
 import { createRepeats, type RequestRepeats } from '../../src/gateway/repeats.js';
 import { createRetryBudget } from '../../src/gateway/retrybudget.js';
 import { type Target } from '../../src/gateway/targets.js';
+import { type TargetHead } from '../../src/ports/wire.js';
 import { createManualClock } from '../standins/clock.js';
 
 const call = { head: { requestId: 'r-1' }, service: 'desk' } as GatewayCall;
@@ -17,6 +18,13 @@
 const unreachable: AttemptEnd = { kind: 'not-run', cause: 'unreachable' };
 const failed: AttemptEnd = { kind: 'failed', cause: 'reset' };
 
+/** Another target has the address of the chosen one. */
+const misdirectedTo = (targetId: string): AttemptEnd => ({
+  kind: 'not-run',
+  cause: 'misdirected',
+  head: { targetId } as TargetHead,
+});
+
 async function setUp(slack: number, log = createNullLogger()) {
   const clock = createManualClock();
   const limits = { ratio: 0, slack, windowMs: 10_000 };
@@ -26,9 +34,10 @@
   const repeats = createRepeats({
     log,
     budget,
+    serviceOf: (id) => (id === 'print-1' ? 'print' : undefined),
     onDecision: (...decision) => decisions.push(decision.join(' ')),
   });
-  return { repeats, decisions, start: (): RequestRepeats => repeats.start(call) };
+  return { repeats, decisions, start: (): RequestRepeats => repeats.start(call), budget };
 }
 
 // Guards against repeats that logs and metrics do not explain.
@@ -145,4 +154,16 @@
     }
     expect(sent).toBe(9);
   });
+
+  it('count at the service whose target got them, if they were sent to a reused address', async () => {
+    const { budget, start } = await setUp(1_000);
+    const repeatsOf = (service: string): number =>
+      budget.tryWithdraw(service, 'further-round').repeats;
+    const request = start();
+    request.observeEnd(first, misdirectedTo('print-1'));
+    request.observeEnd(second, misdirectedTo('unknown'));
+    expect(repeatsOf('print')).toBe(0);
+    request.observeEnd(second, misdirectedTo('print-1'));
+    expect(repeatsOf('print')).toBe(2);
+  });
 });
