Exchange: test that an attempt given up while connecting has sent nothing

Attempts that end as `unreachable` cost no budget, so they must never arrive. By reading: a new connection gets the request in the same callback that sets `isSent`, and a reused one counts as sent at once. No fault was found and no code is changed.

--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -91,6 +91,26 @@
     expect(await exchange(connections)).toEqual(['failure sent=false']);
   });
 
+  it('sends nothing on a connection that was established only after the time limit', async () => {
+    let arrived = 0;
+    const port = await startTarget([
+      () => {
+        arrived += 1;
+      },
+    ]);
+    const connections = createConnections(systemClock, { host: '127.0.0.1', port });
+    const result = exchange(connections);
+    await new Promise((resolve) => {
+      process.nextTick(resolve);
+    });
+    // The kernel accepts the connection while this process is late.
+    const startedAt = performance.now();
+    while (performance.now() - startedAt < 400);
+    expect(await result).toEqual(['failure sent=false']);
+    await pause(100);
+    expect(arrived).toBe(0);
+  });
+
   it('closes an idle connection on which a second response arrives', async () => {
     const first = 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none';
     const extra = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra';
