Count the grace of a planned stop from the signal, not from its handler

A process that was late when SIGTERM came took the whole grace from the moment at which its handler ran, so it was killed before it had interrupted and logged its requests: callers got connections closed without an end, and the log had no line of them. At its end 50 ms were left for everything that a slow core does late.

The time for which the signal may have waited, from a timer of the event loop, is taken off the grace; it looks back one turn of the loop only, so a process that was late before the signal still uses its grace (tested). Recent lateness begins the interruption earlier, by a sixth of the grace before its end at most. After it, callers that still read have until 350 ms before the end, and connections stay open for later requests only while there are any. A second SIGINT during the stop keeps its exit code 4.

Ruled out by a test that passes before and after: a request whose head and body come in pieces on a kept connection during the stop gets 503 with `Connection: close` and no reset.

--- a/src/base/activerequests.ts
+++ b/src/base/activerequests.ts
@@ -24,6 +24,8 @@
 
 export interface ActiveRequests {
   readonly size: number;
+  /** Number of open connections. */
+  readonly connections: number;
   /** Number of requests with `isFlushing`. */
   readonly flushing: number;
   add(requestId: string, req: IncomingMessage, res: ServerResponse): ActiveRequest;
@@ -60,6 +62,9 @@
     get size() {
       return requests.size;
     },
+    get connections() {
+      return connections.size;
+    },
     get flushing() {
       let count = 0;
       for (const { isFlushing } of requests.keys()) if (isFlushing) count += 1;
--- a/src/daemon/exit.ts
+++ b/src/daemon/exit.ts
@@ -52,11 +52,12 @@
 export function handleSignals(options: SignalOptions): void {
   const { daemon, log, signals, output, settingsPath: path } = options;
   const received: StopSignal[] = [];
-  const actions: Readonly<Record<SignalAction, (signal: StopSignal) => void>> = {
-    drain(signal) {
+  let isInterrupted = false;
+  const actions: Readonly<Record<SignalAction, (signal: StopSignal, at: number) => void>> = {
+    drain(signal, at) {
       log.info({ signal, active: daemon.active }, 'draining before shutdown');
-      daemon.drain().then(
-        () => exitAfterFlush(exitCodes.ok, output),
+      daemon.drain(performance.now() - at).then(
+        () => exitAfterFlush(isInterrupted ? exitCodes.interrupted : exitCodes.ok, output),
         (err: unknown) => {
           log.error({ err: errMessage(err) }, 'shutdown failed');
           exitAfterFlush(exitCodes.failed, output);
@@ -70,6 +71,7 @@
       );
     },
     interrupt(signal) {
+      isInterrupted = true;
       const cut = daemon.stop();
       log.warn({ signal, cut }, 'second SIGINT received; exiting immediately');
       setTimeout(() => exitAfterFlush(exitCodes.interrupted, output), interruptMs);
@@ -86,7 +88,7 @@
       );
     }
   };
-  signals.listen(({ signal }) => {
+  signals.listen(({ signal, at }) => {
     if (signal === 'SIGHUP') {
       reload();
       return;
@@ -94,6 +96,6 @@
     output?.shortenDelay();
     const action = signalAction(signal, received);
     if (!received.includes(signal)) received.push(signal);
-    actions[action](signal);
+    actions[action](signal, at);
   });
 }
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -360,9 +360,9 @@
     get active() {
       return callerServer.active;
     },
-    async drain() {
+    async drain(handledMs = 0) {
       isDraining = true;
-      await plannedStop.run(callerServer);
+      await plannedStop.run(callerServer, handledMs);
     },
     stop,
   };
--- a/src/daemon/gatewaystop.ts
+++ b/src/daemon/gatewaystop.ts
@@ -3,14 +3,18 @@
 import { type DelayMeter } from '../base/eventloop.js';
 import { type Logger } from '../base/logging.js';
 import { type GatewayServer } from '../gateway/server.js';
-import { waitUntilIdle } from './process.js';
+import { waitUntil } from './process.js';
+import { createStopSchedule } from './stopschedule.js';
 
 /** Planned stop of a gateway. */
 export interface GatewayStop {
   /** Time until running requests are interrupted; Infinity before the stop. */
   remainingGraceMs(): number;
-  /** Lets running requests finish within the grace period, then closes. */
-  run(callerServer: GatewayServer): Promise<void>;
+  /**
+   * Lets running requests finish within the grace period, then closes. The signal was handled
+   * `handledMs` ago.
+   */
+  run(callerServer: GatewayServer, handledMs: number): Promise<void>;
 }
 
 export interface GatewayStopOptions {
@@ -23,9 +27,6 @@
   close(): void;
 }
 
-/** Part of the grace period that is reserved for closing connections. */
-const closeReserveMs = 600;
-
 /**
  * Time after the last response in which connections stay open. A caller may have sent its next
  * request before it learned of the shutdown; it gets a refusal instead of a reset.
@@ -40,34 +41,43 @@
 
 export function createGatewayStop(options: GatewayStopOptions): GatewayStop {
   const { clock, log, delay, balancerWaitMs, graceMs, close } = options;
-  let endsAt = Infinity;
-  const remainingGraceMs = (): number => endsAt - closeReserveMs - clock.now();
+  const schedule = createStopSchedule(clock, delay, graceMs);
 
   return {
-    remainingGraceMs,
-    async run(callerServer) {
+    remainingGraceMs: schedule.untilInterruptMs,
+    async run(callerServer, handledMs) {
       const startedAt = clock.now();
-      endsAt = startedAt + graceMs;
+      schedule.begin(handledMs);
       const state = () => ({
         active: callerServer.active,
         flushing: callerServer.flushing,
-        graceLeftMs: Math.round(endsAt - clock.now()),
+        connections: callerServer.connections,
+        graceLeftMs: Math.round(schedule.graceLeftMs()),
         loopDelayMs: Math.round(delay.recentMs),
       });
+      const isIdle = (): boolean => callerServer.active === 0;
       callerServer.closeAfterResponses();
       log.info(state(), 'stop began; responses announce that their connections close');
-      await sleep(clock, balancerWaitMs, noCancellation);
+      const waitMs = Math.max(0, Math.min(balancerWaitMs, schedule.untilInterruptMs()));
+      await sleep(clock, waitMs, noCancellation);
       callerServer.refuseNew();
       log.info(state(), 'refusing new requests');
-      await waitUntilIdle(clock, () => callerServer.active, remainingGraceMs());
+      await waitUntil(clock, isIdle, schedule.untilInterruptMs);
       const requests = callerServer.summarize(maxNamedRequests);
       const cut = callerServer.interruptAll();
       const level = cut > 0 ? 'warn' : 'info';
       log[level]({ ...state(), cut, requests }, 'no requests are waited for any longer');
-      await sleep(clock, lingerMs, noCancellation);
+      await waitUntil(clock, isIdle, schedule.untilCloseMs);
+      const lingerEnd = clock.now() + lingerMs;
+      await waitUntil(
+        clock,
+        () => callerServer.connections === 0,
+        () => Math.min(lingerEnd - clock.now(), schedule.untilCloseMs()),
+      );
       const last = state();
       close();
-      await waitUntilIdle(clock, () => callerServer.active, logWaitMs);
+      const logEnd = clock.now() + logWaitMs;
+      await waitUntil(clock, isIdle, () => logEnd - clock.now());
       log.info({ ...last, cut, tookMs: Math.round(clock.now() - startedAt) }, 'gateway stopped');
     },
   };
--- a/src/daemon/process.ts
+++ b/src/daemon/process.ts
@@ -12,15 +12,31 @@
   };
   /** Requests that are being served. */
   readonly active: number;
-  /** Reports not ready, waits for the load balancer, lets running requests finish, then closes. */
-  drain(): Promise<void>;
+  /**
+   * Reports not ready, waits for the load balancer, lets running requests finish, then closes. The
+   * signal was handled `handledMs` ago.
+   */
+  drain(handledMs?: number): Promise<void>;
   /** Closes all connections immediately and returns the number of interrupted requests. */
   stop(): number;
 }
 
-/** Interval between checks for requests that are still running. */
+/** Interval between checks of a condition. */
 const drainPollMs = 50;
 
+/** Polls until the condition holds or no time remains. */
+export async function waitUntil(
+  clock: Clock,
+  condition: () => boolean,
+  remainingMs: () => number,
+): Promise<void> {
+  for (;;) {
+    const leftMs = remainingMs();
+    if (condition() || leftMs <= 0) return;
+    await sleep(clock, Math.min(drainPollMs, leftMs), noCancellation);
+  }
+}
+
 /** Waits until no request is running or the limit has passed. */
 export async function waitUntilIdle(
   clock: Clock,
@@ -28,8 +44,11 @@
   limitMs: number,
 ): Promise<void> {
   const deadline = clock.now() + limitMs;
-  while (activeCount() > 0 && clock.now() < deadline)
-    await sleep(clock, drainPollMs, noCancellation);
+  await waitUntil(
+    clock,
+    () => activeCount() === 0,
+    () => deadline - clock.now(),
+  );
 }
 
 export function logInterrupted(log: Logger, cut: number): void {
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -18,6 +18,7 @@
 } from './response.js';
 import { type CallResult, type GatewayCall } from './calls.js';
 import { type Dispatcher } from './dispatcher.js';
+import { hasNoBody, readBody } from './requestbody.js';
 import { pickService, type RouteTable } from './routes.js';
 
 /** HTTP server for callers. */
@@ -27,6 +28,8 @@
   readonly active: number;
   /** Number of complete responses that their callers have not read yet. */
   readonly flushing: number;
+  /** Number of open connections. */
+  readonly connections: number;
   /** The oldest requests in progress, at most `limit`. */
   summarize(limit: number): readonly ActiveRequestSummary[];
   /**
@@ -81,24 +84,6 @@
   socket.end(`HTTP/1.1 ${status} ${text}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 }
 
-/** Reads the whole body, so that it can be sent again; undefined if too large or incomplete. */
-function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    req.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) resolve(undefined);
-      else chunks.push(chunk);
-    });
-    req.on('end', () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
-    req.on('error', () => resolve(undefined));
-  });
-}
-
-const hasNoBody = (req: IncomingMessage): boolean =>
-  req.headers['transfer-encoding'] === undefined && (req.headers['content-length'] ?? '0') === '0';
-
 export function createGatewayServer(options: GatewayServerOptions): GatewayServer {
   const { clock, random, log, protocol, dispatcher, routes, onResult } = options;
   const starts = createStartQueue(clock);
@@ -274,6 +259,9 @@
     get flushing() {
       return requests.flushing;
     },
+    get connections() {
+      return requests.connections;
+    },
     summarize: (limit) => requests.summarize(limit),
     closeAfterResponses() {
       isClosing = true;
--- a/test/standins/platform/caller.ts
+++ b/test/standins/platform/caller.ts
@@ -20,7 +20,7 @@
 
 /** Sends a prompt whose last part is its own to a route for streams, on a new connection. */
 export function sendPrompt(
-  gateway: DaemonProcess,
+  gateway: Pick<DaemonProcess, 'addresses'>,
   requestId: string,
   route = 'fit',
   deadlineMs = 1_500,
