Pass on no request that follows the last response of a connection

During a planned stop a response announces `Connection: close`. Requests that a caller had pipelined behind it were still passed on to a target, and their connection ended without an answer to them.

Before, with two pipelined requests after the stop began: are not passed on after a response that announces the end of the connection AssertionError: expected [ 'p1', 'p2' ] to deeply equal [ 'p1' ]

Requests on a connection whose last response is announced are not dispatched.

Run: vitest test/daemon/lategrace: passed.

--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -93,6 +93,8 @@
     noDelay: true,
   });
   const requests = createActiveRequests(clock, server);
+  /** Connections on which a response is the last one; later requests can't be answered there. */
+  const closingSockets = new WeakSet<Socket>();
   let isClosing = false;
   let isRefusing = false;
   let isInterrupting = false;
@@ -190,24 +192,29 @@
     );
     const logFields = { route: '', team: '', version: -1 };
     if (isClosing) res.shouldKeepAlive = false;
+    const isUnanswerable = closingSockets.has(req.socket);
+    if (isClosing) closingSockets.add(req.socket);
     res.on('error', (err) => {
       log.debug(
         { requestId: head.requestId, err: errMessage(err) },
         'failed to write the response to the caller',
       );
     });
-    serve(req, res, head, response, logFields)
+    const served = isUnanswerable
+      ? Promise.resolve(refuse(response, 'not-ready'))
+      : serve(req, res, head, response, logFields);
+    served
       .catch((err: unknown) => {
         log.error({ requestId: head.requestId, err }, 'request failed with an internal error');
         if (response.hasStarted) response.abort();
         else response.sendLocal('failed');
         return refuse(response, 'failed');
       })
-      .then(async (served) => {
+      .then(async (answered) => {
         // A complete response may still wait for the caller to read it.
         await request.closed;
         requests.remove(request);
-        const result = request.isFlushed ? served : toUnread(served);
+        const result = request.isFlushed ? answered : toUnread(answered);
         const durationMs = clock.now() - arrivedAt;
         const status =
           response.status || (localResponses[result.outcome as LocalResponse]?.status ?? 0);
--- a/test/daemon/lategrace.test.ts
+++ b/test/daemon/lategrace.test.ts
@@ -1,4 +1,5 @@
 import { request } from 'node:http';
+import { connect } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { type DaemonProcess } from '../../src/daemon/process.js';
 import { configuration, type PlatformSite, startPlatformSite } from '../standins/platform/site.js';
@@ -70,3 +71,32 @@
     expect(desk.runs.length).toBe(1);
   });
 });
+
+describe('requests that a caller pipelines during a planned stop', () => {
+  it('are not passed on after a response that announces the end of the connection', async () => {
+    const text = (id: string): string =>
+      [
+        'GET /look/x HTTP/1.1',
+        'Host: site.test',
+        `X-Request-Id: ${id}`,
+        'X-Deadline-Ms: 2000',
+        'X-Api-Key: key-a',
+        '',
+        '',
+      ].join('\r\n');
+    const socket = connect(Number(new URL(gateway.addresses.callers ?? '').port), '127.0.0.1');
+    await new Promise((resolve) => {
+      socket.once('connect', resolve);
+    });
+    let answers = '';
+    socket.on('data', (bytes: Buffer) => {
+      answers += bytes.toString();
+    });
+    await pause(50);
+    const stopped = gateway.drain();
+    socket.write(text('p1') + text('p2'));
+    await stopped;
+    expect(answers.match(/^X-Request-Id: \w+/gim)).toEqual(['X-Request-Id: p1']);
+    expect(desk.arrivals.map(({ requestId }) => requestId)).toEqual(['p1']);
+  });
+});
