--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -18,6 +18,7 @@
 } from './response.js';
 import { type CallResult, type GatewayCall } from './calls.js';
 import { type Dispatcher } from './dispatcher.js';
+import { hasNoBody, readBody } from './requestbody.js';
 import { pickService, type RouteTable } from './routes.js';
 
 /** HTTP server for callers. */
@@ -27,6 +28,8 @@
   readonly active: number;
   /** Number of complete responses that their callers have not read yet. */
   readonly flushing: number;
+  /** Number of open connections. */
+  readonly connections: number;
   /** The oldest requests in progress, at most `limit`. */
   summarize(limit: number): readonly ActiveRequestSummary[];
   /**
@@ -81,24 +84,6 @@
   socket.end(`HTTP/1.1 ${status} ${text}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 }
 
-/** Reads the whole body, so that it can be sent again; undefined if too large or incomplete. */
-function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    req.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) resolve(undefined);
-      else chunks.push(chunk);
-    });
-    req.on('end', () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
-    req.on('error', () => resolve(undefined));
-  });
-}
-
-const hasNoBody = (req: IncomingMessage): boolean =>
-  req.headers['transfer-encoding'] === undefined && (req.headers['content-length'] ?? '0') === '0';
-
 export function createGatewayServer(options: GatewayServerOptions): GatewayServer {
   const { clock, random, log, protocol, dispatcher, routes, onResult } = options;
   const starts = createStartQueue(clock);
@@ -108,6 +93,8 @@
     noDelay: true,
   });
   const requests = createActiveRequests(clock, server);
+  /** Connections on which a response is the last one; later requests can't be answered there. */
+  const closingSockets = new WeakSet<Socket>();
   let isClosing = false;
   let isRefusing = false;
   let isInterrupting = false;
@@ -205,24 +192,29 @@
     );
     const logFields = { route: '', team: '', version: -1 };
     if (isClosing) res.shouldKeepAlive = false;
+    const isUnanswerable = closingSockets.has(req.socket);
+    if (isClosing) closingSockets.add(req.socket);
     res.on('error', (err) => {
       log.debug(
         { requestId: head.requestId, err: errMessage(err) },
         'failed to write the response to the caller',
       );
     });
-    serve(req, res, head, response, logFields)
+    const served = isUnanswerable
+      ? Promise.resolve(refuse(response, 'not-ready'))
+      : serve(req, res, head, response, logFields);
+    served
       .catch((err: unknown) => {
         log.error({ requestId: head.requestId, err }, 'request failed with an internal error');
         if (response.hasStarted) response.abort();
         else response.sendLocal('failed');
         return refuse(response, 'failed');
       })
-      .then(async (served) => {
+      .then(async (answered) => {
         // A complete response may still wait for the caller to read it.
         await request.closed;
         requests.remove(request);
-        const result = request.isFlushed ? served : toUnread(served);
+        const result = request.isFlushed ? answered : toUnread(answered);
         const durationMs = clock.now() - arrivedAt;
         const status =
           response.status || (localResponses[result.outcome as LocalResponse]?.status ?? 0);
@@ -274,6 +266,9 @@
     get flushing() {
       return requests.flushing;
     },
+    get connections() {
+      return requests.connections;
+    },
     summarize: (limit) => requests.summarize(limit),
     closeAfterResponses() {
       isClosing = true;
