Log and count responses that are given up because they exceed a limit

What callers saw: nothing that names the server. An attempt that ended at a limit was logged with its target but without bytes; oversized responses to reports, orders, calls for cache events and store calls were debug lines or errors that don't name the server, and no metric counted either.

Every call now has a kind; a response over a limit is logged with the server, the bytes received and the limit ("response was given up because it exceeds a limit") and counted in cicadatide_oversized_responses_total{call}. The limits themselves are unchanged.

--- a/src/base/httpclient.ts
+++ b/src/base/httpclient.ts
@@ -1,9 +1,17 @@
 import { Agent, type IncomingMessage, request } from 'node:http';
 import { type HostPort } from './address.js';
 import { type CancellationToken } from './cancellation.js';
+import {
+  type CallKind,
+  createResponseMonitor,
+  isResponseLimit,
+  ResponseLimitError,
+  type ResponseMonitor,
+} from './responselimits.js';
 
 /** HTTP request with a small body, whose response is read in full. */
 export interface HttpRequest {
+  readonly call: CallKind;
   readonly address: HostPort;
   readonly method: string;
   readonly path: string;
@@ -33,15 +41,17 @@
 /** Largest accepted response body; the platform's pages limit responses to 1 MB plus encoding. */
 const maxResponseBytes = 8 * 1_048_576;
 
-export function createHttpClient(): HttpClient {
+export function createHttpClient(monitor: ResponseMonitor = createResponseMonitor()): HttpClient {
   const agent = new Agent({ keepAlive: true, scheduling: 'lifo' });
   const closeIdle = ({ host, port }: HostPort): void => {
     const idle = agent.freeSockets[agent.getName({ host, port })] ?? [];
     for (const socket of [...idle]) socket.destroy();
   };
-  return ({ address, method, path, body, headers, timeoutMs }, token) =>
+  return ({ call, address, method, path, body, headers, timeoutMs }, token) =>
     new Promise((resolve, reject) => {
       let isSent = false;
+      /** Bytes that earlier responses left on the connection's counter. */
+      let bytesBefore = 0;
       const req = request({
         agent,
         host: address.host,
@@ -61,9 +71,14 @@
         clearTimeout(timer);
         subscription.dispose();
         if (req.reusedSocket) closeIdle(address);
+        if (isResponseLimit(err)) {
+          const receivedBytes = (req.socket?.bytesRead ?? 0) - bytesBefore;
+          monitor.report({ call, address, receivedBytes, cause: err.message });
+        }
         reject(Object.assign(err, { isSent }));
       };
       req.on('socket', (socket) => {
+        bytesBefore = socket.bytesRead;
         if (!socket.connecting) isSent = true;
         else socket.once('connect', () => (isSent = true));
       });
@@ -74,7 +89,8 @@
         res.on('data', (chunk: Buffer) => {
           chunks.push(chunk);
           size += chunk.length;
-          if (size > maxResponseBytes) req.destroy(new Error('response is too large'));
+          if (size > maxResponseBytes)
+            req.destroy(new ResponseLimitError(`body is longer than ${maxResponseBytes} bytes`));
         });
         res.on('error', fail);
         res.on('end', () => {
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -201,6 +201,10 @@
     limitedTargets: () => limits.size,
     droppedLogLines: options.droppedLogLines,
   });
+  platform.responseMonitor.listen(({ address: { host, port }, ...response }) => {
+    metrics?.recordOversizedResponse(response.call);
+    log.warn({ host, port, ...response }, 'response was given up because it exceeds a limit');
+  });
   /** When running requests are interrupted; Infinity until the process is stopped. */
   let interruptsAt = Infinity;
   const dispatcher = createDispatcher({
@@ -214,6 +218,7 @@
     quarantine,
     budget,
     limits,
+    responseMonitor: platform.responseMonitor,
     speeds,
     streamAdmission: createStreamAdmission({
       clock,
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -29,6 +29,7 @@
   recordCrash(service: string): void;
   recordMissedChange(table: string): void;
   recordIgnoredRow(table: string): void;
+  recordOversizedResponse(call: string): void;
 }
 
 /** Registers the metrics of a gateway. */
@@ -78,6 +79,12 @@
     labelNames: ['table'],
     registers,
   });
+  const oversizedResponses = new Counter({
+    name: 'cicadatide_oversized_responses_total',
+    help: 'Responses to calls of the gateway that were given up because they exceed a limit.',
+    labelNames: ['call'],
+    registers,
+  });
   const gauge = (name: string, help: string, read: () => number): void => {
     const metric: Gauge = new Gauge({ name, help, registers, collect: () => metric.set(read()) });
   };
@@ -135,5 +142,6 @@
     recordCrash: (service) => crashes.inc({ service }),
     recordMissedChange: (table) => missedChanges.inc({ table }),
     recordIgnoredRow: (table) => ignoredRows.inc({ table }),
+    recordOversizedResponse: (call) => oversizedResponses.inc({ call }),
   };
 }
--- a/src/daemon/gatewayplatform.ts
+++ b/src/daemon/gatewayplatform.ts
@@ -1,4 +1,5 @@
 import { type Logger } from '../base/logging.js';
+import { type ResponseMonitor } from '../base/responselimits.js';
 import { type RowFeedPort } from '../ports/rows.js';
 import { type SiteDecoder } from '../ports/site.js';
 import { type TablePort } from '../ports/table.js';
@@ -12,6 +13,8 @@
   readonly store: TablePort & RowFeedPort & { readonly systemTable: string };
   readonly control: EngineControl;
   readonly cacheReader: CacheReader;
+  /** Oversized responses to the calls of the adapters. */
+  readonly responseMonitor: ResponseMonitor;
   /**
    * HTTP path of the platform's readiness check. A draining process responds not ready while it
    * still accepts connections.
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,6 +2,11 @@
 import { type Clock } from '../base/clock.js';
 import { errMessage } from '../base/errors.js';
 import { type Disposable } from '../base/lifecycle.js';
+import {
+  isResponseLimit,
+  ResponseLimitError,
+  type ResponseMonitor,
+} from '../base/responselimits.js';
 import { type TargetHead, type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse } from './response.js';
 import { isEndUnknown, responseFault } from './responsecheck.js';
@@ -60,6 +65,7 @@
 export interface AttemptOptions {
   readonly clock: Clock;
   readonly protocol: WireProtocol;
+  readonly responseMonitor: ResponseMonitor;
   readonly target: Target;
   readonly request: ExchangeRequest;
   readonly requestId: string;
@@ -162,6 +168,18 @@
     end({ kind, cause, ...(lostAt && { lostAt }) });
   };
 
+  /** Fails the attempt because its response exceeds a limit. */
+  const giveUp = (err: Error, lostAt?: ResponseStage): void => {
+    if (isEnded) return;
+    options.responseMonitor.report({
+      call: 'request',
+      address: target.registration.address,
+      receivedBytes: exchange.current?.receivedBytes ?? 0,
+      cause: err.message,
+    });
+    fail(err.message, lostAt);
+  };
+
   const markUnderway = (): void => {
     if (stage === 'underway') return;
     stage = 'underway';
@@ -186,7 +204,7 @@
   const onEvents = (chunk: Buffer): void => {
     const batch = splitter.push(chunk);
     if (splitter.pendingBytes > maxBufferedBytes) {
-      fail(`event is still incomplete after ${maxBufferedBytes} bytes`);
+      giveUp(new ResponseLimitError(`event is longer than ${maxBufferedBytes} bytes`));
       return;
     }
     if (!batch) return;
@@ -250,7 +268,8 @@
     bufferedBytes += chunk.length;
     if (bufferedBytes <= maxBufferedBytes) return;
     if (isOk()) forwardBuffered();
-    else fail(`failure response is longer than ${maxBufferedBytes} bytes`);
+    else
+      giveUp(new ResponseLimitError(`failure response is longer than ${maxBufferedBytes} bytes`));
   };
 
   const onEnd = (): void => {
@@ -281,6 +300,7 @@
 
   const onFailure = (err: Error, isSent: boolean): void => {
     if (!isSent) end({ kind: 'not-run', cause: 'unreachable' });
+    else if (isResponseLimit(err)) giveUp(err, stage);
     else fail(err.message, stage);
   };
 
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -3,6 +3,7 @@
 import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
 import { type Random } from '../base/random.js';
+import { type ResponseMonitor } from '../base/responselimits.js';
 import { type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse, type LocalResponse } from './response.js';
 import { type BufferedResponse, type Progress } from './attempt.js';
@@ -36,6 +37,7 @@
   readonly quarantine: Pick<Quarantine, 'find' | 'claimTrial' | 'trackWaiting' | 'observeAnswer'>;
   readonly budget: RetryBudget;
   readonly limits: TargetLimits;
+  readonly responseMonitor: ResponseMonitor;
   readonly speeds: Pick<SpeedModel, 'observe'>;
   readonly streamAdmission: StreamAdmission;
   /** Time for which this process serves requests, in milliseconds; Infinity until it stops. */
@@ -70,7 +72,7 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { clock, random, log, protocol, placer, failureTracker, budget, streamAdmission } = options;
   const { quarantine, limits } = options;
-  const sendRequest = createRequestSender(clock, protocol, limits);
+  const sendRequest = createRequestSender(clock, protocol, limits, options.responseMonitor);
   const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
 
   /** Forwards the failure response of a target to the caller. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,6 +3,7 @@
 import { type HostPort } from '../base/address.js';
 import { type Clock } from '../base/clock.js';
 import { type Disposable } from '../base/lifecycle.js';
+import { ResponseLimitError } from '../base/responselimits.js';
 import { isCloseDelimited } from './responsecheck.js';
 
 /** Request to a target. */
@@ -27,6 +28,8 @@
 
 /** One request to a target and its response. */
 export interface Exchange {
+  /** Bytes received so far, including heads and framing. */
+  readonly receivedBytes: number;
   /** Closes the connection; no further callbacks follow. */
   abort(): void;
   pause(): void;
@@ -138,6 +141,8 @@
     closeIdle(agent, clock, isRecentlyActive ? maxIdleMs : 0);
     let isDone = false;
     let isSent = false;
+    /** Bytes that earlier responses left on the connection's counter. */
+    let bytesBefore = 0;
     let response: IncomingMessage | undefined;
     let timer: Disposable | undefined;
     let informationalResponses = 0;
@@ -162,6 +167,7 @@
       listener.onFailure(err, isSent);
     };
     req.on('socket', (socket) => {
+      bytesBefore = socket.bytesRead;
       if (!socket.connecting) {
         isSent = true;
         return;
@@ -181,7 +187,11 @@
     req.on('information', () => {
       informationalResponses += 1;
       if (informationalResponses > maxInformationalResponses)
-        fail(new Error('too many informational responses without a final one'));
+        fail(
+          new ResponseLimitError(
+            `more than ${maxInformationalResponses} informational responses without a final one`,
+          ),
+        );
     });
     req.on('response', (res) => {
       response = res;
@@ -206,6 +216,9 @@
     });
     req.end(body);
     return {
+      get receivedBytes() {
+        return (req.socket?.bytesRead ?? 0) - bytesBefore;
+      },
       abort() {
         if (isDone) return;
         finish();
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '../base/clock.js';
+import { type ResponseMonitor } from '../base/responselimits.js';
 import { type WireProtocol } from '../ports/wire.js';
 import { type Attempt, type AttemptOptions, type Progress, startAttempt } from './attempt.js';
 import { type GatewayCall } from './calls.js';
@@ -47,6 +48,7 @@
   clock: Clock,
   protocol: WireProtocol,
   limits: Pick<TargetLimits, 'observe' | 'observePause'>,
+  responseMonitor: ResponseMonitor,
 ): RequestSender {
   return (call, placement, progress, ranOnCount, listener) => {
     const { head, route, team } = call;
@@ -74,6 +76,7 @@
     return startAttempt({
       clock,
       protocol,
+      responseMonitor,
       target,
       request: { method: call.method, path: call.path, headers, body: call.body },
       requestId: head.requestId,
--- a/test/base/httpclient.test.ts
+++ b/test/base/httpclient.test.ts
@@ -30,7 +30,10 @@
   const { port } = server.address() as AddressInfo;
   const send = (timeoutMs: number) => {
     const address = { host: '127.0.0.1', port };
-    return httpClient({ address, method: 'GET', path: '/', timeoutMs }, noCancellation);
+    return httpClient(
+      { call: 'report', address, method: 'GET', path: '/', timeoutMs },
+      noCancellation,
+    );
   };
   await Promise.all([send(5_000), send(5_000), send(5_000)]);
   for (const socket of sockets) silenced.add(socket);
--- /dev/null
+++ b/test/daemon/oversizedresponses.test.ts
@@ -0,0 +1,54 @@
+import { expect, it } from 'vitest';
+import { createLogger } from '../../src/base/logging.js';
+import { createResponseMonitor, type OversizedResponse } from '../../src/base/responselimits.js';
+import { createHttpClient } from '../../src/base/httpclient.js';
+import { noCancellation } from '../../src/base/cancellation.js';
+import { createLineStream } from '../standins/lines.js';
+import { sendPrompt } from '../standins/platform/caller.js';
+import { type EndlessTarget, startEndlessTarget } from '../standins/platform/endlesstarget.js';
+import { startPlatformSite } from '../standins/platform/site.js';
+
+const portOf = ({ registration }: EndlessTarget): number =>
+  Number(String(registration['addr']).split(':')[1]);
+
+it('names the target, the bytes and the limit of a response that is given up', async () => {
+  const site = await startPlatformSite();
+  const target = await startEndlessTarget('desk', 'headerValue');
+  const { stream, lines } = createLineStream();
+  try {
+    site.store.put('servers', 'desk-1', target.registration);
+    const gateway = await site.startGateway('gw-1', createLogger('gw-1', 'warn', stream));
+    const { status } = await sendPrompt(gateway, 'r', 'order');
+    expect(status).toBe(502);
+    const [record] = lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+    expect(record).toMatchObject({
+      call: 'request',
+      host: '127.0.0.1',
+      port: portOf(target),
+      cause: 'Parse Error: Header overflow',
+    });
+    expect(record?.['receivedBytes']).toBeGreaterThan(16_000);
+    const metrics = await fetch(`${gateway.addresses.operators}/metrics`);
+    expect(await metrics.text()).toContain('oversized_responses_total{call="request"} 1\n');
+  } finally {
+    await site.close();
+    await target.close();
+  }
+});
+
+it('reports oversized responses to calls of the adapters', async () => {
+  const target = await startEndlessTarget('desk', 'headerFields');
+  try {
+    const reported: OversizedResponse[] = [];
+    const monitor = createResponseMonitor();
+    monitor.listen((response) => reported.push(response));
+    const httpClient = createHttpClient(monitor);
+    const address = { host: '127.0.0.1', port: portOf(target) };
+    const call = { call: 'order', address, method: 'GET', path: '/', timeoutMs: 2_000 } as const;
+    await expect(httpClient(call, noCancellation)).rejects.toThrow();
+    expect(reported).toMatchObject([{ call: 'order', address }]);
+    expect(reported[0]?.receivedBytes).toBeGreaterThan(16_000);
+  } finally {
+    await target.close();
+  }
+});
--- a/test/gateway/attempt.test.ts
+++ b/test/gateway/attempt.test.ts
@@ -1,5 +1,6 @@
 import { type IncomingMessage } from 'node:http';
 import { describe, expect, it } from 'vitest';
+import { createResponseMonitor } from '../../src/base/responselimits.js';
 import { type CallerResponse } from '../../src/gateway/response.js';
 import { type AttemptEnd, startAttempt } from '../../src/gateway/attempt.js';
 import { type ExchangeListener } from '../../src/gateway/exchange.js';
@@ -54,6 +55,7 @@
   const attempt = startAttempt({
     clock,
     protocol: headerProtocol,
+    responseMonitor: createResponseMonitor(),
     target,
     request: { method: 'POST', path: '/', headers: [], body: undefined },
     requestId: 'r',
--- a/test/standins/platform/site.ts
+++ b/test/standins/platform/site.ts
@@ -1,4 +1,5 @@
 import { createHttpClient } from '../../../src/base/httpclient.js';
+import { createResponseMonitor } from '../../../src/base/responselimits.js';
 import { createNullLogger, type Logger } from '../../../src/base/logging.js';
 import { startGateway } from '../../../src/daemon/gateway.js';
 import { type DaemonProcess } from '../../../src/daemon/process.js';
@@ -35,6 +36,8 @@
       route('order', 'unsafe', 'desk', { attempts: 1 }),
       route('look', 'safe', 'desk'),
       route('open', 'safe', 'desk', { public: true }),
+      route('ask', 'safe', 'llm'),
+      route('write', 'unsafe', 'llm', { attempts: 1 }),
     ],
     services: [
       {
@@ -123,7 +126,8 @@
         ].join('\n'),
         'test.ini',
       );
-      const httpClient = createHttpClient();
+      const responseMonitor = createResponseMonitor();
+      const httpClient = createHttpClient(responseMonitor);
       const gateway = await startGateway({
         settings,
         log,
@@ -134,6 +138,7 @@
           store: createPlatformStore({ address: settings.store.address, httpClient }),
           control: createEngineControl(httpClient),
           cacheReader: createCacheReader(httpClient),
+          responseMonitor,
           readyPath: '/ready',
         },
       });
