Bound what responses without end may hold in memory

Cause: responses were limited by the bytes of their bodies, but chunks were kept as views of the network reads. A view takes some 200 bytes of heap and keeps its whole read of up to 64 KiB alive. A body in one-byte chunks needs many times its length: the 256 KiB of a forwarded response, and the 8 MiB of a report or a call for cache events, were far over a heap of 96 MB. Bytes that belong to no body (blank lines before the status line, leading zeros of a chunk size, chunk extensions) had no limit, and informational responses none on calls of the adapters. Nothing limited the sum.

Ruled out: status lines, header fields, header values, trailers and foreign bytes (Node's parser closes at 16 KiB), plain bodies and failures in large chunks (120 requests stayed under 200 MB).

Bytes that are no body are limited for every call (base/responsewatch.ts). A successful plain response that can't be held is forwarded as it arrives.

What remains is processor time: 120 requests with one-byte chunks kept the event loop busy for about 2 s, in Node's parser, which can't be stopped within a read.

--- a/src/base/httpclient.ts
+++ b/src/base/httpclient.ts
@@ -5,9 +5,10 @@
   type CallKind,
   createResponseMonitor,
   isResponseLimit,
-  ResponseLimitError,
   type ResponseMonitor,
+  toLimitError,
 } from './responselimits.js';
+import { watchResponse } from './responsewatch.js';
 
 /** HTTP request with a small body, whose response is read in full. */
 export interface HttpRequest {
@@ -38,9 +39,6 @@
  */
 export type HttpClient = (call: HttpRequest, token: CancellationToken) => Promise<HttpResponse>;
 
-/** Largest accepted response body; the platform's pages limit responses to 1 MB plus encoding. */
-const maxResponseBytes = 8 * 1_048_576;
-
 export function createHttpClient(monitor: ResponseMonitor = createResponseMonitor()): HttpClient {
   const agent = new Agent({ keepAlive: true, scheduling: 'lifo' });
   const closeIdle = ({ host, port }: HostPort): void => {
@@ -50,8 +48,6 @@
   return ({ call, address, method, path, body, headers, timeoutMs }, token) =>
     new Promise((resolve, reject) => {
       let isSent = false;
-      /** Bytes that earlier responses left on the connection's counter. */
-      let bytesBefore = 0;
       const req = request({
         agent,
         host: address.host,
@@ -67,37 +63,41 @@
         req.destroy(new Error(reason)),
       );
       const timer = setTimeout(() => req.destroy(new Error('request timed out')), timeoutMs);
-      const fail = (err: Error): void => {
+      const watch = watchResponse(req, (err) => req.destroy(err));
+      const buffer = monitor.createBuffer(call);
+      let isFinished = false;
+      const finish = (): void => {
+        isFinished = true;
         clearTimeout(timer);
         subscription.dispose();
+        watch.dispose();
+        buffer.dispose();
+      };
+      const fail = (err: Error): void => {
+        if (isFinished) return;
+        finish();
         if (req.reusedSocket) closeIdle(address);
         if (isResponseLimit(err)) {
-          const receivedBytes = (req.socket?.bytesRead ?? 0) - bytesBefore;
+          const { receivedBytes } = watch;
           monitor.report({ call, address, receivedBytes, cause: err.message });
         }
         reject(Object.assign(err, { isSent }));
       };
       req.on('socket', (socket) => {
-        bytesBefore = socket.bytesRead;
         if (!socket.connecting) isSent = true;
         else socket.once('connect', () => (isSent = true));
       });
       req.on('error', fail);
       req.on('response', (res) => {
-        const chunks: Buffer[] = [];
-        let size = 0;
         res.on('data', (chunk: Buffer) => {
-          chunks.push(chunk);
-          size += chunk.length;
-          if (size > maxResponseBytes)
-            req.destroy(new ResponseLimitError(`body is longer than ${maxResponseBytes} bytes`));
+          const overflow = isFinished ? undefined : buffer.push(chunk);
+          if (overflow) req.destroy(toLimitError('body', call, overflow));
         });
         res.on('error', fail);
         res.on('end', () => {
           if (!res.complete) return fail(new Error('response is incomplete'));
-          clearTimeout(timer);
-          subscription.dispose();
-          const text = Buffer.concat(chunks).toString('utf8');
+          const text = buffer.take().toString('utf8');
+          finish();
           return resolve({ status: res.statusCode ?? 0, headers: res.headers, body: text });
         });
       });
--- /dev/null
+++ b/src/base/responsewatch.ts
@@ -0,0 +1,94 @@
+import { type ClientRequest, type IncomingMessage } from 'node:http';
+import { type Socket } from 'node:net';
+import { type Disposable } from './lifecycle.js';
+import { ResponseLimitError } from './responselimits.js';
+
+/** Watches the bytes of one response. */
+export interface ResponseWatch extends Disposable {
+  /** Bytes received so far, including heads and framing. */
+  readonly receivedBytes: number;
+}
+
+/** Informational (1xx) responses that may precede the final one. Targets usually send none. */
+const maxInformationalResponses = 16;
+
+/**
+ * Limit of the bytes that belong to no body: heads, blank lines before them, sizes and extensions of
+ * chunks, and trailers. Node's parser limits one head to 16 KiB and skips the other bytes without
+ * limit. Chunks may have as many bytes of framing as of content beyond this.
+ */
+const maxOverheadBytes = 32_768;
+
+/**
+ * Limit of the framing of chunks, which is checked while a read is being parsed: a read of 64 KiB in
+ * one-byte chunks takes the process 20 ms. An event of one token has at least 15 bytes.
+ */
+const maxChunkFramingBytes = 4_096;
+
+/** Least framing of a chunk: its size in one digit and two line ends. */
+const minChunkFramingBytes = 5;
+
+/**
+ * Calls `fail` with a {@link ResponseLimitError} when a response has too many bytes that are no
+ * body. It has to close the connection and dispose the watch.
+ */
+export function watchResponse(req: ClientRequest, fail: (err: Error) => void): ResponseWatch {
+  let socket: Socket | undefined;
+  let response: IncomingMessage | undefined;
+  /** Bytes of earlier responses on the connection. */
+  let bytesBefore = 0;
+  let bodyBytes = 0;
+  let framingBytes = 0;
+  let informationalResponses = 0;
+  let isDisposed = false;
+
+  const receivedBytes = (): number => (socket?.bytesRead ?? 0) - bytesBefore;
+
+  const giveUp = (cause: string): void => {
+    isDisposed = true;
+    socket?.off('data', onRead);
+    fail(new ResponseLimitError(cause));
+  };
+
+  // Runs after the parser has processed the same bytes.
+  function onRead(): void {
+    if (isDisposed || response?.complete) return;
+    const body = bodyBytes + (response?.readableLength ?? 0);
+    if (receivedBytes() - body <= maxOverheadBytes + body) return;
+    giveUp(`response has more than ${maxOverheadBytes} bytes that are no body`);
+  }
+
+  req.on('socket', (assigned) => {
+    if (isDisposed) return;
+    socket = assigned;
+    bytesBefore = assigned.bytesRead;
+    assigned.on('data', onRead);
+  });
+  req.on('information', () => {
+    informationalResponses += 1;
+    if (isDisposed || informationalResponses <= maxInformationalResponses) return;
+    giveUp(`more than ${maxInformationalResponses} informational responses without a final one`);
+  });
+  req.on('response', (res) => {
+    response = res;
+    const isChunked = res.headers['transfer-encoding'] !== undefined;
+    res.on('data', (chunk: Buffer) => {
+      bodyBytes += chunk.length;
+      if (!isChunked) return;
+      framingBytes += minChunkFramingBytes;
+      if (isDisposed || framingBytes <= maxChunkFramingBytes + bodyBytes) return;
+      giveUp(`chunks have more than ${maxChunkFramingBytes} bytes of framing`);
+    });
+    // Without it, chunks in the read that also has the head are only delivered after all of them.
+    res.read(0);
+  });
+  return {
+    get receivedBytes() {
+      return receivedBytes();
+    },
+    dispose() {
+      isDisposed = true;
+      socket?.off('data', onRead);
+    },
+  };
+}
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -18,6 +18,7 @@
   quarantineSize(): number;
   limitedTargets(): number;
   droppedLogLines(): number;
+  heldResponseBytes(): number;
 }
 
 /** Upper bounds in seconds, around objectives of 0.2 to 0.8 s and timeouts of 0.8 to 12 s. */
@@ -109,6 +110,11 @@
     'Targets that name a limit of requests a second.',
     gauges.limitedTargets,
   );
+  gauge(
+    'cicadatide_held_response_bytes',
+    'Memory that responses hold beyond the 16 KiB that each may use.',
+    gauges.heldResponseBytes,
+  );
   gauge('cicadatide_log_lines_dropped', 'Log lines dropped.', gauges.droppedLogLines);
   const prefillSpeed: Gauge<'service'> = new Gauge({
     name: 'cicadatide_prefill_tokens_per_second',
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,11 +2,7 @@
 import { type Clock } from '../base/clock.js';
 import { errMessage } from '../base/errors.js';
 import { type Disposable } from '../base/lifecycle.js';
-import {
-  isResponseLimit,
-  ResponseLimitError,
-  type ResponseMonitor,
-} from '../base/responselimits.js';
+import { isResponseLimit, type ResponseMonitor, toLimitError } from '../base/responselimits.js';
 import { type TargetHead, type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse } from './response.js';
 import { isEndUnknown, responseFault } from './responsecheck.js';
@@ -43,7 +39,7 @@
 export type NotRunCause = 'unreachable' | 'full' | 'misdirected';
 
 /** Failure response of a target, stored in case no other target succeeds. */
-export interface BufferedResponse {
+export interface BufferedResponse extends Disposable {
   readonly res: IncomingMessage;
   readonly body: Buffer;
 }
@@ -111,13 +107,6 @@
   recall(cause: string): void;
 }
 
-/**
- * Limit of buffered bytes: of a plain response, which is forwarded once it is complete or exceeds the
- * limit, of a failure response, and of an incomplete event. Events have up to 390 bytes by the
- * operators' sheets. A faulty target sends bytes without end until its connection is closed.
- */
-const maxBufferedBytes = 262_144;
-
 /** A target may respond in any order to requests that are sent within this time. */
 const reorderToleranceMs = 250;
 
@@ -134,15 +123,16 @@
 /** Sends a request to one target and forwards its response to the caller. */
 export function startAttempt(options: AttemptOptions): Attempt {
   const { clock, protocol, target, requestId, callerResponse, progress, isStream } = options;
-  const splitter = createEventSplitter();
+  const buffer = options.responseMonitor.createBuffer('request');
+  const splitter = createEventSplitter(buffer);
   const inFlight = target.startRequest(options.prefillTokens, options.priority);
   const timers: Disposable[] = [];
   const startedAt = clock.now();
   let lastByteAt = startedAt;
   let targetRes: IncomingMessage | undefined;
   let head: TargetHead | undefined;
-  let buffered: Buffer[] = [];
-  let bufferedBytes = 0;
+  /** The buffer is disposed with the failure response of the target. */
+  let isBufferKept = false;
   let bodyBytes = 0;
   let isForwarding = false;
   let stage: ResponseStage = 'waiting';
@@ -159,6 +149,7 @@
     isEnded = true;
     for (const timer of timers) timer.dispose();
     inFlight.dispose();
+    if (!isBufferKept) buffer.dispose();
     exchange.current?.abort();
     settle(result);
   };
@@ -196,15 +187,22 @@
     if (!targetRes) return;
     if (!callerResponse.hasStarted) callerResponse.writeHead(targetRes);
     isForwarding = true;
-    for (const chunk of buffered) forward(chunk);
-    buffered = [];
-    bufferedBytes = 0;
+    const bytes = buffer.take();
+    if (bytes.length === 0 || callerResponse.write(bytes)) {
+      buffer.dispose();
+      return;
+    }
+    exchange.current?.pause();
+    callerResponse.onDrain(() => {
+      buffer.dispose();
+      exchange.current?.resume();
+    });
   };
 
   const onEvents = (chunk: Buffer): void => {
     const batch = splitter.push(chunk);
-    if (splitter.pendingBytes > maxBufferedBytes) {
-      giveUp(new ResponseLimitError(`event is longer than ${maxBufferedBytes} bytes`));
+    if (splitter.overflow) {
+      giveUp(toLimitError('event', 'request', splitter.overflow));
       return;
     }
     if (!batch) return;
@@ -264,21 +262,22 @@
       forward(chunk);
       return;
     }
-    buffered.push(chunk);
-    bufferedBytes += chunk.length;
-    if (bufferedBytes <= maxBufferedBytes) return;
-    if (isOk()) forwardBuffered();
-    else
-      giveUp(new ResponseLimitError(`failure response is longer than ${maxBufferedBytes} bytes`));
+    const overflow = buffer.push(chunk);
+    if (!overflow) return;
+    if (isOk()) {
+      forwardBuffered();
+      forward(chunk);
+    } else giveUp(toLimitError('failure response', 'request', overflow));
   };
 
   const onEnd = (): void => {
     if (!targetRes) return;
     if (!isOk()) {
+      isBufferKept = true;
       end({
         kind: 'failed',
         cause: `response status ${targetRes.statusCode}`,
-        response: { res: targetRes, body: Buffer.concat(buffered) },
+        response: { res: targetRes, body: buffer.take(), dispose: () => buffer.dispose() },
       });
       return;
     }
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -115,6 +115,7 @@
 
       const toResult = (outcome: CallResult['outcome']): CallResult => {
         pendingStream?.dispose();
+        failureResponse?.dispose();
         return {
           outcome,
           attempts,
@@ -285,8 +286,10 @@
           }
           continuation = undefined;
         }
-        if (attemptEnd.kind === 'failed' && attemptEnd.response)
+        if (attemptEnd.kind === 'failed' && attemptEnd.response) {
+          failureResponse?.dispose();
           failureResponse = attemptEnd.response;
+        }
         if (!isRetryable(call) || ranOn.size >= route.maxTargets) return finishUnserved();
         if (!budget.tryWithdraw()) return finishUnserved();
       }
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -1,3 +1,5 @@
+import { type BufferOverflow, type ByteBuffer } from '../base/bytebuffer.js';
+
 /** Complete events of a stream, and the id of the last of them. */
 export interface EventBatch {
   readonly bytes: Buffer;
@@ -11,6 +13,8 @@
 export interface EventSplitter {
   /** Bytes of an event that is not complete yet. */
   readonly pendingBytes: number;
+  /** Set once an incomplete event could not be stored. */
+  readonly overflow: BufferOverflow | undefined;
   /** Returns the events that this chunk completes. */
   push(chunk: Buffer): EventBatch | undefined;
 }
@@ -42,28 +46,24 @@
 /** Last pending bytes that may begin a blank line which the next chunk ends: LF, CR, LF. */
 const overlapBytes = 2;
 
-export function createEventSplitter(): EventSplitter {
-  let pendingChunks: Buffer[] = [];
-  let pendingBytes = 0;
+/** Creates a splitter that stores incomplete events in `pending`. */
+export function createEventSplitter(pending: ByteBuffer): EventSplitter {
+  let overflow: BufferOverflow | undefined;
   let overlap: Buffer = Buffer.alloc(0);
 
   const append = (bytes: Buffer): void => {
     if (bytes.length === 0) return;
-    pendingChunks.push(bytes);
-    pendingBytes += bytes.length;
+    overflow ??= pending.push(bytes);
     const tail = bytes.subarray(-overlapBytes);
     overlap = Buffer.concat([overlap, tail]).subarray(-overlapBytes);
   };
 
-  const clear = (): void => {
-    pendingChunks = [];
-    pendingBytes = 0;
-    overlap = Buffer.alloc(0);
-  };
-
   return {
     get pendingBytes() {
-      return pendingBytes;
+      return pending.length;
+    },
+    get overflow() {
+      return overflow;
     },
     push(chunk) {
       // Searches only the new bytes, so that an event in many chunks costs no more than one in few.
@@ -74,8 +74,9 @@
         return undefined;
       }
       const last = chunk.subarray(0, end);
-      const bytes = pendingChunks.length > 0 ? Buffer.concat([...pendingChunks, last]) : last;
-      clear();
+      const bytes = pending.length > 0 ? Buffer.concat([pending.take(), last]) : last;
+      pending.dispose();
+      overlap = Buffer.alloc(0);
       append(chunk.subarray(end));
       return { bytes, lastId: lastIdOf(bytes) };
     },
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,7 +3,7 @@
 import { type HostPort } from '../base/address.js';
 import { type Clock } from '../base/clock.js';
 import { type Disposable } from '../base/lifecycle.js';
-import { ResponseLimitError } from '../base/responselimits.js';
+import { type ResponseWatch, watchResponse } from '../base/responsewatch.js';
 import { isCloseDelimited } from './responsecheck.js';
 
 /** Request to a target. */
@@ -63,9 +63,6 @@
  */
 const reuseWindowMs = 400;
 
-/** Informational (1xx) responses that may precede the final one. Targets usually send none. */
-const maxInformationalResponses = 16;
-
 /** Idle time after which a connection is closed; targets close theirs after a few seconds. */
 const maxIdleMs = 2_000;
 
@@ -141,11 +138,9 @@
     closeIdle(agent, clock, isRecentlyActive ? maxIdleMs : 0);
     let isDone = false;
     let isSent = false;
-    /** Bytes that earlier responses left on the connection's counter. */
-    let bytesBefore = 0;
     let response: IncomingMessage | undefined;
     let timer: Disposable | undefined;
-    let informationalResponses = 0;
+    let watch: ResponseWatch | undefined;
     const req = request({
       agent,
       host: address.host,
@@ -158,6 +153,7 @@
     const finish = (): void => {
       isDone = true;
       timer?.dispose();
+      watch?.dispose();
     };
     const fail = (err: Error): void => {
       // Bytes after a complete response belong to no request; `onEnd` is still to be called.
@@ -166,8 +162,8 @@
       req.destroy();
       listener.onFailure(err, isSent);
     };
+    watch = watchResponse(req, fail);
     req.on('socket', (socket) => {
-      bytesBefore = socket.bytesRead;
       if (!socket.connecting) {
         isSent = true;
         return;
@@ -184,15 +180,6 @@
     });
     // Stays registered for errors after the response, such as bytes that belong to no request.
     req.on('error', fail);
-    req.on('information', () => {
-      informationalResponses += 1;
-      if (informationalResponses > maxInformationalResponses)
-        fail(
-          new ResponseLimitError(
-            `more than ${maxInformationalResponses} informational responses without a final one`,
-          ),
-        );
-    });
     req.on('response', (res) => {
       response = res;
       lastByteAt = clock.now();
@@ -217,7 +204,7 @@
     req.end(body);
     return {
       get receivedBytes() {
-        return (req.socket?.bytesRead ?? 0) - bytesBefore;
+        return watch?.receivedBytes ?? 0;
       },
       abort() {
         if (isDone) return;
--- a/test/daemon/oversizedresponses.test.ts
+++ b/test/daemon/oversizedresponses.test.ts
@@ -5,12 +5,21 @@
 import { noCancellation } from '../../src/base/cancellation.js';
 import { createLineStream } from '../standins/lines.js';
 import { sendPrompt } from '../standins/platform/caller.js';
-import { type EndlessTarget, startEndlessTarget } from '../standins/platform/endlesstarget.js';
-import { startPlatformSite } from '../standins/platform/site.js';
+import {
+  type EndlessName,
+  endlessResponses,
+  type EndlessTarget,
+  startEndlessTarget,
+} from '../standins/platform/endlesstarget.js';
+import { startPlatformSite, until } from '../standins/platform/site.js';
 
 const portOf = ({ registration }: EndlessTarget): number =>
   Number(String(registration['addr']).split(':')[1]);
 
+const completeStatuses: Readonly<Partial<Record<EndlessName, string>>> = {
+  afterResponse: 'status 200',
+};
+
 it('names the target, the bytes and the limit of a response that is given up', async () => {
   const site = await startPlatformSite();
   const target = await startEndlessTarget('desk', 'headerValue');
@@ -52,3 +61,27 @@
     await target.close();
   }
 });
+
+// Guards against calls of the adapters that go on until their time limit, or for ever.
+it.each(Object.keys(endlessResponses) as EndlessName[])(
+  'ends a call of an adapter at once when its response has no end (%s)',
+  async (name) => {
+    const target = await startEndlessTarget('desk', name);
+    try {
+      const address = { host: '127.0.0.1', port: portOf(target) };
+      for (const call of ['report', 'order', 'cache-events', 'store'] as const) {
+        const req = { call, address, method: 'GET', path: '/', timeoutMs: 20_000 } as const;
+        const httpClient = createHttpClient();
+        const ended = await httpClient(req, noCancellation).then(
+          ({ status }) => `status ${status}`,
+          () => 'failed',
+        );
+        // A response that is complete was not the endless part.
+        expect(ended).toBe(completeStatuses[name] ?? 'failed');
+      }
+      await until(() => target.openConnections === 0);
+    } finally {
+      await target.close();
+    }
+  },
+);
--- a/test/docs/operators.test.ts
+++ b/test/docs/operators.test.ts
@@ -60,6 +60,7 @@
         quarantineSize: () => 0,
       limitedTargets: () => 0,
     droppedLogLines: () => 0,
+      heldResponseBytes: () => 0,
       });
       const clock = createManualClock();
       const log = createNullLogger();
--- a/test/gateway/events.test.ts
+++ b/test/gateway/events.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { createResponseMonitor } from '../../src/base/responselimits.js';
 import { createEventSplitter } from '../../src/gateway/events.js';
 
 const toStream = (lineEnd: string): string =>
@@ -12,7 +13,7 @@
     const stream = toStream(lineEnd);
     fc.assert(
       fc.property(fc.array(fc.integer({ min: 1, max: 40 }), { maxLength: 20 }), (sizes) => {
-        const splitter = createEventSplitter();
+        const splitter = createEventSplitter(createResponseMonitor().createBuffer('request'));
         let output = '';
         let lastId: string | undefined;
         let at = 0;
@@ -32,14 +33,14 @@
   });
 
   it('buffers an incomplete event', () => {
-    const splitter = createEventSplitter();
+    const splitter = createEventSplitter(createResponseMonitor().createBuffer('request'));
     const batch = splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
     expect([batch?.bytes.toString(), batch?.lastId]).toEqual(['id: 1\ndata: a\n\n', '1']);
     expect(splitter.pendingBytes).toBe(8);
   });
 
   it('accepts lines that end with carriage return and line feed', () => {
-    const splitter = createEventSplitter();
+    const splitter = createEventSplitter(createResponseMonitor().createBuffer('request'));
     const batch = splitter.push(Buffer.from('id: 7\r\ndata: a\r\n\r\n'));
     expect(batch?.lastId).toBe('7');
   });
--- a/test/soak/process.ts
+++ b/test/soak/process.ts
@@ -1,5 +1,5 @@
 import { type ChildProcess, spawn } from 'node:child_process';
-import { writeFileSync } from 'node:fs';
+import { readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 
 /** Gateway in a child process, which the soak can stop, pause and kill. */
@@ -8,6 +8,8 @@
   readonly callersPort: number;
   readonly readyPort: number;
   readonly isRunning: boolean;
+  /** Largest resident memory since the process started, in bytes; 0 when it does not run. */
+  peakMemory(): number;
   start(): void;
   signal(name: NodeJS.Signals): void;
   /** Kills the process and waits until it has exited. */
@@ -23,6 +25,8 @@
   /** First of three free ports. */
   readonly port: number;
   readonly storePort: number;
+  /** Options of Node.js, for example the limit of its heap. */
+  readonly nodeOptions?: readonly string[];
 }
 
 const maxTailLines = 400;
@@ -56,8 +60,13 @@
     get isRunning() {
       return child !== undefined && child.exitCode === null && child.signalCode === null;
     },
+    peakMemory() {
+      if (!this.isRunning) return 0;
+      const status = readFileSync(`/proc/${child?.pid}/status`, 'utf8');
+      return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1] ?? 0) * 1_024;
+    },
     start() {
-      child = spawn(process.execPath, [bundle], {
+      child = spawn(process.execPath, [...(options.nodeOptions ?? []), bundle], {
         env: { ...process.env, CICADATIDE_BOOT: settingsPath },
         stdio: ['ignore', 'pipe', 'pipe'],
       });
