--- a/src/base/httpclient.ts
+++ b/src/base/httpclient.ts
@@ -1,9 +1,18 @@
 import { Agent, type IncomingMessage, request } from 'node:http';
 import { type HostPort } from './address.js';
 import { type CancellationToken } from './cancellation.js';
+import {
+  type CallKind,
+  createResponseMonitor,
+  isResponseLimit,
+  type ResponseMonitor,
+  toLimitError,
+} from './responselimits.js';
+import { watchResponse } from './responsewatch.js';
 
 /** HTTP request with a small body, whose response is read in full. */
 export interface HttpRequest {
+  readonly call: CallKind;
   readonly address: HostPort;
   readonly method: string;
   readonly path: string;
@@ -30,16 +39,13 @@
  */
 export type HttpClient = (call: HttpRequest, token: CancellationToken) => Promise<HttpResponse>;
 
-/** Largest accepted response body; the platform's pages limit responses to 1 MB plus encoding. */
-const maxResponseBytes = 8 * 1_048_576;
-
-export function createHttpClient(): HttpClient {
+export function createHttpClient(monitor: ResponseMonitor = createResponseMonitor()): HttpClient {
   const agent = new Agent({ keepAlive: true, scheduling: 'lifo' });
   const closeIdle = ({ host, port }: HostPort): void => {
     const idle = agent.freeSockets[agent.getName({ host, port })] ?? [];
     for (const socket of [...idle]) socket.destroy();
   };
-  return ({ address, method, path, body, headers, timeoutMs }, token) =>
+  return ({ call, address, method, path, body, headers, timeoutMs }, token) =>
     new Promise((resolve, reject) => {
       let isSent = false;
       const req = request({
@@ -57,10 +63,24 @@
         req.destroy(new Error(reason)),
       );
       const timer = setTimeout(() => req.destroy(new Error('request timed out')), timeoutMs);
-      const fail = (err: Error): void => {
+      const watch = watchResponse(req, (err) => req.destroy(err));
+      const buffer = monitor.createBuffer(call);
+      let isFinished = false;
+      const finish = (): void => {
+        isFinished = true;
         clearTimeout(timer);
         subscription.dispose();
+        watch.dispose();
+        buffer.dispose();
+      };
+      const fail = (err: Error): void => {
+        if (isFinished) return;
+        finish();
         if (req.reusedSocket) closeIdle(address);
+        if (isResponseLimit(err)) {
+          const { receivedBytes } = watch;
+          monitor.report({ call, address, receivedBytes, cause: err.message });
+        }
         reject(Object.assign(err, { isSent }));
       };
       req.on('socket', (socket) => {
@@ -69,19 +89,15 @@
       });
       req.on('error', fail);
       req.on('response', (res) => {
-        const chunks: Buffer[] = [];
-        let size = 0;
         res.on('data', (chunk: Buffer) => {
-          chunks.push(chunk);
-          size += chunk.length;
-          if (size > maxResponseBytes) req.destroy(new Error('response is too large'));
+          const overflow = isFinished ? undefined : buffer.push(chunk);
+          if (overflow) req.destroy(toLimitError('body', call, overflow));
         });
         res.on('error', fail);
         res.on('end', () => {
           if (!res.complete) return fail(new Error('response is incomplete'));
-          clearTimeout(timer);
-          subscription.dispose();
-          const text = Buffer.concat(chunks).toString('utf8');
+          const text = buffer.take().toString('utf8');
+          finish();
           return resolve({ status: res.statusCode ?? 0, headers: res.headers, body: text });
         });
       });
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -197,6 +197,11 @@
     quarantineSize: () => quarantine.size,
     limitedTargets: () => limits.size,
     droppedLogLines: options.droppedLogLines,
+    heldResponseBytes: () => platform.responseMonitor.heldBytes,
+  });
+  platform.responseMonitor.listen(({ address: { host, port }, ...response }) => {
+    metrics?.recordOversizedResponse(response.call);
+    log.warn({ host, port, ...response }, 'response was given up because it exceeds a limit');
   });
   const loopDelay = resources.add(createDelayMeter(clock));
   const plannedStop = createGatewayStop({
@@ -223,6 +228,7 @@
       onDecision: (...decision) => metrics?.recordRepeat(...decision),
     }),
     limits,
+    responseMonitor: platform.responseMonitor,
     speeds,
     streamAdmission: createStreamAdmission({
       clock,
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -19,6 +19,7 @@
   quarantineSize(): number;
   limitedTargets(): number;
   droppedLogLines(): number;
+  heldResponseBytes(): number;
 }
 
 /** Upper bounds in seconds, around objectives of 0.2 to 0.8 s and timeouts of 0.8 to 12 s. */
@@ -32,6 +33,7 @@
   recordCrash(service: string): void;
   recordMissedChange(table: string): void;
   recordIgnoredRow(table: string): void;
+  recordOversizedResponse(call: string): void;
 }
 
 /** Registers the metrics of a gateway. */
@@ -93,6 +95,12 @@
     labelNames: ['table'],
     registers,
   });
+  const oversizedResponses = new Counter({
+    name: 'cicadatide_oversized_responses_total',
+    help: 'Responses to calls of the gateway that were given up because they exceed a limit.',
+    labelNames: ['call'],
+    registers,
+  });
   const gauge = (name: string, help: string, read: () => number): void => {
     const metric: Gauge = new Gauge({ name, help, registers, collect: () => metric.set(read()) });
   };
@@ -117,6 +125,11 @@
     'Targets that name a limit of requests a second.',
     gauges.limitedTargets,
   );
+  gauge(
+    'cicadatide_held_response_bytes',
+    'Memory that responses hold beyond the 16 KiB that each may use.',
+    gauges.heldResponseBytes,
+  );
   gauge('cicadatide_log_lines_dropped', 'Log lines dropped.', gauges.droppedLogLines);
   const prefillSpeed: Gauge<'service'> = new Gauge({
     name: 'cicadatide_prefill_tokens_per_second',
@@ -152,5 +165,6 @@
     recordCrash: (service) => crashes.inc({ service }),
     recordMissedChange: (table) => missedChanges.inc({ table }),
     recordIgnoredRow: (table) => ignoredRows.inc({ table }),
+    recordOversizedResponse: (call) => oversizedResponses.inc({ call }),
   };
 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,6 +2,7 @@
 import { type Clock } from '../base/clock.js';
 import { errMessage } from '../base/errors.js';
 import { type Disposable } from '../base/lifecycle.js';
+import { isResponseLimit, type ResponseMonitor, toLimitError } from '../base/responselimits.js';
 import { type TargetHead, type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse } from './response.js';
 import { isEndUnknown, responseFault } from './responsecheck.js';
@@ -46,7 +47,7 @@
 export type NotRunCause = 'unreachable' | 'full' | 'misdirected';
 
 /** Failure response of a target, stored in case no other target succeeds. */
-export interface BufferedResponse {
+export interface BufferedResponse extends Disposable {
   readonly res: IncomingMessage;
   readonly body: Buffer;
 }
@@ -68,6 +69,7 @@
 export interface AttemptOptions {
   readonly clock: Clock;
   readonly protocol: WireProtocol;
+  readonly responseMonitor: ResponseMonitor;
   readonly target: Target;
   readonly request: ExchangeRequest;
   readonly requestId: string;
@@ -118,13 +120,6 @@
   recall(cause: string): void;
 }
 
-/**
- * Limit of buffered bytes: of a plain response, which is forwarded once it is complete or exceeds the
- * limit, of a failure response, and of an incomplete event. Events have up to 390 bytes by the
- * operators' sheets. A faulty target sends bytes without end until its connection is closed.
- */
-const maxBufferedBytes = 262_144;
-
 /** A target may respond in any order to requests that are sent within this time. */
 const reorderToleranceMs = 250;
 
@@ -135,15 +130,16 @@
 export function startAttempt(options: AttemptOptions): Attempt {
   const { clock, protocol, target, requestId, progress, isStream } = options;
   const writer = options.callerResponse.openWriter(progress.lastEventId);
-  const splitter = createEventSplitter();
+  const buffer = options.responseMonitor.createBuffer('request');
+  const splitter = createEventSplitter(buffer);
   const inFlight = target.startRequest(options.prefillTokens, options.priority);
   const timers: Disposable[] = [];
   const startedAt = clock.now();
   let lastByteAt = startedAt;
   let targetRes: IncomingMessage | undefined;
   let head: TargetHead | undefined;
-  let buffered: Buffer[] = [];
-  let bufferedBytes = 0;
+  /** The buffer is disposed with the failure response of the target. */
+  let isBufferKept = false;
   let bodyBytes = 0;
   let isForwarding = false;
   /** The caller reads too slowly, so no bytes are taken from the target. */
@@ -162,6 +158,7 @@
     isEnded = true;
     for (const timer of timers) timer.dispose();
     inFlight.dispose();
+    if (!isBufferKept) buffer.dispose();
     exchange.current?.abort();
     settle(result);
   };
@@ -182,18 +179,34 @@
     end({ kind, cause, silence: silenceFacts(), ...(lostAt && { lostAt }) });
   };
 
+  /** Fails the attempt because its response exceeds a limit. */
+  const giveUp = (err: Error, lostAt?: ResponseStage): void => {
+    if (isEnded) return;
+    options.responseMonitor.report({
+      call: 'request',
+      address: target.registration.address,
+      receivedBytes: exchange.current?.receivedBytes ?? 0,
+      cause: err.message,
+    });
+    fail(err.message, lostAt);
+  };
+
   const markUnderway = (): void => {
     if (stage === 'underway') return;
     stage = 'underway';
     options.onUnderway();
   };
 
-  const forward = (chunk: Buffer): void => {
-    if (writer.write(chunk)) return;
+  const forward = (chunk: Buffer, onTaken: () => void = () => undefined): void => {
+    if (writer.write(chunk)) {
+      onTaken();
+      return;
+    }
     if (isPaused) return;
     isPaused = true;
     exchange.current?.pause();
     writer.onDrain(() => {
+      onTaken();
       isPaused = false;
       lastByteAt = clock.now();
       exchange.current?.resume();
@@ -210,15 +223,15 @@
   const forwardBuffered = (): void => {
     if (!targetRes || !beginResponse(targetRes)) return;
     isForwarding = true;
-    for (const chunk of buffered) forward(chunk);
-    buffered = [];
-    bufferedBytes = 0;
+    const bytes = buffer.take();
+    if (bytes.length === 0) buffer.dispose();
+    else forward(bytes, () => buffer.dispose());
   };
 
   const onEvents = (chunk: Buffer): void => {
     const batch = splitter.push(chunk);
-    if (splitter.pendingBytes > maxBufferedBytes) {
-      fail(`event is still incomplete after ${maxBufferedBytes} bytes`);
+    if (splitter.overflow) {
+      giveUp(toLimitError('event', 'request', splitter.overflow));
       return;
     }
     if (!batch || !targetRes || !beginResponse(targetRes)) return;
@@ -279,21 +292,23 @@
       forward(chunk);
       return;
     }
-    buffered.push(chunk);
-    bufferedBytes += chunk.length;
-    if (bufferedBytes <= maxBufferedBytes) return;
-    if (isOk()) forwardBuffered();
-    else fail(`failure response is longer than ${maxBufferedBytes} bytes`);
+    const overflow = buffer.push(chunk);
+    if (!overflow) return;
+    if (isOk()) {
+      forwardBuffered();
+      forward(chunk);
+    } else giveUp(toLimitError('failure response', 'request', overflow));
   };
 
   const onEnd = (): void => {
     if (!targetRes) return;
     if (!isOk()) {
+      isBufferKept = true;
       end({
         kind: 'failed',
         cause: `response status ${targetRes.statusCode}`,
         silence: silenceFacts(),
-        response: { res: targetRes, body: Buffer.concat(buffered) },
+        response: { res: targetRes, body: buffer.take(), dispose: () => buffer.dispose() },
       });
       return;
     }
@@ -316,6 +331,7 @@
 
   const onFailure = (err: Error, isSent: boolean): void => {
     if (!isSent) end({ kind: 'not-run', cause: 'unreachable' });
+    else if (isResponseLimit(err)) giveUp(err, stage);
     else fail(err.message, stage);
   };
 
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -2,6 +2,7 @@
 import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
 import { type Random } from '../base/random.js';
+import { type ResponseMonitor } from '../base/responselimits.js';
 import { type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse, type LocalResponse } from './response.js';
 import { type BufferedResponse, type Progress } from './attempt.js';
@@ -36,6 +37,7 @@
   readonly quarantine: Pick<Quarantine, 'find' | 'claimTrial' | 'trackWaiting' | 'observeAnswer'>;
   readonly repeats: Repeats;
   readonly limits: TargetLimits;
+  readonly responseMonitor: ResponseMonitor;
   readonly speeds: Pick<SpeedModel, 'observe'>;
   readonly streamAdmission: StreamAdmission;
   /** Time for which this process serves requests, in milliseconds; Infinity until it stops. */
@@ -74,7 +76,7 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { clock, random, log, protocol, placer, failureTracker, streamAdmission } = options;
   const { quarantine, limits } = options;
-  const sendRequest = createRequestSender(clock, protocol, limits);
+  const sendRequest = createRequestSender(clock, protocol, limits, options.responseMonitor);
   const reserveMove = createMover({ placer, limits, quarantine });
   const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
 
@@ -120,6 +122,7 @@
 
       const toResult = (outcome: CallResult['outcome']): CallResult => {
         pendingStream?.dispose();
+        failureResponse?.dispose();
         return {
           outcome,
           attempts,
@@ -320,8 +323,10 @@
           if (isPermitted && repeats.tryStart(continuation?.target, true)) continue;
           continuation = undefined;
         }
-        if (attemptEnd.kind === 'failed' && attemptEnd.response)
+        if (attemptEnd.kind === 'failed' && attemptEnd.response) {
+          failureResponse?.dispose();
           failureResponse = attemptEnd.response;
+        }
         if (!isRetryable(call) || ranOn.size >= route.maxTargets) return finishUnserved();
       }
     },
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,6 +3,7 @@
 import { type HostPort } from '../base/address.js';
 import { type Clock } from '../base/clock.js';
 import { type Disposable } from '../base/lifecycle.js';
+import { type ResponseWatch, watchResponse } from '../base/responsewatch.js';
 import { isCloseDelimited } from './responsecheck.js';
 
 /** Request to a target. */
@@ -27,6 +28,8 @@
 
 /** One request to a target and its response. */
 export interface Exchange {
+  /** Bytes received so far, including heads and framing. */
+  readonly receivedBytes: number;
   /** Closes the connection; no further callbacks follow. */
   abort(): void;
   pause(): void;
@@ -60,9 +63,6 @@
  */
 const reuseWindowMs = 400;
 
-/** Informational (1xx) responses that may precede the final one. Targets usually send none. */
-const maxInformationalResponses = 16;
-
 /** Idle time after which a connection is closed; targets close theirs after a few seconds. */
 const maxIdleMs = 2_000;
 
@@ -140,7 +140,7 @@
     let isSent = false;
     let response: IncomingMessage | undefined;
     let timer: Disposable | undefined;
-    let informationalResponses = 0;
+    let watch: ResponseWatch | undefined;
     const req = request({
       agent,
       host: address.host,
@@ -153,6 +153,7 @@
     const finish = (): void => {
       isDone = true;
       timer?.dispose();
+      watch?.dispose();
     };
     const fail = (err: Error): void => {
       // Bytes after a complete response belong to no request; `onEnd` is still to be called.
@@ -161,6 +162,7 @@
       req.destroy();
       listener.onFailure(err, isSent);
     };
+    watch = watchResponse(req, fail);
     req.on('socket', (socket) => {
       if (!socket.connecting) {
         isSent = true;
@@ -178,11 +180,6 @@
     });
     // Stays registered for errors after the response, such as bytes that belong to no request.
     req.on('error', fail);
-    req.on('information', () => {
-      informationalResponses += 1;
-      if (informationalResponses > maxInformationalResponses)
-        fail(new Error('too many informational responses without a final one'));
-    });
     req.on('response', (res) => {
       response = res;
       lastByteAt = clock.now();
@@ -206,6 +203,9 @@
     });
     req.end(body);
     return {
+      get receivedBytes() {
+        return watch?.receivedBytes ?? 0;
+      },
       abort() {
         if (isDone) return;
         finish();
--- a/src/gateway/repeats.ts
+++ b/src/gateway/repeats.ts
@@ -21,9 +21,14 @@
   /** Pays for an attempt that replaces the running one, which has reached its target. */
   tryReplace(target: Target, isContinuation: boolean): boolean;
   /** Records the end of an attempt. */
-  observeEnd(target: Target, end: Pick<AttemptEnd, 'kind'> & { readonly cause?: string }): void;
+  observeEnd(target: Target, end: EndOfAttempt): void;
 }
 
+/** The part of an attempt's end that tells where it arrived. */
+type EndOfAttempt =
+  | Extract<AttemptEnd, { kind: 'not-run' }>
+  | { readonly kind: Exclude<AttemptEnd['kind'], 'not-run'> };
+
 type RepeatedCall = Pick<GatewayCall, 'head' | 'service'>;
 
 export interface RepeatsOptions {
--- a/test/gateway/repeats.test.ts
+++ b/test/gateway/repeats.test.ts
@@ -18,11 +18,8 @@
 const failed = { kind: 'failed', cause: 'reset' } as const;
 
 /** Another target has the address of the chosen one. */
-const misdirectedTo = (targetId: string): AttemptEnd => ({
-  kind: 'not-run',
-  cause: 'misdirected',
-  head: { targetId } as TargetHead,
-});
+const misdirectedTo = (targetId: string) =>
+  ({ kind: 'not-run', cause: 'misdirected', head: { targetId } as TargetHead }) as const;
 
 async function setUp(slack: number, log = createNullLogger()) {
   const clock = createManualClock();
