Log the content id of requests that are lost in a crash or held back

The logs name each attempt by its request id, which is new with each repeat, and prompts by their parts.

No change of routing.

--- a/src/gateway/crashes.ts
+++ b/src/gateway/crashes.ts
@@ -1,6 +1,7 @@
 import { errMessage } from '../base/errors.js';
 import { type Logger } from '../base/logging.js';
 import { type PromptPart } from '../ports/wire.js';
+import { type RequestContent } from '../quarantine/content.js';
 import { type ResponseStage } from './attempt.js';
 import { type Target } from './targets.js';
 
@@ -8,6 +9,7 @@
 export interface LostRequest {
   readonly requestId: string;
   readonly parts: readonly PromptPart[];
+  readonly content: Pick<RequestContent, 'id'>;
   readonly stage: ResponseStage;
 }
 
@@ -49,11 +51,14 @@
         target: target.id,
         service: target.registration.service,
         lost: requests.length,
-        notUnderway: notUnderway.slice(0, maxLoggedRequests).map(({ requestId, stage, parts }) => ({
-          requestId,
-          stage,
-          parts: parts.map(({ id }) => id),
-        })),
+        notUnderway: notUnderway
+          .slice(0, maxLoggedRequests)
+          .map(({ requestId, stage, parts, content }) => ({
+            requestId,
+            stage,
+            content: content.id,
+            parts: parts.map(({ id }) => id),
+          })),
       },
       'target crashed',
     );
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -11,6 +11,7 @@
 import { fitsGrace } from './graceperiod.js';
 import { type FailureTracker } from './failuretracker.js';
 import { placeAtBackup, recordAttemptEnd } from './outcomes.js';
+import { createRequestContent } from '../quarantine/content.js';
 import { type Quarantine, type Quarantined } from '../quarantine/quarantine.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
 import { type RetryBudget } from './retrybudget.js';
@@ -83,6 +84,7 @@
   return {
     async dispatch(call) {
       const { response, route, head, token } = call;
+      const content = createRequestContent({ ...call, parts: head.parts });
       const progress: Progress = {
         lastEventId: undefined,
         contentType: undefined,
@@ -151,7 +153,14 @@
       /** Ends a request whose prompt is quarantined; its callers learn whether it may have run. */
       const finishQuarantined = ({ partIds, crashes, retryAfterMs: waitMs }: Quarantined) => {
         log.info(
-          { requestId: head.requestId, parts: partIds, crashes, attempts, retryAfterMs: waitMs },
+          {
+            requestId: head.requestId,
+            content: content.id,
+            parts: partIds,
+            crashes,
+            attempts,
+            retryAfterMs: waitMs,
+          },
           'request was not sent because a part of its prompt is quarantined',
         );
         if (ranOn.size > 0 || response.hasStarted) return finishUnserved();
@@ -262,7 +271,7 @@
         );
         if ('lostAt' in attemptEnd && attemptEnd.lostAt) {
           const { lostAt: stage } = attemptEnd;
-          const lost = { requestId: head.requestId, parts: head.parts, stage };
+          const lost = { requestId: head.requestId, parts: head.parts, content, stage };
           const isCrash = options.crashDetector.observeLoss(target, lost);
           // The crash may quarantine this prompt, so it is recorded before the prompt is sent again.
           if (stage !== 'underway') await isCrash;
--- a/test/gateway/crashes.test.ts
+++ b/test/gateway/crashes.test.ts
@@ -3,7 +3,12 @@
 import { createCrashDetector, type LostRequest } from '../../src/gateway/crashes.js';
 import { type Target } from '../../src/gateway/targets.js';
 
-const lost = (requestId: string): LostRequest => ({ requestId, parts: [], stage: 'head' });
+const lost = (requestId: string): LostRequest => ({
+  requestId,
+  parts: [],
+  content: { id: 'content,1' },
+  stage: 'head',
+});
 
 /** Reports two lost requests of one target; returns the requests of each crash that is detected. */
 async function observe(isAlive: boolean, isLeaving = false): Promise<readonly string[][]> {
