Quarantine a request by its content when it crashes targets

Cause: the evidence knew the prompt parts that requests share. The last part was left out as private, and plain calls had nothing to accuse.

Ruled out by the log: several contents (there is one); crashes counted once that coincide (they are 0.2 to 0.7 s apart); a repeat by the same gateway before the evidence arrived (only the first four crashes; ten came after the quarantine was lifted).

Change: the evidence suspects the content of a lost request like a part: a hash of service, method, path, prompt parts and body. Two crashes without an answer in between accuse it, alone, at every gateway through the same hints and rows. Two crashes at the same moment count both if one request met one after the other, as plain calls do that crash their target at once. With a content and a part accused, the latest trial counts, so the request gets three in all. Computed only after a crash and while something is suspected.

The tests of the quarantine of parts keep their checks; their prompts got bodies of their own, since no two were meant to be alike.

--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -94,7 +94,7 @@
   );
   gauge(
     'cicadatide_quarantined_prompts',
-    'Combinations of prompt parts that are not sent because engines crashed under them.',
+    'Combinations of prompt parts, and contents of requests, that are not sent because targets crashed under them.',
     gauges.quarantineSize,
   );
   gauge(
--- a/src/daemon/gatewayquarantine.ts
+++ b/src/daemon/gatewayquarantine.ts
@@ -45,9 +45,11 @@
       const waiting = requests.filter(({ stage }) => stage === 'waiting');
       // An engine sends the head when it begins to write, so these requests are the suspects if any.
       const suspects = begun.length > 0 ? begun : waiting;
+      const lostAgain = suspects.filter(({ isLostAgain }) => isLostAgain);
       quarantine.observeCrash(
         target.id,
-        suspects.map(({ parts }) => parts),
+        suspects.map(({ content }) => content),
+        new Set(lostAgain.map(({ content }) => content.id)),
       );
     },
   });
--- a/src/gateway/crashes.ts
+++ b/src/gateway/crashes.ts
@@ -9,8 +9,10 @@
 export interface LostRequest {
   readonly requestId: string;
   readonly parts: readonly PromptPart[];
-  readonly content: Pick<RequestContent, 'id'>;
+  readonly content: RequestContent;
   readonly stage: ResponseStage;
+  /** An earlier attempt was lost in another crash. */
+  readonly isLostAgain: boolean;
 }
 
 /** The end of one incarnation of a target, with the requests of this process that it took along. */
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -111,6 +111,7 @@
       };
       // The next attempt is a trial, which is sent in spite of a quarantine.
       let isTrial = false;
+      let isLostAgain = false;
       budget.deposit();
 
       const toResult = (outcome: CallResult['outcome']): CallResult => {
@@ -150,7 +151,7 @@
         return toResult(kind);
       };
 
-      /** Ends a request whose prompt is quarantined; its callers learn whether it may have run. */
+      /** Ends a request whose content is quarantined; its callers learn whether it may have run. */
       const finishQuarantined = ({ partIds, crashes, retryAfterMs: waitMs }: Quarantined) => {
         log.info(
           {
@@ -161,7 +162,7 @@
             attempts,
             retryAfterMs: waitMs,
           },
-          'request was not sent because a part of its prompt is quarantined',
+          'request was not sent because it or a part of its prompt is quarantined',
         );
         if (ranOn.size > 0 || response.hasStarted) return finishUnserved();
         response.sendLocal('quarantined', waitMs);
@@ -186,7 +187,7 @@
       for (;;) {
         if (token.isCancellationRequested || remainingMs(call) < minRemainingMs)
           return finishUnserved();
-        const held = isTrial ? undefined : quarantine.find(head.parts);
+        const held = isTrial ? undefined : quarantine.find(content);
         if (held) {
           isTrial = await quarantine.claimTrial(held, token);
           if (!isTrial) return finishQuarantined(held);
@@ -236,12 +237,12 @@
           },
           onUnderway() {
             waiting?.dispose();
-            quarantine.observeAnswer(head.parts);
+            quarantine.observeAnswer(content);
           },
         });
         if (!isTrial)
-          waiting = quarantine.trackWaiting(head.parts, () =>
-            attempt.recall('its prompt is quarantined'),
+          waiting = quarantine.trackWaiting(content, () =>
+            attempt.recall('its content is quarantined'),
           );
         options.onLoadChange();
         const cancelListener = token.onCancellationRequested(() => attempt.cancel());
@@ -271,10 +272,11 @@
         );
         if ('lostAt' in attemptEnd && attemptEnd.lostAt) {
           const { lostAt: stage } = attemptEnd;
-          const lost = { requestId: head.requestId, parts: head.parts, content, stage };
+          const { requestId, parts } = head;
+          const lost = { requestId, parts, content, stage, isLostAgain };
           const isCrash = options.crashDetector.observeLoss(target, lost);
           // The crash may quarantine this prompt, so it is recorded before the prompt is sent again.
-          if (stage !== 'underway') await isCrash;
+          if (stage !== 'underway') isLostAgain = (await isCrash) || isLostAgain;
         }
         if (attemptEnd.kind === 'not-run') {
           // An unreachable target received nothing, so this retry does not count against the budget.
--- a/src/gateway/response.ts
+++ b/src/gateway/response.ts
@@ -32,7 +32,7 @@
   quarantined: {
     status: 503,
     isRetryable: true,
-    remedy: 'engines crashed under a part of this prompt; send another prompt',
+    remedy: 'engines crashed under this request or a part of its prompt; send another one',
   },
   'body-timeout': { status: 408, isRetryable: false, remedy: 'send the body without pauses' },
   'unknown-key': { status: 401, isRetryable: false, remedy: 'send a valid key' },
--- a/src/quarantine/content.ts
+++ b/src/quarantine/content.ts
@@ -48,3 +48,6 @@
     },
   };
 }
+
+/** All ids under which crashes are recorded. */
+export const idsOf = ({ partIds, id }: RequestContent): readonly string[] => [...partIds, id];
--- a/src/quarantine/evidence.ts
+++ b/src/quarantine/evidence.ts
@@ -1,6 +1,10 @@
 import { type Clock } from '../base/clock.js';
+import { isContentId } from './content.js';
 
-/** A crash of a target, with the prompt parts of one lost request that may have caused it. */
+/**
+ * A crash of a target, with one lost request that may have caused it: its content id and the parts of
+ * its prompt that others share.
+ */
 export interface Sighting {
   readonly targetId: string;
   /** Local monotonic time of the crash. */
@@ -9,11 +13,16 @@
   readonly unanswered: readonly string[];
   /** The other parts, which are less suspicious. */
   readonly answered: readonly string[];
+  /** The request was sent after it had been lost in another crash. */
+  readonly isLostAgain?: boolean;
 }
 
 /** Prompt parts that together explain crashes; a prompt with all of them is expected to crash. */
 export interface Accusation {
-  /** The accused part with the most crashes, and the parts that were with it in all of them. */
+  /**
+   * The accused part with the most crashes, and the parts that were with it in all of them; or the id
+   * of one accused content.
+   */
   readonly partIds: readonly string[];
   readonly crashes: number;
 }
@@ -23,11 +32,21 @@
  * which one is to blame. A part is accused when it was in lost requests of several crashes and no
  * prompt with it was answered since the first of them. Parts that occurred only together are accused together,
  * so that prompts with some of them are still sent and clear the innocent ones.
+ *
+ * A request may also crash engines by what it shares with no other, so its content id is suspected
+ * like a part. It is accused alone, and answers to it before its first crash don't count in its favour: a
+ * content that is sent again after crashes has been lost in each of them.
  */
 export interface Evidence {
   /** Adds what this process saw; returns the sightings to publish. */
-  observeCrash(targetId: string, prompts: readonly (readonly string[])[]): readonly Sighting[];
-  /** Clears the parts of an answered prompt; returns those that were suspected. */
+  observeCrash(
+    targetId: string,
+    prompts: readonly (readonly string[])[],
+    lostAgain?: ReadonlySet<string>,
+  ): readonly Sighting[];
+  /** Number of suspected parts and contents. */
+  readonly size: number;
+  /** Clears the parts of an answered prompt and its content; returns those that were suspected. */
   observeAnswer(partIds: readonly string[]): readonly string[];
   /** Adds a peer's sighting; returns parts that it calls unanswered and that were answered here. */
   addSighting(sighting: Sighting): readonly string[];
@@ -47,20 +66,23 @@
  */
 const crashesToAccuse = 2;
 
-/** The same for a part that was answered before: its content has not changed since. */
+/** The same for a part that was answered before. */
 const crashesToAccuseAnswered = 4;
 
 /** Reports of the same target within this time are about the same crash; a restart takes longer. */
 const sameCrashMs = 1_500;
 
-/** Crashes of several targets within this time count once: they may share a cause, such as power. */
+/**
+ * Crashes of several targets within this time count once: they may share a cause, such as power. Those
+ * that one request met one after the other count each, because it reached the second target alive.
+ */
 const commonCauseMs = 50;
 
 /** Evidence of a part is dropped when nothing was added to it for this long. */
 const evidenceMaxAgeMs = 3_600_000;
 
-/** Suspected parts in memory, most of which are sound and cleared within seconds. */
-const maxRecords = 1_024;
+/** Suspected parts and contents in memory, most of which are sound and cleared within seconds. */
+const maxRecords = 2_048;
 
 /** Answered parts in memory; the least recently answered ones are dropped. */
 const maxAnswered = 16_384;
@@ -71,7 +93,9 @@
 interface CrashOfPart {
   readonly targetId: string;
   readonly at: number;
-  /** Suspected parts of all lost requests with the part. */
+  /** A request with this content was sent after it had been lost in another crash. */
+  isLostAgain: boolean;
+  /** Suspected parts of all lost requests with the part; empty for a content. */
   readonly together: Set<string>;
 }
 
@@ -86,8 +110,8 @@
 function countCrashes({ crashes }: PartRecord): number {
   let count = 0;
   let countedAt = -Infinity;
-  for (const { at } of crashes) {
-    if (at - countedAt < commonCauseMs) continue;
+  for (const { at, isLostAgain } of crashes) {
+    if (!isLostAgain && at - countedAt < commonCauseMs) continue;
     count += 1;
     countedAt = at;
   }
@@ -130,7 +154,7 @@
 
   const addToPart = (
     partId: string,
-    { targetId, at }: Sighting,
+    { targetId, at, isLostAgain = false }: Sighting,
     isAnswered: boolean,
     suspects: readonly string[],
   ): void => {
@@ -142,8 +166,9 @@
     const known = crashes.find(
       (crash) => crash.targetId === targetId && Math.abs(crash.at - at) < sameCrashMs,
     );
-    const crash = known ?? { targetId, at, together: new Set<string>() };
-    for (const other of suspects) crash.together.add(other);
+    const crash = known ?? { targetId, at, isLostAgain: false, together: new Set<string>() };
+    if (isContentId(partId)) crash.isLostAgain ||= isLostAgain;
+    else for (const other of suspects) if (!isContentId(other)) crash.together.add(other);
     if (known) return;
     crashes.push(crash);
     crashes.sort((a, b) => a.at - b.at);
@@ -165,7 +190,10 @@
     const record = records.get(partId);
     if (!record) return undefined;
     const count = countCrashes(record);
-    if (count < (record.isAnswered ? crashesToAccuseAnswered : crashesToAccuse)) return undefined;
+    const isContent = isContentId(partId);
+    const isLessSuspicious = record.isAnswered && !isContent;
+    if (count < (isLessSuspicious ? crashesToAccuseAnswered : crashesToAccuse)) return undefined;
+    if (isContent) return { partIds: [partId], crashes: count };
     const [first, ...others] = record.crashes as [CrashOfPart, ...CrashOfPart[]];
     const isInnocent = (id: string): boolean => {
       const answered = answeredAt.get(id);
@@ -178,7 +206,10 @@
   };
 
   return {
-    observeCrash(targetId, prompts) {
+    get size() {
+      return records.size;
+    },
+    observeCrash(targetId, prompts, lostAgain) {
       const at = clock.now();
       const sightings = prompts
         .filter((partIds) => partIds.length > 0)
@@ -187,11 +218,16 @@
           at,
           unanswered: partIds.filter((id) => !answeredAt.has(id)),
           answered: partIds.filter((id) => answeredAt.has(id)),
+          isLostAgain: partIds.some((id) => lostAgain?.has(id)),
         }));
       for (const sighting of sightings) add(sighting);
       return sightings;
     },
-    observeAnswer: (partIds) => partIds.filter((partId) => clearPart(partId, clock.now())),
+    observeAnswer(partIds) {
+      // Most contents are sent once, so their answers are kept only while they are suspected.
+      const kept = partIds.filter((id) => !isContentId(id) || records.has(id));
+      return kept.filter((id) => clearPart(id, clock.now()));
+    },
     addSighting(sighting) {
       add(sighting);
       return sighting.unanswered.filter((partId) => answeredAt.has(partId));
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -1,17 +1,25 @@
 import { type CancellationToken } from '../base/cancellation.js';
 import { type Clock, sleep } from '../base/clock.js';
 import { errMessage } from '../base/errors.js';
-import { type Disposable, toDisposable } from '../base/lifecycle.js';
+import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
 import { fullJitter, type Random } from '../base/random.js';
-import { type PromptPart } from '../ports/wire.js';
 import { type RowChange } from '../configuration/watch.js';
 import { type Row } from '../ports/rows.js';
 import { type TablePort } from '../ports/table.js';
+import { idsOf, type RequestContent } from './content.js';
 import { type Evidence } from './evidence.js';
-import { sharedPartIds } from './parts.js';
-import { decodeRow, encodeRow, isQuarantineKey, quarantineKey, type QuarantineRow } from './row.js';
+import {
+  decodeRow,
+  encodeRow,
+  holds,
+  includesAll,
+  isQuarantineKey,
+  quarantineKey,
+  type QuarantineRow,
+} from './row.js';
 import { type EvidenceShare } from './share.js';
+import { createWaitingRequests } from './waiting.js';
 
 /** Why a request is not sent. */
 export interface Quarantined {
@@ -22,22 +30,30 @@
 }
 
 /**
- * Keeps prompts from the engines that have crashed several of them. All gateways share the evidence
+ * Keeps requests from the engines that have crashed several of them: prompts by their parts, and any request by its content. All gateways share the evidence
  * through hints and the result through the store, where it outlasts every process. The load that it
  * answers is one of a few requests a second of which each takes an engine with all its streams along.
  */
 export interface Quarantine {
-  /** Returns undefined when the prompt may be sent. */
-  find(parts: readonly PromptPart[]): Quarantined | undefined;
+  /** Returns undefined when the request may be sent. */
+  find(content: RequestContent): Quarantined | undefined;
   /**
    * Claims the right to send one quarantined prompt, which tells whether its parts still crash
    * engines. Of all gateways one gets it, and only when a trial is due.
    */
   claimTrial(held: Quarantined, token: CancellationToken): Promise<boolean>;
   /** Calls `recall` when the prompt is quarantined while its request waits at an engine. */
-  trackWaiting(parts: readonly PromptPart[], recall: () => void): Disposable;
-  observeAnswer(parts: readonly PromptPart[]): void;
-  observeCrash(targetId: string, prompts: readonly (readonly PromptPart[])[]): void;
+  trackWaiting(content: RequestContent, recall: () => void): Disposable;
+  observeAnswer(content: RequestContent): void;
+  /**
+   * Records what one crash took along. `lostAgain` holds the content ids of requests that an earlier
+   * crash had taken along too.
+   */
+  observeCrash(
+    targetId: string,
+    contents: readonly RequestContent[],
+    lostAgain?: ReadonlySet<string>,
+  ): void;
   /** Rechecks parts to which the evidence of a peer was added. */
   recheck(partIds: readonly string[]): void;
   /** Releases the parts; a peer saw an answer to a prompt with each. */
@@ -91,18 +107,10 @@
   readonly changedAt: number;
 }
 
-interface WaitingRequest {
-  readonly partIds: readonly string[];
-  readonly recall: () => void;
-}
-
-const includesAll = (partIds: readonly string[], others: readonly string[]): boolean =>
-  others.every((id) => partIds.includes(id));
-
 export function createQuarantine(options: QuarantineOptions): Quarantine {
   const { clock, random, log, table, evidence, share, token } = options;
   const entries = new Map<string, Entry>();
-  const waiting = new Set<WaitingRequest>();
+  const waiting = createWaitingRequests();
   const claiming = new Set<string>();
 
   const trialInMs = ({ row, version, changedAt }: Entry): number | undefined => {
@@ -133,23 +141,31 @@
     );
   };
 
-  const findEntry = (partIds: readonly string[]): Entry | undefined => {
+  /** Finds the matching entry whose next trial is the latest, so that a trial is due for all. */
+  const findEntry = (matches: (row: QuarantineRow) => boolean): Entry | undefined => {
+    let latest: Entry | undefined;
+    let latestMs = -Infinity;
     for (const [key, entry] of entries) {
-      if (!includesAll(partIds, entry.row.partIds)) continue;
-      if (clock.now() - entry.changedAt < options.holdMs) return entry;
-      evidence.forget(entry.row.partIds);
-      lift(key, 'its hold time is over', true);
+      if (!matches(entry.row)) continue;
+      if (clock.now() - entry.changedAt >= options.holdMs) {
+        evidence.forget(entry.row.partIds);
+        lift(key, 'its hold time is over', true);
+        continue;
+      }
+      const trialMs = trialInMs(entry) ?? Infinity;
+      if (trialMs <= latestMs) continue;
+      latest = entry;
+      latestMs = trialMs;
     }
-    return undefined;
+    return latest;
   };
 
+  const isCovered = (partIds: readonly string[]): boolean =>
+    findEntry((row) => includesAll(partIds, row.partIds)) !== undefined;
+
   const put = (key: string, row: QuarantineRow, version: number | undefined): void => {
     entries.set(key, { row, version, changedAt: clock.now() });
-    for (const request of [...waiting]) {
-      if (!includesAll(request.partIds, row.partIds)) continue;
-      waiting.delete(request);
-      request.recall();
-    }
+    waiting.recall(row);
     const [oldest] = entries.keys();
     if (entries.size > maxEntries && oldest !== undefined) lift(oldest, 'there are too many', true);
   };
@@ -182,7 +198,7 @@
   /** Quarantines an accused part; combinations that contain the new one are no longer needed. */
   const accuse = (partId: string, trials = 0): void => {
     const accusation = evidence.accusationOf(partId);
-    if (!accusation || findEntry(accusation.partIds)) return;
+    if (!accusation || isCovered(accusation.partIds)) return;
     const { partIds, crashes } = accusation;
     const key = quarantineKey(partIds);
     for (const [otherKey, { row }] of [...entries])
@@ -228,7 +244,7 @@
     lift(key, 'it was removed from the store', false);
     // A gateway that found a smaller combination removed the larger one; the evidence stays.
     const { partIds } = entry.row;
-    if (!findEntry(partIds)) evidence.forget(partIds);
+    if (!isCovered(partIds)) evidence.forget(partIds);
   };
 
   const observeRow = ({ key, value, version }: Row): void => {
@@ -251,9 +267,9 @@
     get size() {
       return entries.size;
     },
-    find(parts) {
+    find(content) {
       if (entries.size === 0) return undefined;
-      const entry = findEntry(sharedPartIds(parts));
+      const entry = findEntry((row) => holds(row, content));
       return entry && { ...entry.row, retryAfterMs: trialInMs(entry) };
     },
     async claimTrial({ partIds }, claimToken) {
@@ -273,20 +289,17 @@
         claiming.delete(key);
       }
     },
-    trackWaiting(parts, recall) {
-      const request = { partIds: sharedPartIds(parts), recall };
-      waiting.add(request);
-      return toDisposable(() => waiting.delete(request));
-    },
-    observeAnswer(parts) {
-      const partIds = sharedPartIds(parts);
-      share.publishAnswers(evidence.observeAnswer(partIds));
-      if (entries.size > 0) release(partIds, true);
+    trackWaiting: (content, recall) => waiting.track(content, recall),
+    observeAnswer(content) {
+      const isSuspecting = entries.size > 0 || evidence.size > 0;
+      const ids = isSuspecting ? idsOf(content) : content.partIds;
+      share.publishAnswers(evidence.observeAnswer(ids));
+      if (entries.size > 0) release(ids, true);
     },
-    observeCrash(targetId, prompts) {
-      const shared = prompts.map(sharedPartIds);
-      share.publishSightings(evidence.observeCrash(targetId, shared));
-      recheck(shared.flat());
+    observeCrash(targetId, contents, lostAgain) {
+      const lost = contents.map(idsOf);
+      share.publishSightings(evidence.observeCrash(targetId, lost, lostAgain));
+      recheck(lost.flat());
     },
     recheck,
     release: (partIds) => release(partIds, false),
--- a/src/quarantine/row.ts
+++ b/src/quarantine/row.ts
@@ -1,12 +1,21 @@
-/** State of a quarantined combination of prompt parts in the store. */
+import { isContentId, type RequestContent } from './content.js';
+
+/** State of a quarantined combination of prompt parts, or of one content, in the store. */
 export interface QuarantineRow {
-  /** A prompt with all of these parts is not sent. */
+  /** A prompt with all of these parts is not sent, nor a request with this content id. */
   readonly partIds: readonly string[];
   readonly crashes: number;
   /** Prompts that were sent in spite of the quarantine, to find out whether it is justified. */
   readonly trials: number;
 }
 
+export const includesAll = (partIds: readonly string[], others: readonly string[]): boolean =>
+  others.every((id) => partIds.includes(id));
+
+/** The content id is computed only where a quarantined content is compared with it. */
+export const holds = ({ partIds }: QuarantineRow, content: RequestContent): boolean =>
+  partIds.every((id) => (isContentId(id) ? content.id === id : content.partIds.includes(id)));
+
 const keyPrefix = 'quarantine.';
 
 /** Key of the row in the system's own table; the first part identifies the combination. */
--- a/src/quarantine/share.ts
+++ b/src/quarantine/share.ts
@@ -1,11 +1,15 @@
 import { type Clock } from '../base/clock.js';
 import { type Disposable } from '../base/lifecycle.js';
+import { isContentId } from './content.js';
 import { type Evidence, type Sighting } from './evidence.js';
 
 /** Evidence in a hint. Times are ages in milliseconds, because the clocks of gateways differ. */
 export interface EvidenceHint {
-  /** Crashed target, age of the crash, parts that never were answered, other parts. */
-  readonly s: readonly (readonly [string, number, readonly string[], readonly string[]])[];
+  /**
+   * Crashed target, age of the crash, contents and parts that never were answered, others, and 1 if the
+   * request had been lost in another crash before; the last one may be absent.
+   */
+  readonly s: readonly (readonly [string, number, readonly string[], readonly string[], number?])[];
   /** Part and age of an answer to a prompt with it. */
   readonly a: readonly (readonly [string, number])[];
 }
@@ -98,6 +102,12 @@
 
   const ageOf = (at: number): number => Math.max(0, Math.round(clock.now() - at));
 
+  const packSighting = (sighting: Sighting): EvidenceHint['s'][number] => {
+    const { targetId, at, unanswered, answered, isLostAgain } = sighting;
+    if (isLostAgain) return [targetId, ageOf(at), unanswered, answered, 1];
+    return [targetId, ageOf(at), unanswered, answered];
+  };
+
   /** Splits off the items that are due and fit into the hint, those that were sent least first. */
   const takeDue = <T>(
     items: readonly Repeated<T>[],
@@ -124,7 +134,8 @@
       if (added.length === 0) return;
       const items = added.map((item) => ({ item, sends: 0, dueAt: clock.now() }));
       const all = [...sightings, ...items];
-      const isTelling = ({ item }: Repeated<Sighting>): boolean => item.unanswered.length > 0;
+      const isTelling = ({ item }: Repeated<Sighting>): boolean =>
+        item.unanswered.some((id) => !isContentId(id));
       const telling = all.filter(isTelling).slice(-maxItems);
       const others = all.filter((repeated) => !isTelling(repeated));
       sightings = [...telling, ...others.slice(0, maxItems - telling.length)];
@@ -148,12 +159,7 @@
       if (nextAt < Infinity) timer = clock.setTimer(nextAt - clock.now(), requestHint);
       if (dueAnswers.due.length + dueSightings.due.length === 0) return undefined;
       return {
-        s: dueSightings.due.map(({ targetId, at, unanswered, answered }) => [
-          targetId,
-          ageOf(at),
-          unanswered,
-          answered,
-        ]),
+        s: dueSightings.due.map(packSighting),
         a: dueAnswers.due.map((partId) => [
           partId,
           ageOf(evidence.lastAnswerAt(partId) ?? clock.now()),
@@ -163,8 +169,14 @@
     merge(hint) {
       const now = clock.now();
       const soundHere = new Set<string>();
-      for (const [targetId, ageMs, unanswered, answered] of hint.s) {
-        const sound = evidence.addSighting({ targetId, at: now - ageMs, unanswered, answered });
+      for (const [targetId, ageMs, unanswered, answered, again] of hint.s) {
+        const sound = evidence.addSighting({
+          targetId,
+          at: now - ageMs,
+          unanswered,
+          answered,
+          isLostAgain: again === 1,
+        });
         for (const partId of sound) if (isNew(partId)) soundHere.add(partId);
       }
       publishAnswers([...soundHere]);
--- a/test/gateway/crashes.test.ts
+++ b/test/gateway/crashes.test.ts
@@ -6,8 +6,9 @@
 const lost = (requestId: string): LostRequest => ({
   requestId,
   parts: [],
-  content: { id: 'content,1' },
+  content: { partIds: [], id: 'content,1' },
   stage: 'head',
+  isLostAgain: false,
 });
 
 /** Reports two lost requests of one target; returns the requests of each crash that is detected. */
--- a/test/quarantine/evidence.test.ts
+++ b/test/quarantine/evidence.test.ts
@@ -87,6 +87,52 @@
     expect(evidence.addSighting(sighting)).toEqual(['a']);
   });
 
+  it('accuses the content of a request that was lost in two crashes, although others share all its parts', async () => {
+    const { evidence, crash } = setUp();
+    for (const target of ['t1', 't2']) {
+      evidence.observeAnswer(['shared', 'content,sound']);
+      await crash(target, ['shared', 'content,dead'], ['shared', `content,beside ${target}`]);
+    }
+    const ids = ['shared', 'content,dead', 'content,beside t1', 'content,beside t2'];
+    const accused = ids.map((id) => accusedOf(evidence, id));
+    expect(accused).toEqual([undefined, ['content,dead'], undefined, undefined]);
+  });
+
+  it('still accuses a part alone that was lost with the same content in two crashes', async () => {
+    const { evidence, crash } = setUp();
+    await crash('t1', ['dead', 'content,1']);
+    await crash('t2', ['dead', 'content,1']);
+    expect(accusedOf(evidence, 'dead')).toEqual(['dead']);
+  });
+
+  it('clears a content that was answered after its first crash, but not by earlier answers', async () => {
+    const { evidence, crash, clock } = setUp();
+    evidence.observeAnswer(['content,1', 'content,2']);
+    await clock.advance(1);
+    await crash('t1', ['content,1'], ['content,2']);
+    expect(evidence.observeAnswer(['content,2'])).toEqual(['content,2']);
+    await crash('t2', ['content,1'], ['content,2']);
+    const accused = ['content,1', 'content,2'].map((id) => accusedOf(evidence, id));
+    expect(accused).toEqual([['content,1'], undefined]);
+  });
+
+  it('counts two crashes at the same moment that one request met one after the other', async () => {
+    const { evidence, clock } = setUp();
+    const lostAgain = new Set(['content,again']);
+    evidence.observeCrash('t1', [['content,again'], ['content,twice']]);
+    await clock.advance(5);
+    evidence.observeCrash('t2', [['content,again'], ['content,twice']], lostAgain);
+    const accused = ['content,again', 'content,twice'].map((id) => accusedOf(evidence, id));
+    expect(accused).toEqual([['content,again'], undefined]);
+  });
+
+  it('keeps no answers of contents that are not suspected', () => {
+    const { evidence } = setUp();
+    evidence.observeAnswer(['part', 'content,1']);
+    const answeredAt = ['part', 'content,1'].map((id) => evidence.lastAnswerAt(id));
+    expect(answeredAt).toEqual([0, undefined]);
+  });
+
   it('stays bounded when callers send new parts all the time, and still finds the next one', async () => {
     const { evidence, crash } = setUp();
     for (let index = 0; index < 20_000; index += 1) {
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -3,17 +3,35 @@
 import { noCancellation } from '../../src/base/cancellation.js';
 import { createNullLogger } from '../../src/base/logging.js';
 import { createSeededRandom } from '../../src/base/random.js';
-import { type PromptPart } from '../../src/ports/wire.js';
+import { createRequestContent, type RequestContent } from '../../src/quarantine/content.js';
 import { createEvidence } from '../../src/quarantine/evidence.js';
-import { createQuarantine, type Quarantine } from '../../src/quarantine/quarantine.js';
+import {
+  createQuarantine,
+  type Quarantine,
+  type Quarantined,
+} from '../../src/quarantine/quarantine.js';
 import { createEvidenceShare, type EvidenceShare } from '../../src/quarantine/share.js';
 import { createManualClock } from '../standins/clock.js';
 import { createFaultyTable } from '../standins/faultytable.js';
 
 const holdMs = 3_600_000;
 
-const prompt = (...ids: string[]): readonly PromptPart[] =>
-  [...ids, 'last'].map((id) => ({ id, tokens: 100 }));
+/** A request with a body of its own, so that no two requests have the same content. */
+const request = (body: string, ...ids: string[]): RequestContent =>
+  createRequestContent({
+    service: 'llm',
+    method: 'POST',
+    path: '/fit/x',
+    parts: ids.map((id) => ({ id, tokens: 100 })),
+    body: Buffer.from(body),
+  });
+
+let prompts = 0;
+
+const prompt = (...ids: string[]): RequestContent => {
+  prompts += 1;
+  return request(`prompt ${prompts}`, ...ids, 'last');
+};
 
 interface Gateway {
   readonly quarantine: Quarantine;
@@ -205,6 +223,80 @@
     expect([isHeld(at(0), 'dead'), isHeld(at(0), 'shared')]).toEqual([true, false]);
   });
 
+  it('holds a request that crashed two engines whatever its parts, not the others with its parts', async () => {
+    const { at, clock, gateways, exchangeHints } = setUp(3);
+    const dead = request('dead', 'shared', 'last');
+    const sound = request('sound', 'shared', 'last');
+    for (const [index, target] of ['t1', 't2'].entries()) {
+      at(2).quarantine.observeAnswer(sound);
+      at(index).quarantine.observeCrash(target, [dead, prompt('shared')]);
+      exchangeHints();
+      await clock.advance(300);
+    }
+    const held = gateways.map(({ quarantine }) => [quarantine.find(dead), quarantine.find(sound)]);
+    const holding = { partIds: [dead.id], crashes: 2, trials: 0, retryAfterMs: undefined };
+    expect(held).toEqual(gateways.map(() => [holding, undefined]));
+  });
+
+  it('holds a call without a prompt, also at a gateway that started later, until its trial is answered', async () => {
+    const { at, clock, deliverAll, exchangeHints, startGateway, deliverRows } = setUp(2);
+    const dead = request('dead');
+    for (const target of ['t1', 't2']) {
+      at(0).quarantine.observeCrash(target, [dead]);
+      exchangeHints();
+      await clock.advance(300);
+    }
+    await clock.advance(2_000);
+    await deliverAll();
+    const restarted = startGateway(9);
+    await deliverRows(restarted);
+    expect(restarted.quarantine.find(dead)?.partIds).toEqual([dead.id]);
+    await clock.advance(5_000);
+    const held = restarted.quarantine.find(dead) as Quarantined;
+    expect(await restarted.quarantine.claimTrial(held, noCancellation)).toBe(true);
+    restarted.quarantine.observeAnswer(dead);
+    await clock.advance(1);
+    await deliverAll();
+    expect([at(0), at(1)].map(({ quarantine }) => quarantine.find(dead))).toEqual([
+      undefined,
+      undefined,
+    ]);
+  });
+
+  it('allows three trials in all of a request that is held for its content and for a part', async () => {
+    const { at, clock, deliverAll } = setUp(1);
+    const { quarantine } = at(0);
+    const dead = request('dead', 'part', 'last');
+    for (const target of ['t1', 't2']) {
+      quarantine.observeCrash(target, [dead]);
+      await clock.advance(300);
+    }
+    expect(quarantine.size).toBe(2);
+    let trials = 0;
+    for (let minute = 0; minute < 40; minute += 1) {
+      await clock.advance(60_000);
+      await deliverAll();
+      const held = quarantine.find(dead) as Quarantined;
+      if (await quarantine.claimTrial(held, noCancellation)) trials += 1;
+      await deliverAll();
+    }
+    expect(trials).toBe(3);
+  });
+
+  it('recalls the repeats of a request that wait at engines when its content is held', async () => {
+    const { at, clock } = setUp(1);
+    const { quarantine } = at(0);
+    const recalled: string[] = [];
+    for (const body of ['dead', 'sound'])
+      quarantine.trackWaiting(request(body, 'shared', 'last'), () => recalled.push(body));
+    for (const target of ['t1', 't2']) {
+      quarantine.observeAnswer(prompt('shared'));
+      quarantine.observeCrash(target, [request('dead', 'shared', 'last')]);
+      await clock.advance(300);
+    }
+    expect(recalled).toEqual(['dead']);
+  });
+
   it('replaces a combination of parts by a smaller one that explains more crashes', async () => {
     const { at, clock, table } = setUp(1);
     const { quarantine } = at(0);
--- a/test/quarantine/share.test.ts
+++ b/test/quarantine/share.test.ts
@@ -23,9 +23,14 @@
       });
     },
   });
-  const crash = async (targetId: string, prompts: string[][]): Promise<void> => {
-    sender.publishSightings(from.observeCrash(targetId, prompts));
-    await clock.advance(500);
+  const crash = async (
+    targetId: string,
+    prompts: string[][],
+    lostAgain: ReadonlySet<string> = new Set(),
+    afterMs = 500,
+  ): Promise<void> => {
+    sender.publishSightings(from.observeCrash(targetId, prompts, lostAgain));
+    await clock.advance(afterMs);
   };
   return { clock, to, crash, hints };
 }
@@ -43,6 +48,16 @@
     expect(arrived).not.toContain(false);
   });
 
+  it('tells a peer which request was lost in two crashes one after the other', async () => {
+    const { clock, to, crash } = setUp(0, 1);
+    const lostAgain = new Set(['content,again']);
+    await crash('t1', [['content,again'], ['content,twice']], new Set(), 5);
+    await crash('t2', [['content,again'], ['content,twice']], lostAgain, 5);
+    await clock.advance(500);
+    const accused = ['content,again', 'content,twice'].map((id) => to.accusationOf(id)?.crashes);
+    expect(accused).toEqual([2, undefined]);
+  });
+
   it('is sent ten times and then no more', async () => {
     const { clock, crash, hints } = setUp(0, 1);
     await crash('t1', [['dead']]);
--- a/test/standins/platform/target.ts
+++ b/test/standins/platform/target.ts
@@ -10,6 +10,8 @@
   readonly gapMs: number;
   /** Crashes when it begins to write an answer to a prompt with this part; it is back later. */
   readonly deadlyPart?: string;
+  /** Crashes when it begins to run a request for this path; it is back later. */
+  readonly deadlyPath?: string;
   /** Headers that are added to each response, rejections included. */
   readonly headers?: Readonly<Record<string, string>>;
   readonly fault:
@@ -222,6 +224,7 @@
       run.isInterrupted = !res.writableFinished;
     });
     await pause(behaviour.firstByteMs);
+    if (url === behaviour.deadlyPath) return crash();
     if (behaviour.fault === 'mute' || res.destroyed) return undefined;
     const beginning = endlessResponses[behaviour.fault];
     if (beginning) return sendEndlessly(req.socket, beginning);
