--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -1,9 +1,9 @@
 import { type CancellationToken } from '../base/cancellation.js';
-import { type Clock, sleep } from '../base/clock.js';
+import { type Clock } from '../base/clock.js';
 import { errMessage } from '../base/errors.js';
 import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
-import { fullJitter, type Random } from '../base/random.js';
+import { type Random } from '../base/random.js';
 import { type RowChange } from '../configuration/watch.js';
 import { type Row } from '../ports/rows.js';
 import { type TablePort } from '../ports/table.js';
@@ -18,6 +18,7 @@
   quarantineKey,
   type QuarantineRow,
 } from './row.js';
+import { createRowWriter } from './rowwriter.js';
 import { type EvidenceShare } from './share.js';
 import { createWaitingRequests } from './waiting.js';
 
@@ -83,19 +84,6 @@
  */
 const trialDelaysMs: readonly number[] = [5_000, 60_000, 600_000];
 
-/**
- * Delay before an accusation is written into the store, in which one gateway mostly writes it before
- * the others try, and its combination of parts may get smaller.
- */
-const minWriteDelayMs = 300;
-
-const maxWriteDelayMs = 1_500;
-
-/** Base and limit of the random delay before a failed write is retried. */
-const minRetryMs = 500;
-
-const maxRetryMs = 5_000;
-
 /** Quarantined combinations; beyond it, the oldest one is lifted. Operators see only a few at a time. */
 const maxEntries = 1_000;
 
@@ -111,6 +99,7 @@
   const { clock, random, log, table, evidence, share, token } = options;
   const entries = new Map<string, Entry>();
   const waiting = createWaitingRequests();
+  const rowWriter = createRowWriter(options);
   const claiming = new Set<string>();
 
   const trialInMs = ({ row, version, changedAt }: Entry): number | undefined => {
@@ -119,26 +108,13 @@
     return Math.max(0, changedAt + delayMs - clock.now());
   };
 
-  const removeRow = async (key: string): Promise<void> => {
-    const item = await table.get({ partition: '', sort: key }, token);
-    if (!item) return;
-    const condition = { version: item.version };
-    await table.transact([{ partition: '', sort: key, remove: true, condition }], token);
-  };
-
   /** Lifts a quarantine in this process and, if `isWriter`, in the store. */
   const lift = (key: string, reason: string, isWriter: boolean): void => {
     const entry = entries.get(key);
     if (!entry) return;
     entries.delete(key);
     log.warn({ parts: entry.row.partIds, reason }, 'quarantine of prompt parts was lifted');
-    if (!isWriter) return;
-    removeRow(key).catch((err: unknown) =>
-      log.warn(
-        { key, err: errMessage(err) },
-        'failed to remove a quarantine from the store; it stays until its hold time is over',
-      ),
-    );
+    if (isWriter) rowWriter.remove(key);
   };
 
   /** Finds the matching entry whose next trial is the latest, so that a trial is due for all. */
@@ -170,31 +146,6 @@
     if (entries.size > maxEntries && oldest !== undefined) lift(oldest, 'there are too many', true);
   };
 
-  const write = async (key: string): Promise<void> => {
-    const { version: replacedVersion } = entries.get(key) ?? {};
-    await sleep(clock, minWriteDelayMs + random.next() * maxWriteDelayMs, token);
-    for (let attempt = 0; ; attempt += 1) {
-      const entry = entries.get(key);
-      if (!entry || entry.version !== replacedVersion) return;
-      try {
-        const condition = { version: replacedVersion ?? 0 };
-        // A conflict means that another gateway wrote the row; the watch delivers it either way.
-        await table.transact(
-          [{ partition: '', sort: key, value: encodeRow(entry.row), condition }],
-          token,
-        );
-        return;
-      } catch (err) {
-        if (attempt === 0)
-          log.warn(
-            { key, err: errMessage(err) },
-            'failed to write a quarantine into the store; retrying',
-          );
-      }
-      await sleep(clock, minRetryMs + fullJitter(random, minRetryMs, maxRetryMs, attempt), token);
-    }
-  };
-
   /** Quarantines an accused part; combinations that contain the new one are no longer needed. */
   const accuse = (partId: string, trials = 0): void => {
     const accusation = evidence.accusationOf(partId);
@@ -207,9 +158,11 @@
     log.warn({ parts: partIds, crashes }, 'prompt parts were quarantined because engines crashed');
     const known = entries.get(key);
     put(key, { partIds, crashes, trials: known?.row.trials ?? trials }, known?.version);
-    write(key).catch((err: unknown) =>
-      log.debug({ key, err: errMessage(err) }, 'write of a quarantine was cancelled'),
-    );
+    const replacedVersion = known?.version;
+    rowWriter.write(key, replacedVersion, () => {
+      const entry = entries.get(key);
+      return entry?.version === replacedVersion ? entry?.row : undefined;
+    });
   };
 
   /** Lifts quarantines with an answered part; the evidence may still accuse their other parts. */
