Narrow a quarantine when later evidence names more parts

Cause: a gateway that lost only sound, waiting requests in the second crash accuses the part that they share with the deadly prompt, before the sighting of the gateway that lost the deadly one arrives. The evidence then names both parts in any order of arrival, but the quarantine kept the first, broader row: it counted the new combination as held already.

Evidence: the new test failed: [..., true, true, ...] where [false, true] was expected at the second gateway: it held "shared" with any other part, the other two held "shared" with "dead" only.

Change: a row whose parts are a part of what the evidence now names is replaced, if the evidence counts no fewer crashes than the row.

--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -14,6 +14,7 @@
   encodeRow,
   holds,
   includesAll,
+  isTooBroad,
   isQuarantineKey,
   quarantineKey,
   type QuarantineRow,
@@ -136,8 +137,8 @@
     return latest;
   };
 
-  const isCovered = (partIds: readonly string[]): boolean =>
-    findEntry((row) => includesAll(partIds, row.partIds)) !== undefined;
+  const isCovered = (partIds: readonly string[], except?: ReadonlySet<QuarantineRow>): boolean =>
+    findEntry((row) => includesAll(partIds, row.partIds) && !except?.has(row)) !== undefined;
 
   const put = (key: string, row: QuarantineRow, version: number | undefined): void => {
     entries.set(key, { row, version, changedAt: clock.now() });
@@ -146,12 +147,20 @@
     if (entries.size > maxEntries && oldest !== undefined) lift(oldest, 'there are too many', true);
   };
 
-  /** Quarantines an accused part; combinations that contain the new one are no longer needed. */
+  /**
+   * Quarantines an accused part; combinations that contain the new one, or that later evidence shows to
+   * be too broad, are no longer needed.
+   */
   const accuse = (partId: string, trials = 0): void => {
     const accusation = evidence.accusationOf(partId);
-    if (!accusation || isCovered(accusation.partIds)) return;
+    if (!accusation) return;
     const { partIds, crashes } = accusation;
     const key = quarantineKey(partIds);
+    const broad = [...entries].filter(([, { row }]) => isTooBroad(row, partId, accusation));
+    const isHeld = isCovered(partIds, new Set(broad.map(([, { row }]) => row)));
+    for (const [otherKey] of broad)
+      if (isHeld || otherKey !== key) lift(otherKey, 'more parts explain the crashes', true);
+    if (isHeld) return;
     for (const [otherKey, { row }] of [...entries])
       if (otherKey !== key && includesAll(row.partIds, partIds))
         lift(otherKey, 'fewer parts explain the crashes', true);
--- a/src/quarantine/row.ts
+++ b/src/quarantine/row.ts
@@ -1,4 +1,5 @@
 import { isContentId, type RequestContent } from './content.js';
+import { type Accusation } from './evidence.js';
 
 /** State of a quarantined combination of prompt parts, or of one content, in the store. */
 export interface QuarantineRow {
@@ -16,6 +17,17 @@
 export const holds = ({ partIds }: QuarantineRow, content: RequestContent): boolean =>
   partIds.every((id) => (isContentId(id) ? content.id === id : content.partIds.includes(id)));
 
+/**
+ * True when the evidence now names more parts than the row: those of the row were lost with the others in
+ * all crashes, so prompts without the others may be sound. Evidence of fewer crashes than the row has
+ * tells nothing, as in a gateway that has just started.
+ */
+export const isTooBroad = (row: QuarantineRow, partId: string, accusation: Accusation): boolean =>
+  row.partIds.includes(partId) &&
+  row.partIds.length < accusation.partIds.length &&
+  row.crashes <= accusation.crashes &&
+  includesAll(accusation.partIds, row.partIds);
+
 const keyPrefix = 'quarantine.';
 
 /** Key of the row in the system's own table; the first part identifies the combination. */
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -297,6 +297,30 @@
     expect(recalled).toEqual(['dead']);
   });
 
+  it('does not go on holding sound prompts with a shared part once a peer names the part that was with it', async () => {
+    const { at, clock, gateways, exchangeHints, deliverAll, table } = setUp(3);
+    at(0).quarantine.observeCrash('t1', [prompt('shared', 'dead')]);
+    await clock.advance(300);
+    exchangeHints();
+    at(1).quarantine.observeCrash('t2', [prompt('shared', 'beside')]);
+    expect(isHeld(at(1), 'shared', 'other')).toBe(true);
+    at(0).quarantine.observeCrash('t2', [prompt('shared', 'dead')]);
+    exchangeHints();
+    const heldParts = (): boolean[] =>
+      gateways.flatMap((gateway) => [
+        isHeld(gateway, 'shared', 'other'),
+        isHeld(gateway, 'shared', 'dead'),
+      ]);
+    expect(heldParts()).toEqual([false, true, false, true, false, true]);
+    await clock.advance(4_000);
+    await deliverAll();
+    expect(heldParts()).toEqual([false, true, false, true, false, true]);
+    const rows = await table.query('', '', 10, noCancellation);
+    expect(rows.map(({ value }) => (JSON.parse(value) as { partIds: unknown }).partIds)).toEqual([
+      ['dead', 'shared'],
+    ]);
+  });
+
   it('replaces a combination of parts by a smaller one that explains more crashes', async () => {
     const { at, clock, table } = setUp(1);
     const { quarantine } = at(0);
