Take a client error of a target as an answer that clears its request

What callers may see: a sound request whose answer is a 404 or another 4xx, held because two crashes took it along, stays held for the hold time of an hour: its trials get the 4xx again and none counts as answered.

Cause: only 2xx responses were reported to the quarantine. A whole, signed 4xx shows that the target survived the request. A 5xx still clears nothing, because a target at fault sends it for any request, deadly ones too.

Evidence: the new test failed: "expected +0 to be 1" for status 404.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -90,7 +90,10 @@
   readonly priority: number;
   onHead(head: TargetHead, status: number): void;
   onFirstByte(): void;
-  /** Called once when the target goes on writing after its first events, or has ended the response. */
+  /**
+   * Called once when the target goes on writing after its first events, or has ended the response; not
+   * for a server error.
+   */
   onUnderway(): void;
 }
 
@@ -112,6 +115,9 @@
  */
 const maxBufferedBytes = 262_144;
 
+/** From this status on a failure is the target's own, and tells nothing about the request. */
+const firstServerErrorStatus = 500;
+
 /** A target may respond in any order to requests that are sent within this time. */
 const reorderToleranceMs = 250;
 
@@ -256,9 +262,11 @@
   const onEnd = (): void => {
     if (!targetRes) return;
     if (!isOk()) {
+      const status = targetRes.statusCode ?? 0;
+      if (status < firstServerErrorStatus) markUnderway();
       end({
         kind: 'failed',
-        cause: `response status ${targetRes.statusCode}`,
+        cause: `response status ${status}`,
         response: { res: targetRes, body: Buffer.concat(buffered) },
       });
       return;
--- a/test/gateway/attempt.test.ts
+++ b/test/gateway/attempt.test.ts
@@ -25,8 +25,8 @@
   sendsEvent: false,
 };
 
-/** Starts a stream whose target stops sending; returns how the attempt ended within 2 s. */
-async function runSilentStream(overrides: Partial<Case>): Promise<AttemptEnd['kind'] | 'waiting'> {
+/** Starts an attempt for a stream at a stand-in target. */
+function startStream(overrides: Partial<Case>) {
   const options = { ...defaultCase, ...overrides };
   const clock = createManualClock();
   const started: { listener?: ExchangeListener } = {};
@@ -45,12 +45,12 @@
     observeResponseStart: () => undefined,
     startRequest: () => ({ markPrefilled: () => undefined, dispose: () => undefined }),
   } as unknown as Target;
+  let answers = 0;
   const callerResponse = {
     hasStarted: false,
     writeHead: () => undefined,
     write: () => true,
   } as unknown as CallerResponse;
-  let end: AttemptEnd | undefined;
   const attempt = startAttempt({
     clock,
     protocol: headerProtocol,
@@ -75,8 +75,17 @@
     priority: 0,
     onHead: () => undefined,
     onFirstByte: () => undefined,
-    onUnderway: () => undefined,
+    onUnderway() {
+      answers += 1;
+    },
   });
+  return { options, clock, started, attempt, answers: () => answers };
+}
+
+/** Starts a stream whose target stops sending; returns how the attempt ended within 2 s. */
+async function runSilentStream(overrides: Partial<Case>): Promise<AttemptEnd['kind'] | 'waiting'> {
+  const { options, clock, started, attempt } = startStream(overrides);
+  let end: AttemptEnd | undefined;
   attempt.ended.then(
     (result) => {
       end = result;
@@ -112,3 +121,17 @@
     expect(await runSilentStream(more)).toBe(expected);
   });
 });
+
+describe('a failure response of a target', () => {
+  it.each<[string, number, number]>([
+    ['shows that the target survives the request if the request is at fault', 404, 1],
+    ['shows nothing about the request if the target is at fault', 500, 0],
+  ])('%s', async (_name, statusCode, expected) => {
+    const { started, attempt, answers } = startStream({});
+    const headers = { 'x-request-id': 'r', 'x-server-stamp': 's' };
+    started.listener?.onHead({ statusCode, headers } as unknown as IncomingMessage, false);
+    started.listener?.onEnd();
+    expect((await attempt.ended).kind).toBe('failed');
+    expect(answers()).toBe(expected);
+  });
+});
