--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -105,7 +105,10 @@
   tryMove(silence: SilenceFacts): boolean;
   onHead(head: TargetHead, status: number): void;
   onFirstByte(): void;
-  /** Called once when the target goes on writing after its first events, or has ended the response. */
+  /**
+   * Called once when the target goes on writing after its first events, or has ended the response; not
+   * for a server error.
+   */
   onUnderway(): void;
 }
 
@@ -120,6 +123,9 @@
   recall(cause: string): void;
 }
 
+/** From this status on a failure is the target's own, and tells nothing about the request. */
+const firstServerErrorStatus = 500;
+
 /** A target may respond in any order to requests that are sent within this time. */
 const reorderToleranceMs = 250;
 
@@ -303,10 +309,12 @@
   const onEnd = (): void => {
     if (!targetRes) return;
     if (!isOk()) {
+      const status = targetRes.statusCode ?? 0;
+      if (status < firstServerErrorStatus) markUnderway();
       isBufferKept = true;
       end({
         kind: 'failed',
-        cause: `response status ${targetRes.statusCode}`,
+        cause: `response status ${status}`,
         silence: silenceFacts(),
         response: { res: targetRes, body: buffer.take(), dispose: () => buffer.dispose() },
       });
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -12,6 +12,7 @@
 import { createMover } from './moves.js';
 import { type FailureTracker } from './failuretracker.js';
 import { describeFailure, placeAtBackup, recordAttemptEnd } from './outcomes.js';
+import { createRequestContent } from '../quarantine/content.js';
 import { type Quarantine, type Quarantined } from '../quarantine/quarantine.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
 import { type Repeats } from './repeats.js';
@@ -91,6 +92,7 @@
   return {
     async dispatch(call) {
       const { response, route, head, token } = call;
+      const content = createRequestContent({ ...call, parts: head.parts });
       const progress: Progress = {
         lastEventId: undefined,
         contentType: undefined,
@@ -118,6 +120,7 @@
       };
       // The next attempt is a trial, which is sent in spite of a quarantine.
       let isTrial = false;
+      let isLostAgain = false;
       const repeats = options.repeats.start(call);
 
       const toResult = (outcome: CallResult['outcome']): CallResult => {
@@ -158,11 +161,18 @@
         return toResult(kind);
       };
 
-      /** Ends a request whose prompt is quarantined; its callers learn whether it may have run. */
+      /** Ends a request whose content is quarantined; its callers learn whether it may have run. */
       const finishQuarantined = ({ partIds, crashes, retryAfterMs: waitMs }: Quarantined) => {
         log.info(
-          { requestId: head.requestId, parts: partIds, crashes, attempts, retryAfterMs: waitMs },
-          'request was not sent because a part of its prompt is quarantined',
+          {
+            requestId: head.requestId,
+            content: content.id,
+            parts: partIds,
+            crashes,
+            attempts,
+            retryAfterMs: waitMs,
+          },
+          'request was not sent because it or a part of its prompt is quarantined',
         );
         if (ranOn.size > 0 || response.hasStarted) return finishUnserved();
         response.sendLocal('quarantined', waitMs);
@@ -195,7 +205,7 @@
       for (;;) {
         if (token.isCancellationRequested || remainingMs(call) < minRemainingMs)
           return finishUnserved();
-        const held = isTrial ? undefined : quarantine.find(head.parts);
+        const held = isTrial ? undefined : quarantine.find(content);
         if (held) {
           isTrial = await quarantine.claimTrial(held, token);
           if (!isTrial) return finishQuarantined(held);
@@ -244,7 +254,7 @@
           isReplaced: () => failureTracker.isReplaced(target),
           tryMove({ silentMs, answersOthers }) {
             const move = reserveMove({
-              ...{ call, placementRequest, progress, isTooLate },
+              ...{ call, content, placementRequest, progress, isTooLate },
               excluded: new Set([...excluded, target]),
               ranOnCount: ranOn.size + 1,
               tryWithdraw: (other) => repeats.tryReplace(other, progress.hasEvents),
@@ -265,12 +275,12 @@
           },
           onUnderway() {
             waiting?.dispose();
-            quarantine.observeAnswer(head.parts);
+            quarantine.observeAnswer(content);
           },
         });
         if (!isTrial)
-          waiting = quarantine.trackWaiting(head.parts, () =>
-            attempt.recall('its prompt is quarantined'),
+          waiting = quarantine.trackWaiting(content, () =>
+            attempt.recall('its content is quarantined'),
           );
         options.onLoadChange();
         const cancelListener = token.onCancellationRequested(() => attempt.cancel());
@@ -304,10 +314,11 @@
         );
         if ('lostAt' in attemptEnd && attemptEnd.lostAt) {
           const { lostAt: stage } = attemptEnd;
-          const lost = { requestId: head.requestId, parts: head.parts, stage };
+          const { requestId, parts } = head;
+          const lost = { requestId, parts, content, stage, isLostAgain };
           const isCrash = options.crashDetector.observeLoss(target, lost);
           // The crash may quarantine this prompt, so it is recorded before the prompt is sent again.
-          if (stage !== 'underway') await isCrash;
+          if (stage !== 'underway') isLostAgain = (await isCrash) || isLostAgain;
         }
         if (attemptEnd.kind === 'not-run') {
           if (attempts >= maxAttempts || placement.continueFrom) return finishUnserved();
--- a/src/gateway/moves.ts
+++ b/src/gateway/moves.ts
@@ -1,3 +1,4 @@
+import { type RequestContent } from '../quarantine/content.js';
 import { type Quarantine } from '../quarantine/quarantine.js';
 import { type Progress } from './attempt.js';
 import { type GatewayCall } from './calls.js';
@@ -26,6 +27,7 @@
 /** Silent attempt that may move. */
 export interface MoveRequest {
   readonly call: GatewayCall;
+  readonly content: RequestContent;
   readonly placementRequest: PlacementRequest;
   readonly progress: Progress;
   /** Targets that are not tried again, the one of the silent attempt included. */
@@ -54,12 +56,12 @@
   const { placer, limits, quarantine } = options;
   const stay = (reason: StayReason): Move => ({ kind: 'stay', reason });
   return ({ call, placementRequest, progress, ...req }) => {
-    const { route, response, head } = call;
+    const { route, response } = call;
     if (!isRetryable(call) || req.ranOnCount >= route.maxTargets) return stay('route');
     const isResumable = route.kind === 'stream' && progress.lastEventId !== undefined;
     if (response.hasStarted && !isResumable) return stay('partly-sent');
     if (remainingMs(call) < minRemainingMs) return stay('no-time');
-    if (quarantine.find(head.parts)) return stay('quarantined');
+    if (quarantine.find(req.content)) return stay('quarantined');
     const choice = placer.choose(placementRequest, req.excluded);
     if (!choice) return stay('no-target');
     if (req.isTooLate(choice)) return stay('no-time');
--- a/src/gateway/repeats.ts
+++ b/src/gateway/repeats.ts
@@ -27,7 +27,7 @@
 /** The part of an attempt's end that tells where it arrived. */
 type EndOfAttempt =
   | Extract<AttemptEnd, { kind: 'not-run' }>
-  | { readonly kind: Exclude<AttemptEnd['kind'], 'not-run'> };
+  | { readonly kind: Exclude<AttemptEnd['kind'], 'not-run'>; readonly cause?: string };
 
 type RepeatedCall = Pick<GatewayCall, 'head' | 'service'>;
 
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -1,17 +1,27 @@
 import { type CancellationToken } from '../base/cancellation.js';
-import { type Clock, sleep } from '../base/clock.js';
+import { type Clock } from '../base/clock.js';
 import { errMessage } from '../base/errors.js';
-import { type Disposable, toDisposable } from '../base/lifecycle.js';
+import { type Disposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
-import { fullJitter, type Random } from '../base/random.js';
-import { type PromptPart } from '../ports/wire.js';
+import { type Random } from '../base/random.js';
 import { type RowChange } from '../configuration/watch.js';
 import { type Row } from '../ports/rows.js';
 import { type TablePort } from '../ports/table.js';
+import { idsOf, type RequestContent } from './content.js';
 import { type Evidence } from './evidence.js';
-import { sharedPartIds } from './parts.js';
-import { decodeRow, encodeRow, isQuarantineKey, quarantineKey, type QuarantineRow } from './row.js';
+import {
+  decodeRow,
+  encodeRow,
+  holds,
+  includesAll,
+  isTooBroad,
+  isQuarantineKey,
+  quarantineKey,
+  type QuarantineRow,
+} from './row.js';
+import { createRowWriter } from './rowwriter.js';
 import { type EvidenceShare } from './share.js';
+import { createWaitingRequests } from './waiting.js';
 
 /** Why a request is not sent. */
 export interface Quarantined {
@@ -22,22 +32,30 @@
 }
 
 /**
- * Keeps prompts from the engines that have crashed several of them. All gateways share the evidence
+ * Keeps requests from the engines that have crashed several of them: prompts by their parts, and any request by its content. All gateways share the evidence
  * through hints and the result through the store, where it outlasts every process. The load that it
  * answers is one of a few requests a second of which each takes an engine with all its streams along.
  */
 export interface Quarantine {
-  /** Returns undefined when the prompt may be sent. */
-  find(parts: readonly PromptPart[]): Quarantined | undefined;
+  /** Returns undefined when the request may be sent. */
+  find(content: RequestContent): Quarantined | undefined;
   /**
    * Claims the right to send one quarantined prompt, which tells whether its parts still crash
    * engines. Of all gateways one gets it, and only when a trial is due.
    */
   claimTrial(held: Quarantined, token: CancellationToken): Promise<boolean>;
   /** Calls `recall` when the prompt is quarantined while its request waits at an engine. */
-  trackWaiting(parts: readonly PromptPart[], recall: () => void): Disposable;
-  observeAnswer(parts: readonly PromptPart[]): void;
-  observeCrash(targetId: string, prompts: readonly (readonly PromptPart[])[]): void;
+  trackWaiting(content: RequestContent, recall: () => void): Disposable;
+  observeAnswer(content: RequestContent): void;
+  /**
+   * Records what one crash took along. `lostAgain` holds the content ids of requests that an earlier
+   * crash had taken along too.
+   */
+  observeCrash(
+    targetId: string,
+    contents: readonly RequestContent[],
+    lostAgain?: ReadonlySet<string>,
+  ): void;
   /** Rechecks parts to which the evidence of a peer was added. */
   recheck(partIds: readonly string[]): void;
   /** Releases the parts; a peer saw an answer to a prompt with each. */
@@ -67,19 +85,6 @@
  */
 const trialDelaysMs: readonly number[] = [5_000, 60_000, 600_000];
 
-/**
- * Delay before an accusation is written into the store, in which one gateway mostly writes it before
- * the others try, and its combination of parts may get smaller.
- */
-const minWriteDelayMs = 300;
-
-const maxWriteDelayMs = 1_500;
-
-/** Base and limit of the random delay before a failed write is retried. */
-const minRetryMs = 500;
-
-const maxRetryMs = 5_000;
-
 /** Quarantined combinations; beyond it, the oldest one is lifted. Operators see only a few at a time. */
 const maxEntries = 1_000;
 
@@ -91,18 +96,11 @@
   readonly changedAt: number;
 }
 
-interface WaitingRequest {
-  readonly partIds: readonly string[];
-  readonly recall: () => void;
-}
-
-const includesAll = (partIds: readonly string[], others: readonly string[]): boolean =>
-  others.every((id) => partIds.includes(id));
-
 export function createQuarantine(options: QuarantineOptions): Quarantine {
   const { clock, random, log, table, evidence, share, token } = options;
   const entries = new Map<string, Entry>();
-  const waiting = new Set<WaitingRequest>();
+  const waiting = createWaitingRequests();
+  const rowWriter = createRowWriter(options);
   const claiming = new Set<string>();
 
   const trialInMs = ({ row, version, changedAt }: Entry): number | undefined => {
@@ -111,89 +109,69 @@
     return Math.max(0, changedAt + delayMs - clock.now());
   };
 
-  const removeRow = async (key: string): Promise<void> => {
-    const item = await table.get({ partition: '', sort: key }, token);
-    if (!item) return;
-    const condition = { version: item.version };
-    await table.transact([{ partition: '', sort: key, remove: true, condition }], token);
-  };
-
   /** Lifts a quarantine in this process and, if `isWriter`, in the store. */
   const lift = (key: string, reason: string, isWriter: boolean): void => {
     const entry = entries.get(key);
     if (!entry) return;
     entries.delete(key);
     log.warn({ parts: entry.row.partIds, reason }, 'quarantine of prompt parts was lifted');
-    if (!isWriter) return;
-    removeRow(key).catch((err: unknown) =>
-      log.warn(
-        { key, err: errMessage(err) },
-        'failed to remove a quarantine from the store; it stays until its hold time is over',
-      ),
-    );
+    if (isWriter) rowWriter.remove(key);
   };
 
-  const findEntry = (partIds: readonly string[]): Entry | undefined => {
+  /** Finds the matching entry whose next trial is the latest, so that a trial is due for all. */
+  const findEntry = (matches: (row: QuarantineRow) => boolean): Entry | undefined => {
+    let latest: Entry | undefined;
+    let latestMs = -Infinity;
     for (const [key, entry] of entries) {
-      if (!includesAll(partIds, entry.row.partIds)) continue;
-      if (clock.now() - entry.changedAt < options.holdMs) return entry;
-      evidence.forget(entry.row.partIds);
-      lift(key, 'its hold time is over', true);
+      if (!matches(entry.row)) continue;
+      if (clock.now() - entry.changedAt >= options.holdMs) {
+        evidence.forget(entry.row.partIds);
+        lift(key, 'its hold time is over', true);
+        continue;
+      }
+      const trialMs = trialInMs(entry) ?? Infinity;
+      if (trialMs <= latestMs) continue;
+      latest = entry;
+      latestMs = trialMs;
     }
-    return undefined;
+    return latest;
   };
 
+  const isCovered = (partIds: readonly string[], except?: ReadonlySet<QuarantineRow>): boolean =>
+    findEntry((row) => includesAll(partIds, row.partIds) && !except?.has(row)) !== undefined;
+
   const put = (key: string, row: QuarantineRow, version: number | undefined): void => {
     entries.set(key, { row, version, changedAt: clock.now() });
-    for (const request of [...waiting]) {
-      if (!includesAll(request.partIds, row.partIds)) continue;
-      waiting.delete(request);
-      request.recall();
-    }
+    waiting.recall(row);
     const [oldest] = entries.keys();
     if (entries.size > maxEntries && oldest !== undefined) lift(oldest, 'there are too many', true);
   };
 
-  const write = async (key: string): Promise<void> => {
-    const { version: replacedVersion } = entries.get(key) ?? {};
-    await sleep(clock, minWriteDelayMs + random.next() * maxWriteDelayMs, token);
-    for (let attempt = 0; ; attempt += 1) {
-      const entry = entries.get(key);
-      if (!entry || entry.version !== replacedVersion) return;
-      try {
-        const condition = { version: replacedVersion ?? 0 };
-        // A conflict means that another gateway wrote the row; the watch delivers it either way.
-        await table.transact(
-          [{ partition: '', sort: key, value: encodeRow(entry.row), condition }],
-          token,
-        );
-        return;
-      } catch (err) {
-        if (attempt === 0)
-          log.warn(
-            { key, err: errMessage(err) },
-            'failed to write a quarantine into the store; retrying',
-          );
-      }
-      await sleep(clock, minRetryMs + fullJitter(random, minRetryMs, maxRetryMs, attempt), token);
-    }
-  };
-
-  /** Quarantines an accused part; combinations that contain the new one are no longer needed. */
+  /**
+   * Quarantines an accused part; combinations that contain the new one, or that later evidence shows to
+   * be too broad, are no longer needed.
+   */
   const accuse = (partId: string, trials = 0): void => {
     const accusation = evidence.accusationOf(partId);
-    if (!accusation || findEntry(accusation.partIds)) return;
+    if (!accusation) return;
     const { partIds, crashes } = accusation;
     const key = quarantineKey(partIds);
+    const broad = [...entries].filter(([, { row }]) => isTooBroad(row, partId, accusation));
+    const isHeld = isCovered(partIds, new Set(broad.map(([, { row }]) => row)));
+    for (const [otherKey] of broad)
+      if (isHeld || otherKey !== key) lift(otherKey, 'more parts explain the crashes', true);
+    if (isHeld) return;
     for (const [otherKey, { row }] of [...entries])
       if (otherKey !== key && includesAll(row.partIds, partIds))
         lift(otherKey, 'fewer parts explain the crashes', true);
     log.warn({ parts: partIds, crashes }, 'prompt parts were quarantined because engines crashed');
     const known = entries.get(key);
     put(key, { partIds, crashes, trials: known?.row.trials ?? trials }, known?.version);
-    write(key).catch((err: unknown) =>
-      log.debug({ key, err: errMessage(err) }, 'write of a quarantine was cancelled'),
-    );
+    const replacedVersion = known?.version;
+    rowWriter.write(key, replacedVersion, () => {
+      const entry = entries.get(key);
+      return entry?.version === replacedVersion ? entry?.row : undefined;
+    });
   };
 
   /** Lifts quarantines with an answered part; the evidence may still accuse their other parts. */
@@ -228,7 +206,7 @@
     lift(key, 'it was removed from the store', false);
     // A gateway that found a smaller combination removed the larger one; the evidence stays.
     const { partIds } = entry.row;
-    if (!findEntry(partIds)) evidence.forget(partIds);
+    if (!isCovered(partIds)) evidence.forget(partIds);
   };
 
   const observeRow = ({ key, value, version }: Row): void => {
@@ -251,9 +229,9 @@
     get size() {
       return entries.size;
     },
-    find(parts) {
+    find(content) {
       if (entries.size === 0) return undefined;
-      const entry = findEntry(sharedPartIds(parts));
+      const entry = findEntry((row) => holds(row, content));
       return entry && { ...entry.row, retryAfterMs: trialInMs(entry) };
     },
     async claimTrial({ partIds }, claimToken) {
@@ -273,20 +251,17 @@
         claiming.delete(key);
       }
     },
-    trackWaiting(parts, recall) {
-      const request = { partIds: sharedPartIds(parts), recall };
-      waiting.add(request);
-      return toDisposable(() => waiting.delete(request));
-    },
-    observeAnswer(parts) {
-      const partIds = sharedPartIds(parts);
-      share.publishAnswers(evidence.observeAnswer(partIds));
-      if (entries.size > 0) release(partIds, true);
+    trackWaiting: (content, recall) => waiting.track(content, recall),
+    observeAnswer(content) {
+      const isSuspecting = entries.size > 0 || evidence.size > 0;
+      const ids = isSuspecting ? idsOf(content) : content.partIds;
+      share.publishAnswers(evidence.observeAnswer(ids));
+      if (entries.size > 0) release(ids, true);
     },
-    observeCrash(targetId, prompts) {
-      const shared = prompts.map(sharedPartIds);
-      share.publishSightings(evidence.observeCrash(targetId, shared));
-      recheck(shared.flat());
+    observeCrash(targetId, contents, lostAgain) {
+      const lost = contents.map(idsOf);
+      share.publishSightings(evidence.observeCrash(targetId, lost, lostAgain));
+      recheck(lost.flat());
     },
     recheck,
     release: (partIds) => release(partIds, false),
--- a/test/gateway/moves.test.ts
+++ b/test/gateway/moves.test.ts
@@ -52,10 +52,10 @@
     call: {
       route: { kind, isResumable, maxTargets: 2 },
       response: { hasStarted },
-      head: { parts: [] },
       deadline: time,
       timeout: time,
     } as unknown as GatewayCall,
+    content: {} as MoveRequest['content'],
     placementRequest: {} as MoveRequest['placementRequest'],
     progress: { lastEventId } as MoveRequest['progress'],
     excluded: new Set(),
