Retry budget of an entry: one for each model, so no model pays for another

Requests for a busy model paid for retries, hedges and probes of a quiet one beyond a tenth of its requests, and a model whose targets failed used up the retries of all others.

Each model has its own balance now; one that is not used for a minute is dropped. The floor (1 a second, burst of 50) is for each model as well.

--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -13,7 +13,7 @@
 import { createLimitAllocator } from '../limits/allocator.js';
 import { createTeamLimiter } from '../limits/teamlimits.js';
 import { createUsageExchange } from '../limits/usageexchange.js';
-import { createRetryBudget } from '../limits/retrybudget.js';
+import { createRetryBudgets } from '../limits/retrybudget.js';
 import { createAgentDirectory } from '../membership/directory.js';
 import { type InstancesPort } from '../ports/instances.js';
 import { type ObjectPort } from '../ports/objects.js';
@@ -101,8 +101,8 @@
   );
   const health = createTargetHealth(clock);
   const policy = policies[settings.requests.policy]({ clock, random, health });
-  const budget = createRetryBudget(clock);
-  const dispatcher = createDispatcher({ clock, random, log, directory, policy, health, budget });
+  const budgets = createRetryBudgets(clock);
+  const dispatcher = createDispatcher({ clock, random, log, directory, policy, health, budgets });
   const limits = {
     maxBytes: settings.requests.max_body,
     timeoutMs: settings.requests.body_timeout,
--- a/src/limits/retrybudget.ts
+++ b/src/limits/retrybudget.ts
@@ -1,7 +1,7 @@
 import { type Clock } from '../base/clock.js';
 
 /**
- * Token bucket that limits extra attempts of this entry. Retries, hedges and probes together stay
+ * Token bucket that limits extra attempts of this entry at one model. Retries, hedges and probes together stay
  * below a tenth of the requests plus 1 per second and a burst of 50, so that a fault of many
  * targets doesn't multiply load. Attempts that are charged, and the first retries after refusals
  * because of an outdated agent status, are not limited.
@@ -20,6 +20,14 @@
   charge(): void;
 }
 
+/** Budgets of this entry, one for each model, so that no model pays for the faults of another. */
+export interface RetryBudgets {
+  /** Budget of a model, for use at once: it is dropped after a time without use. */
+  of(model: string): RetryBudget;
+  /** Number of models with a budget in memory. */
+  readonly size: number;
+}
+
 /** Extra attempts that each request adds to the budget. */
 const depositPerRequest = 0.1;
 
@@ -63,3 +71,31 @@
     },
   };
 }
+
+/** Time without use after which a budget is dropped. A new one has a smaller balance by then. */
+const maxIdleMs = 60_000;
+
+export function createRetryBudgets(clock: Clock): RetryBudgets {
+  const records = new Map<string, { readonly budget: RetryBudget; usedAt: number }>();
+  let prunedAt = clock.now();
+
+  const prune = (): void => {
+    const now = clock.now();
+    if (now - prunedAt < maxIdleMs) return;
+    prunedAt = now;
+    for (const [model, { usedAt }] of records) if (now - usedAt >= maxIdleMs) records.delete(model);
+  };
+
+  return {
+    of(model) {
+      prune();
+      const record = records.get(model) ?? { budget: createRetryBudget(clock), usedAt: 0 };
+      record.usedAt = clock.now();
+      records.set(model, record);
+      return record.budget;
+    },
+    get size() {
+      return records.size;
+    },
+  };
+}
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -2,7 +2,7 @@
 import { type Clock, sleep } from '../base/clock.js';
 import { type Logger } from '../base/logging.js';
 import { fullJitter, type Random } from '../base/random.js';
-import { type RetryBudget } from '../limits/retrybudget.js';
+import { type RetryBudgets } from '../limits/retrybudget.js';
 import { type Chunk } from '../gen/cicadatide/v1/agent_pb.js';
 import { type AgentDirectory, type AgentView } from '../membership/directory.js';
 import {
@@ -74,7 +74,7 @@
   readonly directory: AgentDirectory;
   readonly policy: PlacementPolicy;
   readonly health: TargetHealth;
-  readonly budget: RetryBudget;
+  readonly budgets: Pick<RetryBudgets, 'of'>;
 }
 
 /**
@@ -110,7 +110,7 @@
 }
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { clock, random, log, directory, policy, health, budget } = options;
+  const { clock, random, log, directory, policy, health, budgets } = options;
   const hedgeTimer = createHedgeTimer();
   const deps: AttemptDependencies = {
     clock,
@@ -120,7 +120,7 @@
     onFirstToken: (expectedMs, actualMs) => hedgeTimer.observe(expectedMs, actualMs),
   };
 
-  const prober = createProber({ deps, policy, budget });
+  const prober = createProber({ deps, policy, budgets });
 
   const findEligibleAgents = (mayServe: AgentFilter, progress: Progress): readonly AgentView[] => {
     const serving = directory.usable().filter((agent) => {
@@ -188,12 +188,14 @@
     const startHedge = async (isAnswered: () => boolean): Promise<RunningAttempt | undefined> => {
       health.observeLate(primary.target, choice.expectedFirstTokenMs, delayMs);
       const agents = findHedgeAgents(findEligibleAgents(mayServe, progress), choice.agent);
-      if (agents.length === 0 || budget.available < 1) return undefined;
+      if (agents.length === 0 || budgets.of(req.model).available < 1) return undefined;
       const placement = await policy.choose(req, agents, token, 'hedge').catch(() => undefined);
       if (placement?.kind !== 'chosen' || isAnswered() || token.isCancellationRequested) {
         return undefined;
       }
-      return budget.tryWithdraw() ? dispatch(req, placement, progress, token) : undefined;
+      return budgets.of(req.model).tryWithdraw()
+        ? dispatch(req, placement, progress, token)
+        : undefined;
     };
     return awaitFirstStep(primary, { clock, delayMs, startHedge });
   };
@@ -260,8 +262,8 @@
     if (!mayRetry || isExhausted) throw finalRefusal(progress, failure);
     if (failure.isPlacementFailure && isPersistentRefusal(failure) && !isContinuation)
       throw finalRefusal(progress, failure);
-    if (isContinuation) budget.charge();
-    else if (!budget.tryWithdraw()) throw finalRefusal(progress, failure);
+    if (isContinuation) budgets.of(req.model).charge();
+    else if (!budgets.of(req.model).tryWithdraw()) throw finalRefusal(progress, failure);
     const delayMs = fullJitter(random, retryBaseMs, retryMaxMs, progress.failuresSinceText - 1);
     await sleep(clock, Math.min(delayMs, req.deadline.remainingMs()), token);
   };
@@ -291,7 +293,7 @@
 
   return {
     async *run(req, mayServe, token) {
-      budget.deposit();
+      budgets.of(req.model).deposit();
       const progress = createProgress();
       const source = createCancellationSource(token);
       let isExpired = false;
--- a/src/routing/probe.ts
+++ b/src/routing/probe.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { createCancellationSource } from '../base/cancellation.js';
 import { errMessage } from '../base/errors.js';
-import { type RetryBudget } from '../limits/retrybudget.js';
+import { type RetryBudgets } from '../limits/retrybudget.js';
 import { type AgentView } from '../membership/directory.js';
 import { type AttemptDependencies, startAttempt, toDispatch } from './attempt.js';
 import { type PlacementPolicy } from './policies.js';
@@ -20,8 +20,8 @@
 export interface ProberOptions {
   readonly deps: AttemptDependencies;
   readonly policy: PlacementPolicy;
-  /** Budget that limits probes in the same way as other extra attempts. */
-  readonly budget: RetryBudget;
+  /** Budgets that limit probes in the same way as other extra attempts. */
+  readonly budgets: Pick<RetryBudgets, 'of'>;
 }
 
 /** A probe that is not complete after this time is recorded as late and cancelled. */
@@ -30,13 +30,13 @@
 /** Chunks that a probe reads; enough to judge the time between tokens. */
 const probeChunks = 8;
 
-export function createProber({ deps, policy, budget }: ProberOptions): Prober {
+export function createProber({ deps, policy, budgets }: ProberOptions): Prober {
   const { clock, log, health } = deps;
 
   const run = async (req: CompletionRequest, agent: AgentView): Promise<void> => {
     const source = createCancellationSource();
     const choice = await policy.choose(req, [agent], source.token, 'probe');
-    if (choice.kind !== 'chosen' || !budget.tryWithdraw()) return;
+    if (choice.kind !== 'chosen' || !budgets.of(req.model).tryWithdraw()) return;
     // A separate request id keeps the probe apart from the caller's resumable attempts. It starts
     // with the caller's id, so that logs and records attribute the work to the right team.
     const probeReq = { ...req, requestId: `${req.requestId}.probe-${randomUUID()}` };
--- a/test/routing/dispatcher.test.ts
+++ b/test/routing/dispatcher.test.ts
@@ -4,7 +4,7 @@
 import { createNullLogger } from '../../src/base/logging.js';
 import { createSeededRandom } from '../../src/base/random.js';
 import { type DispatchRequest, RefusalReason } from '../../src/gen/cicadatide/v1/agent_pb.js';
-import { createRetryBudget } from '../../src/limits/retrybudget.js';
+import { createRetryBudgets } from '../../src/limits/retrybudget.js';
 import { type CompletionEvent, createDispatcher } from '../../src/routing/dispatcher.js';
 import { createTargetHealth } from '../../src/routing/health.js';
 import { createOfferPolicy } from '../../src/routing/placement.js';
@@ -20,9 +20,14 @@
   text,
 } from './fakes.js';
 
+/** Model of the requests of `fakeRequest`. */
+const modelOfRequests = 'm';
+
 interface Options {
   readonly request?: Partial<CompletionRequest> & { readonly deadlineMs?: number };
   readonly emptyBudget?: boolean;
+  /** Another model whose budget is empty. */
+  readonly emptyBudgetOf?: string;
   readonly cancelAfterMs?: number;
   /** Target that is on probation and due for a probe. */
   readonly slow?: string;
@@ -42,8 +47,10 @@
     }
   }
   const random = createSeededRandom(3);
-  const budget = createRetryBudget(clock);
+  const budgets = createRetryBudgets(clock);
+  const budget = budgets.of(modelOfRequests);
   if (options.emptyBudget) while (budget.tryWithdraw());
+  if (options.emptyBudgetOf) while (budgets.of(options.emptyBudgetOf).tryWithdraw());
   const dispatcher = createDispatcher({
     clock,
     random,
@@ -51,7 +58,7 @@
     directory: fakeDirectory(agents),
     policy: createOfferPolicy({ clock, random, health }),
     health,
-    budget,
+    budgets,
   });
   const source = createCancellationSource();
   const events: CompletionEvent[] = [];
@@ -235,6 +242,14 @@
   expect(continued.responseText).toBe('ab');
 });
 
+// Guards against faults of one model that use up the retries of all others.
+test('an empty budget of another model stops no retries', async () => {
+  const dispatch = ({ attempt }: { readonly attempt: number }) =>
+    attempt === 1 ? [failure(0, false)] : [text('a'), end];
+  const { responseText } = await run([{ name: 'one', dispatch }], { emptyBudgetOf: 'other' });
+  expect(responseText).toBe('a');
+});
+
 // Guards against attempts that continue after the deadline or after the caller disconnects.
 test('the deadline and a caller that disconnects cancel the attempt', async () => {
   const slow = { name: 'one', dispatch: () => [5_000, text('a'), end] };
