Bound the hints that wait while a gateway has no peers

Cause: cache uses and weights changes are queued until the next datagram, and only sending a datagram trimmed the queues; without peers none is sent. Other queues of the hints were read for the same: evidence of crashes is limited where it is published (share.ts), limits of targets are one record for each target (targetlimits.ts).

Change: both queues are bounded when an item is added (96 cache uses, 64 weights changes); the oldest are dropped and counted in cicadatide_hint_items_dropped. The newest are still sent once there are peers.

The new test failed before, on: AssertionError: expected [ 't1', 't2', 't3', 't4', 't5', ...(91) ] to deeply equal [ 't905', 't906', 't907', ...(93) ].

--- a/src/base/bytebuffer.ts
+++ b/src/base/bytebuffer.ts
@@ -6,7 +6,7 @@
 
 /**
  * Collects chunks in blocks of its own. A chunk of a network read is a view that keeps the whole read
- * in memory, and each view takes about 200 bytes of heap, so that a body of one-byte chunks would
+ * in memory, and each view takes about 100 bytes of heap, so that a body of one-byte chunks would
  * need many times its length.
  */
 export interface ByteBuffer extends Disposable {
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -200,6 +200,7 @@
     quarantineSize: () => quarantine.size,
     limitedTargets: () => limits.size,
     droppedLogLines: options.droppedLogLines,
+    droppedHintItems: () => peers.droppedItems,
     heldResponseBytes: () => platform.responseMonitor.heldBytes,
   });
   platform.responseMonitor.listen(({ address: { host, port }, ...response }) => {
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -19,6 +19,7 @@
   limitedTargets(): number;
   droppedLogLines(): number;
   heldResponseBytes(): number;
+  droppedHintItems(): number;
 }
 
 /** Upper bounds in seconds, around objectives of 0.2 to 0.8 s and timeouts of 0.8 to 12 s. */
@@ -115,6 +116,11 @@
     'Memory that responses hold beyond the 16 KiB that each may use.',
     gauges.heldResponseBytes,
   );
+  gauge(
+    'cicadatide_hint_items_dropped',
+    'Cache uses and weights changes that were not sent to peers because too many waited.',
+    gauges.droppedHintItems,
+  );
   gauge('cicadatide_log_lines_dropped', 'Log lines dropped.', gauges.droppedLogLines);
   const prefillSpeed: Gauge<'service'> = new Gauge({
     name: 'cicadatide_prefill_tokens_per_second',
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -38,6 +38,8 @@
 export interface Peers extends Disposable {
   /** Number of registered gateways, including this one and any that no longer exist. */
   readonly count: number;
+  /** Cache uses and weights changes that were not sent because too many waited. */
+  readonly droppedItems: number;
   /** In-flight requests of the peers at a target. */
   inFlight(targetId: string): InFlightLoad;
   /** True while a peer reports that the target changes its weights. */
@@ -96,12 +98,15 @@
  */
 const changingMaxAgeMs = 1_200;
 
-/**
- * Cache uses in one datagram, so that it stays below 8 KB. Of the others, three times as many are
- * left for the next datagrams and the rest is dropped.
- */
+/** Cache uses in one datagram, so that it stays below 8 KB. */
 const maxCacheUses = 24;
 
+/** Cache uses that wait for a datagram; the oldest are dropped and counted. */
+const maxWaitingCacheUses = 4 * maxCacheUses;
+
+/** Weights changes that wait for a datagram, which holds all of them; the oldest are dropped. */
+const maxWaitingWeightsChanges = 64;
+
 const maxDatagramBytes = 16_384;
 
 /** Age after which the sums are recomputed without a new hint, so that expired counts are dropped. */
@@ -123,6 +128,7 @@
   let listener: PeerListener | undefined;
   let addresses: readonly HostPort[] = [];
   let sequence = 0;
+  let droppedItems = 0;
   let changing: readonly string[] = [];
   let cacheUses: CacheUse[] = [];
   let weightsChanges: WeightsChange[] = [];
@@ -165,7 +171,7 @@
       e: options.evidence(),
       l: options.limits(),
     };
-    cacheUses = cacheUses.slice(maxCacheUses, 4 * maxCacheUses);
+    cacheUses = cacheUses.slice(maxCacheUses);
     weightsChanges = [];
     const bytes = Buffer.from(JSON.stringify(hint));
     for (const { host, port } of addresses) {
@@ -185,6 +191,16 @@
     sendTimer ??= clock.setTimer(delayMs, send);
   };
 
+  /** Adds an item that is sent once; without peers it waits until there are some. */
+  const enqueue = <T>(items: T[], item: T, maxItems: number): void => {
+    items.push(item);
+    if (items.length > maxItems) {
+      items.shift();
+      droppedItems += 1;
+    }
+    scheduleHint();
+  };
+
   const applyHint = (hint: Hint): void => {
     if (hint.n === instance) return;
     const previous = states.get(hint.n);
@@ -231,6 +247,9 @@
     get count() {
       return addresses.length + 1;
     },
+    get droppedItems() {
+      return droppedItems;
+    },
     inFlight(targetId) {
       if (!sums || clock.now() - sumsAt > sumsMaxAgeMs) updateSums();
       return sums?.get(targetId) ?? noneInFlight;
@@ -259,12 +278,10 @@
       scheduleHint();
     },
     publishCacheUse(use) {
-      cacheUses.push(use);
-      scheduleHint();
+      enqueue(cacheUses, use, maxWaitingCacheUses);
     },
     publishWeightsChange(change) {
-      weightsChanges.push(change);
-      scheduleHint();
+      enqueue(weightsChanges, change, maxWaitingWeightsChanges);
     },
     publishTableVersions(versions) {
       tableVersions = versions;
--- /dev/null
+++ b/test/gateway/peers.test.ts
@@ -0,0 +1,56 @@
+import { createSocket, type Socket } from 'node:dgram';
+import { type AddressInfo } from 'node:net';
+import { afterEach, expect, it } from 'vitest';
+import { systemClock } from '../../src/base/clock.js';
+import { createNullLogger } from '../../src/base/logging.js';
+import { type Hint } from '../../src/gateway/hints.js';
+import { createPeers, type Peers } from '../../src/gateway/peers.js';
+
+const resources: { peers?: Peers; receiver?: Socket } = {};
+
+afterEach(() => {
+  resources.peers?.dispose();
+  resources.receiver?.close();
+});
+
+// Guards against a process without peers that ends with a full heap.
+it('keeps only the newest cache uses and weights changes while it has no peers', async () => {
+  const receiver = createSocket('udp4');
+  resources.receiver = receiver;
+  await new Promise<void>((resolve) => {
+    receiver.bind(0, '127.0.0.1', resolve);
+  });
+  const uses: string[] = [];
+  const versions: number[] = [];
+  receiver.on('message', (bytes) => {
+    const { u, w } = JSON.parse(bytes.toString()) as Hint;
+    uses.push(...u.map(([, targetId]) => targetId));
+    versions.push(...w.map(([, , version]) => version));
+  });
+  const peers = createPeers({
+    clock: systemClock,
+    log: createNullLogger(),
+    instance: 'gw-1',
+    bind: { host: '127.0.0.1', port: 0 },
+    ownInFlight: () => [],
+    evidence: () => undefined,
+    limits: () => undefined,
+  });
+  resources.peers = peers;
+  for (let index = 1; index <= 1_000; index += 1) {
+    const use = { salt: 's', parts: [], targetId: `t${index}`, readyMs: 0 };
+    peers.publishCacheUse({ ...use, saveTo: undefined, fetch: undefined });
+    peers.publishWeightsChange({ targetId: 't', model: 'm', version: index });
+  }
+  const { port } = receiver.address() as AddressInfo;
+  peers.setPeers([{ host: '127.0.0.1', port }]);
+  for (let round = 0; round < 60; round += 1) {
+    peers.scheduleHint();
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+  }
+  expect(uses).toEqual(Array.from({ length: 96 }, (_, index) => `t${905 + index}`));
+  expect(versions).toEqual(Array.from({ length: 64 }, (_, index) => 937 + index));
+  expect(peers.droppedItems).toBe(904 + 936);
+});
