Fail responses with status 101 or below 100 at once

A report, order or store call that got 101 with Upgrade never ended.

Cause: writeHead throws for statuses below 100. Node takes 101 with Upgrade for a switch of protocols; without a listener it destroys the connection and reports no error, and the time limit of an adapter's call, which destroys the request, then reports none either.

Change: the watch of a response (base/responsewatch.ts), which forwarded requests and calls of the adapters use, fails it when its status is below 200. The target counts as failed, and a safe request goes to another one.

--- a/src/base/httpclient.ts
+++ b/src/base/httpclient.ts
@@ -8,7 +8,7 @@
   type ResponseMonitor,
   toLimitError,
 } from './responselimits.js';
-import { watchResponse } from './responsewatch.js';
+import { type ResponseWatch, watchResponse } from './responsewatch.js';
 
 /** HTTP request with a small body, whose response is read in full. */
 export interface HttpRequest {
@@ -63,14 +63,14 @@
         req.destroy(new Error(reason)),
       );
       const timer = setTimeout(() => req.destroy(new Error('request timed out')), timeoutMs);
-      const watch = watchResponse(req, (err) => req.destroy(err));
+      let watch: ResponseWatch | undefined;
       const buffer = monitor.createBuffer(call);
       let isFinished = false;
       const finish = (): void => {
         isFinished = true;
         clearTimeout(timer);
         subscription.dispose();
-        watch.dispose();
+        watch?.dispose();
         buffer.dispose();
       };
       const fail = (err: Error): void => {
@@ -78,11 +78,16 @@
         finish();
         if (req.reusedSocket) closeIdle(address);
         if (isResponseLimit(err)) {
-          const { receivedBytes } = watch;
+          const receivedBytes = watch?.receivedBytes ?? 0;
           monitor.report({ call, address, receivedBytes, cause: err.message });
         }
         reject(Object.assign(err, { isSent }));
       };
+      // After an upgrade, the request emits no error any more.
+      watch = watchResponse(req, (err) => {
+        fail(err);
+        req.destroy();
+      });
       req.on('socket', (socket) => {
         if (!socket.connecting) isSent = true;
         else socket.once('connect', () => (isSent = true));
--- a/src/base/responsewatch.ts
+++ b/src/base/responsewatch.ts
@@ -28,9 +28,12 @@
 /** Least framing of a chunk: its size in one digit and two line ends. */
 const minChunkFramingBytes = 5;
 
+/** Lower statuses are informational, which may only precede the final one, or invalid. */
+const minFinalStatus = 200;
+
 /**
- * Calls `fail` with a {@link ResponseLimitError} when a response has too many bytes that are no
- * body. It has to close the connection and dispose the watch.
+ * Calls `fail` when a response has no final status, and with a {@link ResponseLimitError} when it has
+ * too many bytes that are no body. `fail` has to close the connection and dispose the watch.
  */
 export function watchResponse(req: ClientRequest, fail: (err: Error) => void): ResponseWatch {
   let socket: Socket | undefined;
@@ -69,8 +72,20 @@
     if (isDisposed || informationalResponses <= maxInformationalResponses) return;
     giveUp(`more than ${maxInformationalResponses} informational responses without a final one`);
   });
+  const refuseStatus = (status: number | undefined): void => {
+    if (!isDisposed) fail(new Error(`response has status ${status}, which is not a final one`));
+  };
+  // Without a listener Node closes the connection and reports neither a response nor an error.
+  req.on('upgrade', (res, upgraded) => {
+    upgraded.destroy();
+    refuseStatus(res.statusCode);
+  });
   req.on('response', (res) => {
     response = res;
+    if ((res.statusCode ?? 0) < minFinalStatus) {
+      refuseStatus(res.statusCode);
+      return;
+    }
     const isChunked = res.headers['transfer-encoding'] !== undefined;
     res.on('data', (chunk: Buffer) => {
       bodyBytes += chunk.length;
--- a/test/standins/platform/endlesstarget.ts
+++ b/test/standins/platform/endlesstarget.ts
@@ -49,6 +49,12 @@
     beginning: 'a',
     filler: 'HTTP/1.1 200 OK\r\n\r\n',
   },
+  switching: {
+    status: '101 Switching',
+    fields: ['Upgrade: a', 'Connection: upgrade'],
+    filler: 'a',
+  },
+  lowStatus: { status: '099 Low', fields: ['Content-Length: 1'], filler: 'a' },
 } as const satisfies Readonly<Record<string, EndlessResponse>>;
 
 export type EndlessName = keyof typeof endlessResponses;
