A begun stream that moves waits anew for a usable target

Cause: the time that a request waits for a usable target counts from its arrival. A stream that had run for a second had none left, so it ended when each engine had turned it away once, though they take it a moment later.

Change: for a response that has started, this time counts from the end of its last run. The bound (half an objective), the number of attempts and the budget are unchanged.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -59,7 +59,8 @@
 
 /**
  * Fraction of the route's objective until which a request waits for a usable target, measured from
- * the start of its dispatch and including earlier attempts.
+ * the start of its dispatch and including earlier attempts, or for a stream that has begun from the
+ * end of its last run.
  */
 const targetWaitFraction = 0.5;
 
@@ -99,6 +100,7 @@
       const excluded = new Set<Target>();
       const ranOn = new Set<Target>();
       const arrivedAt = clock.now();
+      let needsTargetSince = arrivedAt;
       let attempts = 0;
       let firstByteMs: number | undefined;
       let sentAfterMs: number | undefined;
@@ -202,7 +204,8 @@
         if (!continuation && !choice) {
           const waitMs = placer.waitMs(placementRequest, ranOn);
           const maxWaitMs = route.objectiveMs * targetWaitFraction;
-          if (waitedMs + waitMs > maxWaitMs || attempts >= maxAttempts)
+          const waitedForTargetMs = clock.now() - needsTargetSince;
+          if (waitedForTargetMs + waitMs > maxWaitMs || attempts >= maxAttempts)
             return finishUnserved(waitMs);
           // Targets that were full or changing their weights may accept the request a moment later.
           excluded.clear();
@@ -310,6 +313,7 @@
         }
         ranOn.add(target);
         isTrial = false;
+        if (response.hasStarted) needsTargetSince = clock.now();
         if (continuation) continue;
         if (attemptEnd.kind === 'broken' && remainingMs(call) > minRemainingMs) {
           continuation = placeAtBackup(failureTracker, head, placement, progress);
--- a/test/daemon/silenttargets.test.ts
+++ b/test/daemon/silenttargets.test.ts
@@ -185,6 +185,20 @@
     expect(await running).toMatchObject({ status: 200, body: wholeStream, isComplete: true });
   });
 
+  it('goes on at an engine that turned it away once because of its weights', async () => {
+    const stalled = { pause: { beforeEvent: 3, durationMs: 30_000 } };
+    const engines = await startTargets('llm', 2, stalled);
+    const gateway = await site.startGateway('gw-1');
+    const running = send(gateway, 'fit');
+    await until(() => engines.some(({ runs }) => runs.length > 0));
+    await delay(100);
+    const other = engines.find(({ runs }) => runs.length === 0);
+    if (!other) throw new Error('both engines run the request');
+    other.weights = 2;
+    other.behaviour = { ...other.behaviour, pause: { beforeEvent: 3, durationMs: 0 } };
+    expect(await running).toMatchObject({ status: 200, body: wholeStream, isComplete: true });
+  });
+
   const deadlineMs = 1_200;
 
   it('ends at the deadline of its caller while its engine accepts connections', async () => {
