--- a/test/soak/caller.ts
+++ b/test/soak/caller.ts
@@ -13,6 +13,11 @@
   readonly body: string;
   readonly isSigned: boolean;
   readonly isComplete: boolean;
+  /** Port of the gateway. */
+  readonly port: number;
+  /** The connection to the gateway was open, so the request could be sent. */
+  readonly isConnected: boolean;
+  readonly deadlineMs: number;
   /** API key of the request. */
   readonly key: string;
   /** Time at which the caller disconnected before the end of the response. */
@@ -26,20 +31,45 @@
   close(): void;
 }
 
-const routes = ['fit', 'reply', 'order', 'look'] as const;
+/** Requests that a caller sends. */
+export interface CallerProfile {
+  readonly routes: readonly string[];
+  readonly deadlineMs: number;
+  /** Begins the ids of its requests. */
+  readonly idPrefix: string;
+  /** Fraction of the requests whose caller disconnects. */
+  readonly disconnectRate: number;
+}
+
+export const usualProfile: CallerProfile = {
+  routes: ['fit', 'reply', 'order', 'look'],
+  deadlineMs: 1_500,
+  idPrefix: 'r',
+  disconnectRate: 0.15,
+};
 
-const deadlineMs = 1_500;
+/** Callers that wait for streams with long pauses; the routes have a longer timeout. */
+export const patientProfile: CallerProfile = {
+  routes: ['patientfit', 'patientreply'],
+  deadlineMs: 6_000,
+  idPrefix: 'p',
+  disconnectRate: 0,
+};
 
-/** Fraction of the requests whose caller disconnects, and the maximum delay until it does. */
-const disconnectRate = 0.15;
+export const isPromptRoute = (route: string): boolean => /(fit|reply)$/.test(route);
 
+/** Maximum delay until a caller disconnects. */
 const maxDisconnectDelayMs = 400;
 
 /**
  * `disconnectRandom` decides which callers disconnect. It is separate from `random`, so that a seed
  * yields the same requests.
  */
-export function createSoakCaller(random: Random, disconnectRandom: Random): SoakCaller {
+export function createSoakCaller(
+  random: Random,
+  disconnectRandom: Random,
+  { routes, deadlineMs, idPrefix, disconnectRate }: CallerProfile = usualProfile,
+): SoakCaller {
   const agent = new Agent({ keepAlive: true });
   const responses: ObservedResponse[] = [];
   let requestCount = 0;
@@ -47,16 +77,17 @@
     responses,
     send(port, key) {
       requestCount += 1;
-      const requestId = `r${requestCount}`;
+      const requestId = `${idPrefix}${requestCount}`;
       const route = routes[random.integer(routes.length)] as string;
       const sentAt = performance.now();
-      const isPrompt = route === 'fit' || route === 'reply';
+      const isPrompt = isPromptRoute(route);
       const session = random.integer(12);
       return new Promise((resolve) => {
         const chunks: Buffer[] = [];
         let status = 0;
         let isSigned = false;
         let disconnectedAt: number | undefined;
+        let isConnected = false;
         const finish = (isComplete: boolean): void => {
           responses.push({
             requestId,
@@ -67,6 +98,9 @@
             body: Buffer.concat(chunks).toString('utf8'),
             isSigned,
             isComplete,
+            port,
+            isConnected,
+            deadlineMs,
             key,
             disconnectedAt,
           });
@@ -93,6 +127,13 @@
               : {}),
           },
         });
+        req.on('socket', (socket) => {
+          isConnected = !socket.connecting;
+          if (isConnected) return;
+          socket.once('connect', () => {
+            isConnected = true;
+          });
+        });
         req.on('timeout', () => req.destroy());
         req.once('error', () => finish(false));
         req.on('response', (res) => {
--- a/test/soak/invariants.ts
+++ b/test/soak/invariants.ts
@@ -1,5 +1,5 @@
 import { type TargetRun, type TargetStandin } from '../standins/platform/target.js';
-import { type ObservedResponse } from './caller.js';
+import { isPromptRoute, type ObservedResponse } from './caller.js';
 
 /** Violation of an invariant; `promise` names the invariant. */
 export interface Violation {
@@ -8,7 +8,7 @@
   readonly detail: string;
 }
 
-const atMostOnceRoutes: ReadonlySet<string> = new Set(['order']);
+const atMostOnceRoutes: ReadonlySet<string> = new Set(['order', 'reply', 'patientreply']);
 
 const refusalStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -54,8 +54,8 @@
     disconnectedAt,
   } of responses) {
     const runs = runsOf.get(requestId) ?? [];
-    const isStream = route === 'fit' || route === 'reply';
-    const isAtMostOnce = atMostOnceRoutes.has(route) || route === 'reply';
+    const isStream = isPromptRoute(route);
+    const isAtMostOnce = atMostOnceRoutes.has(route);
     if (isAtMostOnce && freshRuns(runs) > 1)
       report('runs at most once', requestId, `${runs.length} runs`);
     if (refusalStatuses.has(status) && runs.length > 0) {
@@ -84,8 +84,8 @@
       report('stream is complete', requestId, body);
     if (isStream && !completeStream.startsWith(body))
       report('events are in order', requestId, body);
-    if (!isStream && isComplete && !/^answer of /.test(body))
-      report('response is complete', requestId, body);
+    if (!isStream && isComplete && !/^answer of ([\w-]+)(\|\1)*$/.test(body))
+      report('response is complete', requestId, `${body.length} bytes, ${body.slice(0, 40)}`);
   }
   for (const requestId of runsOf.keys()) {
     if (!sentIds.has(requestId)) report('only requests of callers run', requestId, 'unknown id');
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -3,7 +3,10 @@
 import { parseArgs } from 'node:util';
 import { runSoak } from './soak.js';
 
-/** Runs seeds manually: `npm run soak -- --from 1 --count 50 --seconds 8 --jobs 4 --logs FILE`. */
+/**
+ * Runs seeds manually: `npm run soak -- --from 1 --count 50 --seconds 8 --jobs 4 --logs FILE`. `--port` is the first
+ * of the ports, and `--known-faults` adds faults that the gateways are known not to handle.
+ */
 const { values } = parseArgs({
   options: {
     from: { type: 'string', default: String(Date.now() % 1_000_000) },
@@ -12,6 +15,8 @@
     gateways: { type: 'string', default: '3' },
     jobs: { type: 'string', default: '2' },
     logs: { type: 'string' },
+    port: { type: 'string' },
+    'known-faults': { type: 'boolean', default: false },
   },
 });
 
@@ -22,7 +27,7 @@
 const portsPerJob = 30;
 
 /** Derived from the process id, so that concurrent soaks use different ports. */
-const firstPort = 26_000 + (process.pid % 80) * 60;
+const firstPort = Number(values.port ?? 26_000 + (process.pid % 80) * 60);
 let failed = 0;
 
 async function runJob(job: number): Promise<void> {
@@ -33,6 +38,7 @@
       gateways: Number(values.gateways),
       bundle: 'target/gateway.mjs',
       port: firstPort + job * portsPerJob,
+      hasKnownFaults: values['known-faults'],
     });
     const { requests, served, faults, violations, logs } = result;
     console.log(
@@ -43,7 +49,8 @@
     failed += 1;
     console.log(JSON.stringify(violations.slice(0, 5), undefined, 1));
     if (values.logs) {
-      writeFileSync(`${values.logs}.${seed}`, [...faults, ...logs].join('\n'));
+      const lines = [...faults, ...violations.map((found) => JSON.stringify(found)), ...logs];
+      writeFileSync(`${values.logs}.${seed}`, lines.join('\n'));
     }
   }
 }
--- a/test/soak/process.ts
+++ b/test/soak/process.ts
@@ -2,12 +2,20 @@
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 
+/** SIGTERM that was sent to a gateway. */
+export interface StopSignal {
+  readonly at: number;
+  /** The same process had got one before. */
+  readonly isRepeated: boolean;
+}
+
 /** Gateway in a child process, which the soak can stop, pause and kill. */
 export interface GatewayProcess {
   readonly name: string;
   readonly callersPort: number;
   readonly readyPort: number;
   readonly isRunning: boolean;
+  readonly stopSignals: readonly StopSignal[];
   start(): void;
   signal(name: NodeJS.Signals): void;
   /** Kills the process and waits until it has exited. */
@@ -27,6 +35,12 @@
 
 const maxTailLines = 400;
 
+/** Repeats that all gateways together may send to a service within the window. */
+export const repeatLimits = { ratio: 0.1, slack: 10, windowMs: 10_000 };
+
+/** Time that a stopping gateway has for its requests, in milliseconds. */
+export const graceMs = 3_000;
+
 const settings = ({ name, port, storePort }: GatewayProcessOptions): string =>
   [
     '[process]',
@@ -40,7 +54,11 @@
     `address = 127.0.0.1:${storePort}`,
     '[shutdown]',
     'balancer_wait = 300ms',
-    'grace = 3s',
+    `grace = ${graceMs}ms`,
+    '[repeats]',
+    `share = ${repeatLimits.ratio}`,
+    `slack = ${repeatLimits.slack}`,
+    `window = ${repeatLimits.windowMs}ms`,
   ].join('\n');
 
 export function createGatewayProcess(options: GatewayProcessOptions): GatewayProcess {
@@ -49,6 +67,8 @@
   writeFileSync(settingsPath, settings(options));
   let child: ChildProcess | undefined;
   let lines: string[] = [];
+  const stopSignals: StopSignal[] = [];
+  let isStopping = false;
   return {
     name,
     callersPort: port,
@@ -57,6 +77,7 @@
       return child !== undefined && child.exitCode === null && child.signalCode === null;
     },
     start() {
+      isStopping = false;
       child = spawn(process.execPath, [bundle], {
         env: { ...process.env, CICADATIDE_BOOT: settingsPath },
         stdio: ['ignore', 'pipe', 'pipe'],
@@ -68,7 +89,14 @@
         });
       }
     },
-    signal: (signal) => void child?.kill(signal),
+    stopSignals,
+    signal(signal) {
+      if (signal === 'SIGTERM') {
+        stopSignals.push({ at: performance.now(), isRepeated: isStopping });
+        isStopping = true;
+      }
+      child?.kill(signal);
+    },
     async stop() {
       const running = child;
       if (!running || running.exitCode !== null || running.signalCode !== null) return;
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -3,12 +3,16 @@
 import { join } from 'node:path';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { createSeededRandom, type Random } from '../../src/base/random.js';
-import { configuration, model } from '../standins/platform/site.js';
+import { configuration as siteConfiguration, model } from '../standins/platform/site.js';
 import { startStoreStandin, type StoreFault } from '../standins/platform/store.js';
 import { startTargetStandin, type TargetStandin } from '../standins/platform/target.js';
-import { createSoakCaller } from './caller.js';
+import { createSoakCaller, patientProfile, type SoakCaller } from './caller.js';
+import { createImpairments } from './impairments.js';
+import { findLostAnswers } from './lostanswers.js';
+import { createPlannedFaults } from './plannedfaults.js';
+import { findExcessRepeats } from './repeats.js';
 import { type LinkFault, startLink } from './link.js';
-import { createGatewayProcess, type GatewayProcess } from './process.js';
+import { createGatewayProcess, type GatewayProcess, repeatLimits } from './process.js';
 import { findOrderViolations, findViolations, type Violation } from './invariants.js';
 
 /** Result of one soak run. */
@@ -31,6 +35,8 @@
   readonly bundle: string;
   /** First port of a free range; each gateway uses three ports. */
   readonly port: number;
+  /** Adds faults that the gateways are known not to handle. */
+  readonly hasKnownFaults?: boolean;
 }
 
 const requestsPerSecond = 40;
@@ -41,6 +47,17 @@
 /** Added to the seed of the generator of the faults in contents, so that the others keep their order. */
 const contentSeedOffset = 2_000_003;
 
+/** Added to the seed of the generator of planned stops and of sound but unusual targets. */
+const plannedSeedOffset = 3_000_003;
+
+/** Added to the seed of the generator of the patient callers. */
+const patientSeedOffset = 4_000_003;
+
+const patientRequestsPerSecond = 10;
+
+/** Planned stops end this long before the other faults, as a stop takes up to 4.5 s. */
+const plannedEndMs = 2_500;
+
 /** Maximum time between the starts of two faults; below `maxFaultMs`, so that faults overlap. */
 const maxFaultGapMs = 700;
 
@@ -60,6 +77,20 @@
 const pick = <T>(random: Random, items: readonly T[]): T =>
   items[random.integer(items.length)] as T;
 
+/** Configuration of the site with routes for patient callers. */
+function configuration(version: number, changes: Readonly<Record<string, unknown>> = {}) {
+  const usual = siteConfiguration(version, changes);
+  const patient = usual.routes
+    .filter(({ kind }) => kind === 'streaming')
+    .map((route) => ({
+      ...route,
+      name: `patient${route.name}`,
+      prefix: `/patient${route.name}/`,
+      timeoutMs: 8_000,
+    }));
+  return { ...usual, routes: [...usual.routes, ...patient] };
+}
+
 /** Runs one seed: real gateway processes, stand-ins behind faulty links and overlapping faults. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, durationMs } = options;
@@ -71,6 +102,9 @@
   const links: Awaited<ReturnType<typeof startLink>>[] = [];
   const gateways: GatewayProcess[] = [];
   const caller = createSoakCaller(random, createSeededRandom(seed + disconnectSeedOffset));
+  const patientRandom = createSeededRandom(seed + patientSeedOffset);
+  const patientCaller = createSoakCaller(patientRandom, patientRandom, patientProfile);
+  const impairments = createImpairments();
   const faults: string[] = [];
   const inFlight = new Set<Promise<void>>();
   const background = new Set<Promise<void>>();
@@ -96,24 +130,33 @@
     background.add(done);
   };
 
+  /** Kills a gateway, which its callers notice. */
+  const kill = async (gateway: GatewayProcess): Promise<void> => {
+    const end = impairments.begin(gateway.name);
+    await gateway.stop();
+    end();
+  };
+
   const faultHandlers: Readonly<Record<string, (faultMs: number) => Promise<void>>> = {
     kill: async (faultMs) => {
       const gateway = pick(random, gateways);
-      await gateway.stop();
+      await kill(gateway);
       await pause(faultMs / 2);
       if (!gateway.isRunning) gateway.start();
     },
     pause: async (faultMs) => {
       const gateway = pick(random, gateways);
+      const end = impairments.begin(gateway.name);
       gateway.signal('SIGSTOP');
       await pause(faultMs);
       gateway.signal('SIGCONT');
+      end();
     },
     terminate: async (faultMs) => {
       const gateway = pick(random, gateways);
       gateway.signal('SIGTERM');
       await pause(faultMs + 1_500);
-      await gateway.stop();
+      await kill(gateway);
       gateway.start();
     },
     reload: async () => pick(random, gateways).signal('SIGHUP'),
@@ -130,16 +173,20 @@
     },
     targetLink: async (faultMs) => {
       const link = pick(random, links);
+      const end = impairments.begin(targets[links.indexOf(link)]?.id ?? '');
       link.fault = pick<LinkFault>(random, ['delay', 'reset', 'oneWay', 'silent']);
       await pause(faultMs);
       link.fault = 'none';
+      end();
     },
     target: async (faultMs) => {
       const target = pick(random, targets);
       const fault = pick(random, ['full', 'error', 'mute', 'cut', 'unsigned', 'foreign'] as const);
+      const end = impairments.begin(target.id);
       target.behaviour = { ...target.behaviour, fault };
       await pause(faultMs);
       target.behaviour = { ...target.behaviour, fault: 'none' };
+      end();
     },
     configuration: async () => {
       version += 1;
@@ -182,20 +229,30 @@
     },
   };
 
-  const sendTraffic = async (): Promise<void> => {
+  const sendTraffic = async (
+    sender: SoakCaller,
+    source: Random,
+    perSecond: number,
+  ): Promise<void> => {
     while (performance.now() - startedAt < durationMs + recoveryMs) {
       const runningGateways = gateways.filter(({ isRunning }) => isRunning);
-      const gateway = runningGateways.length > 0 ? pick(random, runningGateways) : undefined;
+      const gateway = runningGateways.length > 0 ? pick(source, runningGateways) : undefined;
       if (gateway) {
-        const done = caller.send(gateway.callersPort, 'key-a').finally(() => inFlight.delete(done));
+        const done = sender.send(gateway.callersPort, 'key-a').finally(() => inFlight.delete(done));
         inFlight.add(done);
       }
-      await pause((1_000 / requestsPerSecond) * 2 * random.next());
+      await pause((1_000 / perSecond) * 2 * source.next());
     }
   };
 
-  const injectFrom = async (handlers: typeof faultHandlers, source: Random): Promise<void> => {
-    while (performance.now() - startedAt < durationMs) {
+  const plannedRandom = createSeededRandom(seed + plannedSeedOffset);
+
+  const injectFrom = async (
+    handlers: typeof faultHandlers,
+    source: Random,
+    endMs = durationMs,
+  ): Promise<void> => {
+    while (performance.now() - startedAt < endMs) {
       const name = pick(source, Object.keys(handlers));
       faults.push(`${Math.round(performance.now() - startedAt)} ${name}`);
       const faultMs = source.next() * maxFaultMs;
@@ -208,6 +265,14 @@
     await Promise.all([
       injectFrom(faultHandlers, random),
       injectFrom(contentHandlers, contentRandom),
+      injectFrom(
+        createPlannedFaults({
+          ...{ random: plannedRandom, gateways, targets, kill },
+          hasKnownFaults: options.hasKnownFaults === true,
+        }),
+        plannedRandom,
+        durationMs - plannedEndMs,
+      ),
     ]);
     await Promise.all(background);
     areFaultsOver = true;
@@ -244,12 +309,24 @@
       gateways.push(gateway);
     }
     await pause(1_000);
-    await Promise.all([sendTraffic(), injectFaults()]);
+    await Promise.all([
+      sendTraffic(caller, random, requestsPerSecond),
+      sendTraffic(patientCaller, patientRandom, patientRequestsPerSecond),
+      injectFaults(),
+    ]);
     await Promise.all(inFlight);
     const { responses } = caller;
+    const all = [...responses, ...patientCaller.responses];
+    const maxEventLoopDelayMs = eventLoopDelay.max / 1e6;
     const violations = [
-      ...findViolations(responses, targets, eventLoopDelay.max / 1e6),
+      ...findViolations(all, targets, maxEventLoopDelayMs),
       ...findOrderViolations(targets),
+      ...findExcessRepeats(all, targets, repeatLimits),
+      ...findLostAnswers({
+        ...{ responses: all, targets, impairments, maxEventLoopDelayMs },
+        nameOf: (port) => gateways.find((gateway) => gateway.callersPort === port)?.name ?? '',
+        stopsOf: (name) => gateways.find((gateway) => gateway.name === name)?.stopSignals ?? [],
+      }),
     ];
     const isServed = ({ status, isComplete }: (typeof responses)[number]): boolean =>
       status === 200 && isComplete;
@@ -287,8 +364,8 @@
     }
     return {
       seed,
-      requests: responses.length,
-      served: responses.filter(isServed).length,
+      requests: all.length,
+      served: all.filter(isServed).length,
       faults,
       violations,
       logs: violations.length > 0 ? gateways.flatMap((gateway) => gateway.tail()) : [],
@@ -296,6 +373,7 @@
   } finally {
     eventLoopDelay.disable();
     caller.close();
+    patientCaller.close();
     for (const gateway of gateways) await gateway.stop();
     for (const link of links) await link.close();
     await storeLink.close();
--- a/test/standins/platform/target.ts
+++ b/test/standins/platform/target.ts
@@ -12,6 +12,8 @@
   readonly pause?: { readonly beforeEvent: number; readonly durationMs: number };
   /** False when there was no room for copies, so no stream can go on from one here. */
   readonly hasCopies?: boolean;
+  /** Least length of the answer of a plain service. */
+  readonly answerBytes?: number;
   /** Crashes when it begins to write an answer to a prompt with this part; it is back later. */
   readonly deadlyPart?: string;
   /** Headers that are added to each response, rejections included. */
@@ -26,6 +28,8 @@
     | 'mute'
     /** Closes the connection in the middle of the response. */
     | 'cut'
+    /** Runs the request and responds with status 503 as if it had not. */
+    | 'falseRefusal'
     /** Sends a response without a signature. */
     | 'unsigned'
     /** Sends a response with the id of another request. */
@@ -249,10 +253,17 @@
       }
       return sendEvents(req, res);
     }
-    const text = `answer of ${id}`;
+    if (behaviour.fault === 'falseRefusal') {
+      res.writeHead(503);
+      res.end();
+      return undefined;
+    }
+    const filler = `|${id}`;
+    const fillers = Math.ceil((behaviour.answerBytes ?? 0) / filler.length);
+    const text = `answer of ${id}${filler.repeat(fillers)}`;
     res.setHeader('Content-Length', text.length);
     if (behaviour.fault !== 'cut') res.end(text);
-    else res.write(text.slice(0, 4), () => req.socket.destroy());
+    else res.write(text.slice(0, Math.max(4, text.length / 2)), () => req.socket.destroy());
     return undefined;
   };
 
