--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -7,11 +7,12 @@
 import { createPeers, type Peers } from '../../src/gateway/peers.js';
 import { createManualClock } from '../standins/clock.js';
 
-const resources: { peers?: Peers; receiver?: Socket } = {};
+let resources: { peers?: Peers; receiver?: Socket } = {};
 
 afterEach(() => {
   resources.peers?.dispose();
   resources.receiver?.close();
+  resources = {};
 });
 
 // Guards against a process without peers that ends with a full heap.
