Wait for responses that have not left an entry before it closes

A call counted as done when its handler ended.

A call is active until its response is flushed or its connection closed; the listener closes after that. Meanwhile new calls get `draining` with `Connection: close`. `request finished` says `cancelled` when the caller did not get the whole response.

The agent has no such connections: its callers are entries over HTTP/2, and its drain waits for the work. Not examined: a stream of an agent whose last bytes wait in an HTTP/2 session when the agent ends.

--- a/src/daemon/callers/server.ts
+++ b/src/daemon/callers/server.ts
@@ -1,7 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
+import { createActiveRequests } from '../../base/activerequests.js';
 import { cancelOnClose } from '../../base/callerclose.js';
 import { type Clock } from '../../base/clock.js';
+import { errMessage } from '../../base/errors.js';
 import { type Logger } from '../../base/logging.js';
 import { refusal } from '../../base/refusals.js';
 import { createStartQueue } from '../../base/startqueue.js';
@@ -26,7 +28,7 @@
   readonly server: Server;
   /** Number of in-flight requests. */
   readonly active: number;
-  /** Refuses new requests; in-flight requests continue. */
+  /** Refuses new requests and closes idle connections; in-flight requests continue. */
   stopAccepting(): void;
 }
 
@@ -84,7 +86,6 @@
 
 export function createCallerServer(options: CallerServerOptions): CallerServer {
   const { clock, log, replica, routes, maxHeaderBytes, metrics } = options;
-  let active = 0;
   let isAccepting = true;
   const startQueue = createStartQueue(clock);
 
@@ -125,29 +126,40 @@
     log.info({ requestId, team, path, target, attempt, outcome, durationMs }, 'request finished');
   };
 
-  const server = createServer(
-    { maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0 },
-    (req, res) => {
-      active += 1;
-      const startedAt = clock.now();
-      const record: RequestRecord = { requestId: '', team: '', path: '', outcome: 'ok' };
-      handle(req, res, record)
-        .catch((err: unknown) => {
-          if (res.destroyed || req.socket.readableEnded) {
-            res.destroy();
-            record.outcome = 'cancelled';
-            return;
-          }
-          const refusalError = toRefusal(err, record.requestId, log);
-          record.outcome = refusalError.code;
-          sendRefusal(res, refusalError, record.requestId);
-        })
-        .finally(() => {
-          active -= 1;
+  const server = createServer({
+    maxHeaderSize: maxHeaderBytes,
+    headersTimeout: headersTimeoutMs,
+    requestTimeout: 0,
+  });
+  const requests = createActiveRequests(clock, server);
+  server.on('request', (req, res) => {
+    const startedAt = clock.now();
+    const record: RequestRecord = { requestId: '', team: '', path: '', outcome: 'ok' };
+    const request = requests.add(record.requestId, req, res);
+    if (!isAccepting) res.shouldKeepAlive = false;
+    handle(req, res, record)
+      .catch((err: unknown) => {
+        if (res.destroyed || req.socket.readableEnded) {
+          res.destroy();
+          record.outcome = 'cancelled';
+          return;
+        }
+        const refusalError = toRefusal(err, record.requestId, log);
+        record.outcome = refusalError.code;
+        sendRefusal(res, refusalError, record.requestId);
+      })
+      // A complete response may still wait for the caller to read it.
+      .then(() => request.closed)
+      .then(
+        () => {
+          requests.remove(request);
+          if (!request.isFlushed) record.outcome = 'cancelled';
           recordFinished(res, record, startedAt);
-        });
-    },
-  );
+        },
+        (err: unknown) =>
+          log.error({ err: errMessage(err) }, 'failed to record the result of a request'),
+      );
+  });
   server.on('connection', (socket) => {
     // Each request adds listeners to its socket, and callers may pipeline many requests.
     socket.setMaxListeners(0);
@@ -160,10 +172,11 @@
   return {
     server,
     get active() {
-      return active;
+      return requests.size;
     },
     stopAccepting() {
       isAccepting = false;
+      requests.closeIdleConnections();
     },
   };
 }
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -190,9 +190,10 @@
       isDraining = true;
       await sleep(clock, settings.shutdown.balancer_wait, noCancellation);
       callerServer.stopAccepting();
-      const closed = closeHttp(callerServer.server);
+      // The listener stays open meanwhile: closing it also closes connections with unread responses.
       await waitUntilIdle(clock, () => callerServer.active, settings.shutdown.drain);
       logInterrupted(log, callerServer.active);
+      const closed = closeHttp(callerServer.server);
       callerServer.server.closeAllConnections();
       await closed;
       closeAll();
