Bound the memory that callers' bodies hold together

What callers saw: none reported it; found while looking for the cause of the responses without end elsewhere. Callers with large bodies, or one caller with a body of one-byte chunks, ended the process and the requests of all others.

Cause: a body was limited by maxBodyBytes alone. Its chunks were kept as views of the network reads (97 bytes of heap each), and the bodies of all open requests had no common bound.

Change: bodies are copied into blocks of their own and share 32 MiB beyond 16 KiB each. A request whose body does not fit is refused with 503 and Retry-After before it is sent anywhere, with a log line; the metric cicadatide_held_body_bytes shows what is held.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -15,7 +15,7 @@
 import { createPrefillLoad } from '../gateway/prefillload.js';
 import { createRetryBudget } from '../gateway/retrybudget.js';
 import { createRouteTable, type RouteTable } from '../gateway/routes.js';
-import { createGatewayServer } from '../gateway/server.js';
+import { createBodyAllowance, createGatewayServer } from '../gateway/server.js';
 import { createTargetDirectory, type Target } from '../gateway/targets.js';
 import { createTargetLimits, type TargetLimits } from '../gateway/targetlimits.js';
 import { createSpeedModel } from '../gateway/speeds.js';
@@ -191,6 +191,7 @@
     },
     () => peers.count,
   );
+  const bodies = createBodyAllowance();
   const registry = new Registry();
   metrics = createGatewayMetrics(registry, {
     directory,
@@ -201,6 +202,7 @@
     limitedTargets: () => limits.size,
     droppedLogLines: options.droppedLogLines,
     droppedHintItems: () => peers.droppedItems,
+    heldBodyBytes: () => bodies.heldBytes,
     heldResponseBytes: () => platform.responseMonitor.heldBytes,
   });
   platform.responseMonitor.listen(({ address: { host, port }, ...response }) => {
@@ -240,6 +242,7 @@
     log,
     protocol,
     dispatcher,
+    bodies,
     routes: () => routes,
     onResult: (result) => metrics?.recordResult(result),
   });
--- a/src/daemon/gatewaymetrics.ts
+++ b/src/daemon/gatewaymetrics.ts
@@ -19,6 +19,7 @@
   limitedTargets(): number;
   droppedLogLines(): number;
   heldResponseBytes(): number;
+  heldBodyBytes(): number;
   droppedHintItems(): number;
 }
 
@@ -116,6 +117,11 @@
     'Memory that responses hold beyond the 16 KiB that each may use.',
     gauges.heldResponseBytes,
   );
+  gauge(
+    'cicadatide_held_body_bytes',
+    'Memory that the bodies of open requests hold beyond the 16 KiB that each may use.',
+    gauges.heldBodyBytes,
+  );
   gauge(
     'cicadatide_hint_items_dropped',
     'Cache uses and weights changes that were not sent to peers because too many waited.',
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,5 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
+import { type Allowance, createAllowance } from '../base/allowance.js';
+import { type BufferOverflow, type ByteBuffer, createByteBuffer } from '../base/bytebuffer.js';
 import { type CancellationSource } from '../base/cancellation.js';
 import { cancelOnClose } from '../base/callerclose.js';
 import { type Clock } from '../base/clock.js';
@@ -46,6 +48,8 @@
   readonly log: Logger;
   readonly protocol: WireProtocol;
   readonly dispatcher: Dispatcher;
+  /** Memory that the bodies of open requests share. */
+  readonly bodies: Allowance;
   /** Routes of the newest configuration; undefined before the first one. */
   routes(): RouteTable | undefined;
   onResult(result: CallResult & { readonly route: string; readonly durationMs: number }): void;
@@ -74,18 +78,38 @@
   socket.end(`HTTP/1.1 ${status} ${text}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 }
 
-/** Reads the whole body, so that it can be sent again; undefined if too large or incomplete. */
-function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+/** Memory in bytes that a body has without the shared one. */
+const ownBodyBytes = 16_384;
+
+/**
+ * Memory in bytes that the bodies of all open requests share beyond {@link ownBodyBytes} each. The
+ * smallest machine has 200 MB, of which the heap and code of the process take up to 140 MB.
+ */
+const sharedBodyBytes = 32 * 1_048_576;
+
+/** Creates the memory that the bodies of all open requests share. */
+export const createBodyAllowance = (): Allowance => createAllowance(sharedBodyBytes);
+
+/** Why a body was not read. */
+type BodyFailure = BufferOverflow | 'incomplete';
+
+/** Reads the whole body into the buffer, so that it can be sent again. */
+function readBody(req: IncomingMessage, buffer: ByteBuffer): Promise<Buffer | BodyFailure> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    let isOver = false;
+    const fail = (failure: BodyFailure): void => {
+      isOver = true;
+      buffer.dispose();
+      resolve(failure);
+    };
     req.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) resolve(undefined);
-      else chunks.push(chunk);
+      const overflow = isOver ? undefined : buffer.push(chunk);
+      if (overflow) fail(overflow);
+    });
+    req.on('end', () => {
+      if (!isOver) resolve(buffer.take());
     });
-    req.on('end', () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
-    req.on('error', () => resolve(undefined));
+    req.on('error', () => fail('incomplete'));
   });
 }
 
@@ -93,7 +117,7 @@
   req.headers['transfer-encoding'] === undefined && (req.headers['content-length'] ?? '0') === '0';
 
 export function createGatewayServer(options: GatewayServerOptions): GatewayServer {
-  const { clock, random, log, protocol, dispatcher, routes, onResult } = options;
+  const { clock, random, log, protocol, dispatcher, routes, bodies, onResult } = options;
   const starts = createStartQueue(clock);
   let active = 0;
   let isClosing = false;
@@ -142,9 +166,20 @@
     res.once('close', () => sources.delete(source));
     let body: Buffer | undefined;
     if (!hasNoBody(req)) {
-      body = await readBody(req, configuration.limits.maxBodyBytes);
-      if (!body && !req.destroyed) return refuse(response, 'too-large');
-      if (!body) source.cancel('caller disconnected');
+      const { maxBodyBytes: maxBytes } = configuration.limits;
+      const buffer = createByteBuffer({ maxBytes, ownBytes: ownBodyBytes, allowance: bodies });
+      res.once('close', () => buffer.dispose());
+      const read = await readBody(req, buffer);
+      if (read === 'no-memory') {
+        log.warn(
+          { requestId: head.requestId, heldBytes: bodies.heldBytes },
+          'request was refused because the bodies of open requests hold the memory',
+        );
+        return refuse(response, 'overloaded', notReadyRetryAfterMs);
+      }
+      if (typeof read !== 'string') body = read;
+      else if (!req.destroyed) return refuse(response, 'too-large');
+      else source.cancel('caller disconnected');
     }
     const service = pickService(route, random);
     if (service === undefined) return refuse(response, 'no-target', notReadyRetryAfterMs);
--- a/test/docs/operators.test.ts
+++ b/test/docs/operators.test.ts
@@ -61,6 +61,7 @@
       limitedTargets: () => 0,
     droppedLogLines: () => 0,
       heldResponseBytes: () => 0,
+      heldBodyBytes: () => 0,
       droppedHintItems: () => 0,
       });
       const clock = createManualClock();
