Limit instance lists and responses to the command line

What callers saw: none reported it; the same class as responses without end from targets. An instance list without end was read for a second, at the speed of the network, and a response to the command line as long as bytes came.

Cause: undici limits no response unless it is told to.

Change: 4 MiB for a list, 16 MiB for a response to the command line. The DynamoDB and S3 adapters and exports of an engine's cache are not changed.

--- a/src/adapters/endpointslice/instances.ts
+++ b/src/adapters/endpointslice/instances.ts
@@ -13,6 +13,9 @@
 /** Port name of the internal listener. */
 const portName = 'internal';
 
+/** Largest accepted instance list, in bytes. */
+const maxResponseSize = 4 * 1_048_576;
+
 const conditionsSchema = z.object({
   ready: z.boolean().nullish(),
   serving: z.boolean().nullish(),
@@ -69,7 +72,7 @@
 
 /** Creates the adapter; slices without a known role label or the port `internal` are skipped. */
 export function createEndpointSliceInstances(url: string): EndpointSliceInstances {
-  const dispatcher = new Agent({ connectTimeout: storeTimeoutMs });
+  const dispatcher = new Agent({ connectTimeout: storeTimeoutMs, maxResponseSize });
   return {
     list: (token) =>
       callStore('read', token, async (signal) => {
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -22,6 +22,9 @@
 
 const timeoutMs = 20_000;
 
+/** Largest accepted response, in bytes. */
+const maxResponseSize = 16 * 1_048_576;
+
 /** Error codes of failures before the request was sent. */
 const notSentCodes = new Set([
   'ECONNREFUSED',
@@ -49,6 +52,7 @@
     pipelining: 0,
     headersTimeout: timeoutMs,
     bodyTimeout: timeoutMs,
+    maxResponseSize,
   });
 
   const call = async (
