--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -16,6 +16,7 @@
 import { createPlacer } from '../gateway/placement.js';
 import { createPrefillLoad } from '../gateway/prefillload.js';
 import { createRepeats } from '../gateway/repeats.js';
+import { createBodyAllowance } from '../gateway/requestbody.js';
 import { createRetryBudget } from '../gateway/retrybudget.js';
 import { createRouteTable, type RouteTable } from '../gateway/routes.js';
 import { createGatewayServer } from '../gateway/server.js';
@@ -188,6 +189,7 @@
     },
     gatewayCount: () => peers.knownCount,
   });
+  const bodies = createBodyAllowance();
   const registry = new Registry();
   metrics = createGatewayMetrics(registry, {
     directory,
@@ -198,6 +200,7 @@
     limitedTargets: () => limits.size,
     droppedLogLines: options.droppedLogLines,
     droppedHintItems: () => peers.droppedItems,
+    heldBodyBytes: () => bodies.heldBytes,
     heldResponseBytes: () => platform.responseMonitor.heldBytes,
   });
   platform.responseMonitor.listen(({ address: { host, port }, ...response }) => {
@@ -250,6 +253,7 @@
     protocol,
     dispatcher,
     remainingGraceMs: plannedStop.remainingGraceMs,
+    bodies,
     routes: () => routes,
     onResult: (result) => metrics?.recordResult(result),
   });
--- a/src/gateway/requestbody.ts
+++ b/src/gateway/requestbody.ts
@@ -1,17 +1,39 @@
 import { type IncomingMessage } from 'node:http';
+import { type Allowance, createAllowance } from '../base/allowance.js';
+import { type BufferOverflow, type ByteBuffer } from '../base/bytebuffer.js';
 
-/** Reads the whole body, so that it can be sent again; undefined if too large or incomplete. */
-export function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+/** Memory in bytes that a body has without the shared one. */
+export const ownBodyBytes = 16_384;
+
+/**
+ * Memory in bytes that the bodies of all open requests share beyond {@link ownBodyBytes} each. The
+ * smallest machine has 200 MB, of which the heap and code of the process take up to 140 MB.
+ */
+const sharedBodyBytes = 32 * 1_048_576;
+
+/** Creates the memory that the bodies of all open requests share. */
+export const createBodyAllowance = (): Allowance => createAllowance(sharedBodyBytes);
+
+/** Why a body was not read. */
+type BodyFailure = BufferOverflow | 'incomplete';
+
+/** Reads the whole body into the buffer, so that it can be sent again. */
+export function readBody(req: IncomingMessage, buffer: ByteBuffer): Promise<Buffer | BodyFailure> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    let isOver = false;
+    const fail = (failure: BodyFailure): void => {
+      isOver = true;
+      buffer.dispose();
+      resolve(failure);
+    };
     req.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) resolve(undefined);
-      else chunks.push(chunk);
+      const overflow = isOver ? undefined : buffer.push(chunk);
+      if (overflow) fail(overflow);
+    });
+    req.on('end', () => {
+      if (!isOver) resolve(buffer.take());
     });
-    req.on('end', () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
-    req.on('error', () => resolve(undefined));
+    req.on('error', () => fail('incomplete'));
   });
 }
 
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,6 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
 import { type ActiveRequestSummary, createActiveRequests } from '../base/activerequests.js';
+import { type Allowance } from '../base/allowance.js';
+import { createByteBuffer } from '../base/bytebuffer.js';
 import { type CancellationSource } from '../base/cancellation.js';
 import { cancelOnClose } from '../base/callerclose.js';
 import { type Clock } from '../base/clock.js';
@@ -18,7 +20,7 @@
 } from './response.js';
 import { type CallResult, type GatewayCall } from './calls.js';
 import { type Dispatcher } from './dispatcher.js';
-import { hasNoBody, readBody } from './requestbody.js';
+import { hasNoBody, ownBodyBytes, readBody } from './requestbody.js';
 import { pickService, type RouteTable } from './routes.js';
 
 /** HTTP server for callers. */
@@ -56,6 +58,8 @@
   readonly dispatcher: Dispatcher;
   /** Time until running requests are interrupted, for the log; Infinity before a stop. */
   remainingGraceMs(): number;
+  /** Memory that the bodies of open requests share. */
+  readonly bodies: Allowance;
   /** Routes of the newest configuration; undefined before the first one. */
   routes(): RouteTable | undefined;
   onResult(result: CallResult & { readonly route: string; readonly durationMs: number }): void;
@@ -85,7 +89,7 @@
 }
 
 export function createGatewayServer(options: GatewayServerOptions): GatewayServer {
-  const { clock, random, log, protocol, dispatcher, routes, onResult } = options;
+  const { clock, random, log, protocol, dispatcher, routes, bodies, onResult } = options;
   const starts = createStartQueue(clock);
   const server = createServer({
     maxHeaderSize: parserMaxHeaderBytes,
@@ -147,9 +151,20 @@
     res.once('close', () => sources.delete(source));
     let body: Buffer | undefined;
     if (!hasNoBody(req)) {
-      body = await readBody(req, configuration.limits.maxBodyBytes);
-      if (!body && !req.destroyed) return refuse(response, 'too-large');
-      if (!body) source.cancel('caller disconnected');
+      const { maxBodyBytes: maxBytes } = configuration.limits;
+      const buffer = createByteBuffer({ maxBytes, ownBytes: ownBodyBytes, allowance: bodies });
+      res.once('close', () => buffer.dispose());
+      const read = await readBody(req, buffer);
+      if (read === 'no-memory') {
+        log.warn(
+          { requestId: head.requestId, heldBytes: bodies.heldBytes },
+          'request was refused because the bodies of open requests hold the memory',
+        );
+        return refuse(response, 'overloaded', notReadyRetryAfterMs);
+      }
+      if (typeof read !== 'string') body = read;
+      else if (!req.destroyed) return refuse(response, 'too-large');
+      else source.cancel('caller disconnected');
     }
     const service = pickService(route, random);
     if (service === undefined) return refuse(response, 'no-target', notReadyRetryAfterMs);
