--- a/test/standins/platform/target.ts
+++ b/test/standins/platform/target.ts
@@ -202,17 +202,17 @@
   };
 
   const handleRequest = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const requestId = String(req.headers['x-request-id']);
+    res.setHeader('X-Request-Id', requestId);
     const expected = req.headers['x-expect-instance'];
     if (expected !== undefined && expected !== id) return sendJson(res, 421, {});
     const version = req.headers['x-expect-version'];
     if (version !== undefined && Number(version) !== weights) return sendJson(res, 421, {});
-    const requestId = String(req.headers['x-request-id']);
     arrivals.push({ requestId, at: performance.now() });
     const body = await readBody(req);
     for (const [name, value] of Object.entries(behaviour.headers ?? {})) res.setHeader(name, value);
     const lacksCopy = behaviour.hasCopies === false && req.headers['kv-from'] !== undefined;
     if (behaviour.fault === 'full' || isBusy || lacksCopy) {
-      res.setHeader('X-Request-Id', requestId);
       res.writeHead(503, { 'X-Not-Run': '1', 'X-Instance': id });
       res.end();
       return undefined;
@@ -235,7 +235,7 @@
     if (behaviour.fault === 'mute' || res.destroyed) return undefined;
     const beginning = endlessResponses[behaviour.fault];
     if (beginning) return sendEndlessly(req.socket, beginning);
-    res.setHeader('X-Request-Id', behaviour.fault === 'foreign' ? 'other' : requestId);
+    if (behaviour.fault === 'foreign') res.setHeader('X-Request-Id', 'other');
     if (behaviour.fault !== 'unsigned') res.setHeader('X-Server-Stamp', `stamp.${id}`);
     res.setHeader('X-Load', '1,0,8,100');
     if (model) res.setHeader('X-Weight-Versions', String(weights));
