Gateway: split the dispatcher and the attempt; begun streams stay; a new gateway may continue streams

Two decisions change: - A stream that the caller has in part doesn't move for silence: the reserved target may still turn it away, and then the caller has half a stream.

--- a/src/gateway/crashes.ts
+++ b/src/gateway/crashes.ts
@@ -2,7 +2,7 @@
 import { type Logger } from '../base/logging.js';
 import { type PromptPart } from '../ports/wire.js';
 import { type RequestContent } from '../quarantine/content.js';
-import { type ResponseStage } from './attempt.js';
+import { type ResponseStage } from './attemptend.js';
 import { type Target } from './targets.js';
 
 /** A request whose connection to its target was lost. */
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -5,9 +5,10 @@
 import { type ResponseMonitor } from '../base/responselimits.js';
 import { type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse, type LocalResponse } from './response.js';
-import { type BufferedResponse, type Progress } from './attempt.js';
+import { type Progress } from './attemptend.js';
 import { type CallResult, type GatewayCall } from './calls.js';
 import { type CrashDetector } from './crashes.js';
+import { createEndings, type DispatchState, minRemainingMs } from './endings.js';
 import { fitsGrace } from './graceperiod.js';
 import { createMover } from './moves.js';
 import { type FailureTracker } from './failuretracker.js';
@@ -47,9 +48,6 @@
   onLoadChange(): void;
 }
 
-/** A request with less time left is not sent: it takes 40 ms even on an idle target. */
-const minRemainingMs = 20;
-
 /**
  * Attempts of one request, including those that targets did not run, after which it is not sent
  * again if the last one did not run or no target is usable. `maxTargets` limits the other retries.
@@ -70,25 +68,11 @@
 const finiteOrNone = (value: number): number | undefined =>
   Number.isFinite(value) ? value : undefined;
 
-/** Retry-After of responses; a random part spreads the retries of callers. */
-const minRetryAfterMs = 150;
-
-const retryAfterSpreadMs = 350;
-
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { clock, random, log, protocol, placer, failureTracker, streamAdmission } = options;
   const { quarantine, limits } = options;
   const sendRequest = createRequestSender(clock, protocol, limits, options.responseMonitor);
   const reserveMove = createMover({ placer, limits, quarantine });
-  const retryAfterMs = (): number => minRetryAfterMs + random.next() * retryAfterSpreadMs;
-
-  /** Forwards the failure response of a target to the caller. */
-  const forwardFailure = (response: CallerResponse, { res, body }: BufferedResponse): void => {
-    const writer = response.openWriter(undefined);
-    if (!writer.begin(res, false)) return;
-    if (body.length > 0) writer.write(body);
-    writer.end();
-  };
 
   return {
     async dispatch(call) {
@@ -102,14 +86,18 @@
         longestPauseMs: 0,
       };
       const excluded = new Set<Target>();
-      const ranOn = new Set<Target>();
       const arrivedAt = clock.now();
       let needsTargetSince = arrivedAt;
-      let attempts = 0;
-      let firstByteMs: number | undefined;
-      let sentAfterMs: number | undefined;
-      let failureResponse: BufferedResponse | undefined;
-      let lastPlacement: Placement | undefined;
+      const state: DispatchState = {
+        progress,
+        ranOn: new Set(),
+        attempts: 0,
+        firstByteMs: undefined,
+        sentAfterMs: undefined,
+        failureResponse: undefined,
+        lastPlacement: undefined,
+      };
+      const { ranOn } = state;
       let continuation: Placement | undefined;
       let isStayLogged = false;
       const pendingStream = route.kind === 'stream' ? streamAdmission.start(call) : undefined;
@@ -125,61 +113,11 @@
       let isLostAgain = false;
       const repeats = options.repeats.start(call);
 
-      const toResult = (outcome: CallResult['outcome']): CallResult => {
-        pendingStream?.dispose();
-        failureResponse?.dispose();
-        return {
-          outcome,
-          attempts,
-          target: lastPlacement?.target.id,
-          placement: lastPlacement && {
-            weightsVersion: lastPlacement.weightsVersion,
-            tokensToRead: lastPlacement.prefillTokens,
-            expectedMs: Math.round(lastPlacement.expectedMs),
-            fetchFrom: lastPlacement.fetchFrom?.host,
-          },
-          firstByteMs,
-          sentAfterMs,
-          longestPauseMs: progress.longestPauseMs,
-        };
-      };
-
-      /** Ends a request for which no further attempt is possible, or none for a known time. */
-      const finishUnserved = (waitMs = 0): CallResult => {
-        if (token.isCancellationRequested) return toResult('left');
-        if (response.hasStarted) {
-          response.abort();
-          return toResult('broken');
-        }
-        if (failureResponse) {
-          forwardFailure(response, failureResponse);
-          return toResult('passed-failure');
-        }
-        const isTimedOut = remainingMs(call) < minRemainingMs;
-        const mayHaveRun = ranOn.size > 0;
-        const notRunKind: LocalResponse = attempts > 0 || waitMs > 0 ? 'overloaded' : 'no-target';
-        const kind: LocalResponse = mayHaveRun ? (isTimedOut ? 'timed-out' : 'failed') : notRunKind;
-        response.sendLocal(kind, waitMs + retryAfterMs());
-        return toResult(kind);
-      };
-
-      /** Ends a request whose content is quarantined; its callers learn whether it may have run. */
-      const finishQuarantined = ({ partIds, crashes, retryAfterMs: waitMs }: Quarantined) => {
-        log.info(
-          {
-            requestId: head.requestId,
-            content: content.id,
-            parts: partIds,
-            crashes,
-            attempts,
-            retryAfterMs: waitMs,
-          },
-          'request was not sent because it or a part of its prompt is quarantined',
-        );
-        if (ranOn.size > 0 || response.hasStarted) return finishUnserved();
-        response.sendLocal('quarantined', waitMs);
-        return toResult('quarantined');
-      };
+      const endings = createEndings({
+        ...{ log, random, call, content, state },
+        onFinish: () => pendingStream?.dispose(),
+      });
+      const { finish, finishUnserved } = endings;
 
       const isTooLate = ({ expectedMs, crowdedTokenMs }: Choice): boolean => {
         const { kind, objectiveMs } = route;
@@ -189,13 +127,6 @@
         return !fitsGrace(stopping, options.remainingGraceMs());
       };
 
-      /** Ends a request that is not sent because this process stops. */
-      const finishStopping = (): CallResult => {
-        if (ranOn.size > 0 || response.hasStarted) return finishUnserved();
-        response.sendLocal('not-ready', retryAfterMs());
-        return toResult('not-ready');
-      };
-
       /** What can go on with the request after its attempt at `placement` failed, for the log. */
       const describeSuccessor = (placement: Placement): 'backup' | 'other-target' | 'none' => {
         if (continuation) return 'other-target';
@@ -210,7 +141,7 @@
         const held = isTrial ? undefined : quarantine.find(content);
         if (held) {
           isTrial = await quarantine.claimTrial(held, token);
-          if (!isTrial) return finishQuarantined(held);
+          if (!isTrial) return endings.finishQuarantined(held);
         }
         const waitedMs = clock.now() - arrivedAt;
         const choice = continuation ? undefined : placer.choose(placementRequest, excluded);
@@ -218,7 +149,7 @@
           const waitMs = placer.waitMs(placementRequest, ranOn);
           const maxWaitMs = route.objectiveMs * targetWaitFraction;
           const waitedForTargetMs = clock.now() - needsTargetSince;
-          if (waitedForTargetMs + waitMs > maxWaitMs || attempts >= maxAttempts)
+          if (waitedForTargetMs + waitMs > maxWaitMs || state.attempts >= maxAttempts)
             return finishUnserved(waitMs);
           if (!repeats.tryStart(undefined, progress.hasEvents)) return finishUnserved(waitMs);
           // Targets that were full or changing their weights may accept the request a moment later.
@@ -227,25 +158,23 @@
           await sleep(clock, placementRetryDelayMs, token).catch(() => undefined);
           continue;
         }
-        if (choice && attempts === 0 && pendingStream) {
+        if (choice && state.attempts === 0 && pendingStream) {
           const timing = { waitedMs, remainingMs: remainingMs(call) };
           const decision = await pendingStream.decide(choice, timing);
           if (decision === 'defer') continue;
-          if (decision === 'refuse') {
-            response.sendLocal('overloaded', pendingStream.retryAfterMs);
-            return toResult('overloaded');
-          }
+          if (decision === 'refuse')
+            return endings.finishRefused('overloaded', pendingStream.retryAfterMs);
         }
-        if (choice && isTooLate(choice)) return finishStopping();
+        if (choice && isTooLate(choice)) return endings.finishRefused('not-ready');
         if (choice && !repeats.tryStart(choice.target, progress.hasEvents)) return finishUnserved();
         // Another request may have used the permit since the choice.
         if (choice && !limits.tryTake(choice.target)) continue;
         const placement = continuation ?? placer.place(placementRequest, choice as Choice);
         continuation = undefined;
         const { target } = placement;
-        sentAfterMs ??= waitedMs;
-        lastPlacement = placement;
-        attempts += 1;
+        state.sentAfterMs ??= waitedMs;
+        state.lastPlacement = placement;
+        state.attempts += 1;
         const startedAt = clock.now();
         const observeFirstByte = (): void => {
           if (!placement.soleWork) return;
@@ -257,10 +186,10 @@
           isReplaced: () => failureTracker.isReplaced(target),
           tryMove({ silentMs, answersOthers }) {
             const move = reserveMove({
-              ...{ call, content, placementRequest, progress, isTooLate },
+              ...{ call, content, placementRequest, isTooLate },
               excluded: new Set([...excluded, target]),
               ranOnCount: ranOn.size + 1,
-              tryWithdraw: (other) => repeats.tryReplace(other, progress.hasEvents),
+              tryWithdraw: (other) => repeats.tryReplace(other),
             });
             if (move.kind === 'reserved') continuation = move.placement;
             else if (!isStayLogged) {
@@ -273,7 +202,7 @@
             return move.kind === 'reserved';
           },
           onFirstByte() {
-            firstByteMs ??= clock.now() - arrivedAt;
+            state.firstByteMs ??= clock.now() - arrivedAt;
             observeFirstByte();
           },
           onUnderway() {
@@ -294,18 +223,18 @@
         recordAttemptEnd(failureTracker, call.head, target, attemptEnd);
         repeats.observeEnd(target, attemptEnd);
         if (attemptEnd.kind === 'done') {
-          firstByteMs ??= clock.now() - arrivedAt;
+          state.firstByteMs ??= clock.now() - arrivedAt;
           if (route.kind !== 'stream') observeFirstByte();
-          return toResult('ok');
+          return finish('ok');
         }
-        if (attemptEnd.kind === 'left') return toResult('left');
+        if (attemptEnd.kind === 'left') return finish('left');
         excluded.add(target);
         log.info(
           {
             requestId: head.requestId,
             service: call.service,
             target: target.id,
-            attempt: attempts,
+            attempt: state.attempts,
             end: attemptEnd.kind,
             cause: attemptEnd.cause,
             ...describeFailure(attemptEnd, progress, response.hasStarted),
@@ -324,7 +253,7 @@
           if (stage !== 'underway') isLostAgain = (await isCrash) || isLostAgain;
         }
         if (attemptEnd.kind === 'not-run') {
-          if (attempts >= maxAttempts || placement.continueFrom) return finishUnserved();
+          if (state.attempts >= maxAttempts || placement.continueFrom) return finishUnserved();
           continue;
         }
         ranOn.add(target);
@@ -339,8 +268,8 @@
           continuation = undefined;
         }
         if (attemptEnd.kind === 'failed' && attemptEnd.response) {
-          failureResponse?.dispose();
-          failureResponse = attemptEnd.response;
+          state.failureResponse?.dispose();
+          state.failureResponse = attemptEnd.response;
         }
         if (!isRetryable(call) || ranOn.size >= route.maxTargets) return finishUnserved();
       }
--- a/src/gateway/moves.ts
+++ b/src/gateway/moves.ts
@@ -1,6 +1,5 @@
 import { type RequestContent } from '../quarantine/content.js';
 import { type Quarantine } from '../quarantine/quarantine.js';
-import { type Progress } from './attempt.js';
 import { type GatewayCall } from './calls.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
 import { isRetryable, remainingMs } from './sender.js';
@@ -11,7 +10,7 @@
 export type StayReason =
   /** The route does not allow a second run, or its last target runs the request. */
   | 'route'
-  /** Another run can't continue what the caller already has. */
+  /** The caller has a part of the response, and another target may turn the rest away. */
   | 'partly-sent'
   | 'quarantined'
   | 'no-target'
@@ -29,7 +28,6 @@
   readonly call: GatewayCall;
   readonly content: RequestContent;
   readonly placementRequest: PlacementRequest;
-  readonly progress: Progress;
   /** Targets that are not tried again, the one of the silent attempt included. */
   readonly excluded: ReadonlySet<Target>;
   /** Targets that may have run the request, the one of the silent attempt included. */
@@ -55,11 +53,10 @@
 export function createMover(options: MoverOptions): (req: MoveRequest) => Move {
   const { placer, limits, quarantine } = options;
   const stay = (reason: StayReason): Move => ({ kind: 'stay', reason });
-  return ({ call, placementRequest, progress, ...req }) => {
+  return ({ call, placementRequest, ...req }) => {
     const { route, response } = call;
     if (!isRetryable(call) || req.ranOnCount >= route.maxTargets) return stay('route');
-    const isResumable = route.kind === 'stream' && progress.lastEventId !== undefined;
-    if (response.hasStarted && !isResumable) return stay('partly-sent');
+    if (response.hasStarted) return stay('partly-sent');
     if (remainingMs(call) < minRemainingMs) return stay('no-time');
     if (quarantine.find(req.content)) return stay('quarantined');
     const choice = placer.choose(placementRequest, req.excluded);
--- a/src/gateway/outcomes.ts
+++ b/src/gateway/outcomes.ts
@@ -1,5 +1,5 @@
 import { type CallerHead } from '../ports/wire.js';
-import { type AttemptEnd, type Progress } from './attempt.js';
+import { type AttemptEnd, type Progress } from './attemptend.js';
 import { type FailureTracker } from './failuretracker.js';
 import { type Placement } from './placement.js';
 import { type Target } from './targets.js';
--- a/src/gateway/repeats.ts
+++ b/src/gateway/repeats.ts
@@ -1,5 +1,5 @@
 import { type Logger } from '../base/logging.js';
-import { type AttemptEnd } from './attempt.js';
+import { type AttemptEnd } from './attemptend.js';
 import { type GatewayCall } from './calls.js';
 import { type RepeatKind, type RetryBudget } from './retrybudget.js';
 import { type Target } from './targets.js';
@@ -19,7 +19,7 @@
    */
   tryStart(target: Target | undefined, isContinuation: boolean): boolean;
   /** Pays for an attempt that replaces the running one, which has reached its target. */
-  tryReplace(target: Target, isContinuation: boolean): boolean;
+  tryReplace(target: Target): boolean;
   /** Records the end of an attempt. */
   observeEnd(target: Target, end: EndOfAttempt): void;
 }
@@ -79,7 +79,7 @@
           if (hasArrived && !isPaid) isPaid = tryPay(target, isContinuation);
           return !hasArrived || isPaid;
         },
-        tryReplace: tryPay,
+        tryReplace: (target) => tryPay(target, false),
         observeEnd(target, end) {
           // Nothing was sent to an unreachable target, so what was paid is left for the next one.
           if (end.kind === 'not-run' && end.cause === 'unreachable') return;
--- a/src/gateway/responsestatus.ts
+++ b/src/gateway/responsestatus.ts
@@ -1,5 +1,5 @@
 import { type TargetHead } from '../ports/wire.js';
-import { type NotRunCause } from './attempt.js';
+import { type NotRunCause } from './attemptend.js';
 
 /**
  * What the head of a response says about the work of its request. `failed`: the request may have run;
--- a/src/gateway/retrybudget.ts
+++ b/src/gateway/retrybudget.ts
@@ -56,6 +56,16 @@
   'further-round': 0.4,
 };
 
+/**
+ * Share of the fixed number that a gateway uses in its first window: its repeats before a restart are
+ * forgotten, and its peers learn of it late. A stream that is not continued is lost for its caller.
+ */
+const firstWindowShares: Readonly<Record<RepeatKind, number>> = {
+  continuation: 0.5,
+  untried: 0,
+  'further-round': 0,
+};
+
 interface ServiceRecord {
   readonly requests: WindowCount;
   readonly repeats: WindowCount;
@@ -99,9 +109,9 @@
       const requests = record.requests.sum('left out');
       const repeats = record.repeats.sum('included');
       const gateways = options.gatewayCount();
-      // Repeats before a restart are forgotten, and the peers learn of this gateway only later.
       const slackInMs = Math.max(0, startedAt + windowMs - clock.now());
-      const slack = gateways === undefined || slackInMs > 0 ? 0 : limits.slack / gateways;
+      const slackShare = slackInMs > 0 ? firstWindowShares[kind] : 1;
+      const slack = gateways === undefined ? 0 : (slackShare * limits.slack) / gateways;
       const allowed = limitFractions[kind] * (requests * limits.ratio + slack);
       const isAllowed = repeats + 1 <= allowed;
       if (isAllowed) record.repeats.add();
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -1,7 +1,8 @@
 import { type Clock } from '../base/clock.js';
 import { type ResponseMonitor } from '../base/responselimits.js';
 import { type WireProtocol } from '../ports/wire.js';
-import { type Attempt, type AttemptOptions, type Progress, startAttempt } from './attempt.js';
+import { type Attempt, type AttemptOptions, startAttempt } from './attempt.js';
+import { type Progress } from './attemptend.js';
 import { type GatewayCall } from './calls.js';
 import { defaultPriority, lowestPriority } from './inflight.js';
 import { type Placement } from './placement.js';
