Give the second read of the settings a file in the test of early signals

The fault was in the test's pipe. The path now names a file once the process has opened the pipe; what is checked is unchanged.

Run: vitest test/daemon/start -t settings, 12 times: passed.

--- a/test/daemon/start.test.ts
+++ b/test/daemon/start.test.ts
@@ -49,8 +49,6 @@
     await pause(100);
     expect(gateway.end).toBeUndefined();
     await complete();
-    const completeAgain = await gateway.holdSettings();
-    await completeAgain();
     await gateway.logged('gateway started');
     await gateway.logged('settings were read again');
   });
--- a/test/standins/platform/process.ts
+++ b/test/standins/platform/process.ts
@@ -1,5 +1,5 @@
 import { execFileSync, spawn } from 'node:child_process';
-import { constants, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { constants, mkdtempSync, renameSync, rmSync, writeFileSync } from 'node:fs';
 import { type FileHandle, open } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -123,6 +123,9 @@
         return pipe !== undefined;
       });
       return async () => {
+        // The process has opened the pipe; later reads get a file.
+        writeFileSync(`${settingsPath}.new`, settings.join('\n'));
+        renameSync(`${settingsPath}.new`, settingsPath);
         await pipe?.writeFile(settings.join('\n'));
         await pipe?.close();
       };
