Give each gateway of the test site a port for hints that is free

What was seen: deadlyrequests.test.ts was red in three of three runs beside deadlyprompts.test.ts (load 15 to 17): 2 or 3 runs after the third crash, bound 1. In the trace of such a run gw-3 hears nothing of the crashes that gw-2 saw.

Cause: ports were counted from a number taken from the process id, so two test files whose ids are close used the same ports. A run that printed the warnings shows it: "bind EADDRINUSE 127.0.0.1:23241" for gw-2 and 23242 for gw-3, "hints are not exchanged". Gateways without hints know of crashes through the store only, a second later.

Change: the port is one that the system says is free. The checks and bounds are as they were.

--- a/test/standins/platform/site.ts
+++ b/test/standins/platform/site.ts
@@ -1,3 +1,4 @@
+import { createSocket } from 'node:dgram';
 import { createHttpClient } from '../../../src/base/httpclient.js';
 import { createNullLogger, type Logger } from '../../../src/base/logging.js';
 import { startGateway } from '../../../src/daemon/gateway.js';
@@ -68,7 +69,17 @@
   close(): Promise<void>;
 }
 
-let nextPeerPort = 23_100 + (process.pid % 2_000);
+/** Finds a free port for datagrams; test files run in several processes at the same time. */
+function findPeerPort(): Promise<number> {
+  const socket = createSocket('udp4');
+  return new Promise((resolve, reject) => {
+    socket.once('error', reject);
+    socket.bind(0, '127.0.0.1', () => {
+      const { port } = socket.address();
+      socket.close(() => resolve(port));
+    });
+  });
+}
 
 const pause = (durationMs: number): Promise<void> =>
   new Promise((resolve) => {
@@ -105,7 +116,7 @@
       return target;
     },
     async startGateway(name, log = createNullLogger()) {
-      nextPeerPort += 1;
+      const peerPort = await findPeerPort();
       const settings = parseGatewaySettings(
         [
           '[process]',
@@ -114,7 +125,7 @@
           '[listen]',
           'callers = 127.0.0.1:0',
           'operators = 127.0.0.1:0',
-          `peers = 127.0.0.1:${nextPeerPort}`,
+          `peers = 127.0.0.1:${peerPort}`,
           '[store]',
           `address = 127.0.0.1:${store.port}`,
           '[shutdown]',
