--- a/test/standins/platform/site.ts
+++ b/test/standins/platform/site.ts
@@ -1,3 +1,4 @@
+import { createSocket } from 'node:dgram';
 import { createHttpClient } from '../../../src/base/httpclient.js';
 import { createResponseMonitor } from '../../../src/base/responselimits.js';
 import { createNullLogger, type Logger } from '../../../src/base/logging.js';
@@ -76,7 +77,17 @@
 /** Window of the retry budget of a settled gateway, which uses the fixed number after one window. */
 const settledWindowMs = 250;
 
-let nextPeerPort = 23_100 + (process.pid % 2_000);
+/** Finds a free port for datagrams; test files run in several processes at the same time. */
+function findPeerPort(): Promise<number> {
+  const socket = createSocket('udp4');
+  return new Promise((resolve, reject) => {
+    socket.once('error', reject);
+    socket.bind(0, '127.0.0.1', () => {
+      const { port } = socket.address();
+      socket.close(() => resolve(port));
+    });
+  });
+}
 
 const pause = (durationMs: number): Promise<void> =>
   new Promise((resolve) => {
@@ -113,7 +124,7 @@
       return target;
     },
     async startGateway(name, log = createNullLogger(), lines = []) {
-      nextPeerPort += 1;
+      const peerPort = await findPeerPort();
       const settings = parseGatewaySettings(
         [
           '[process]',
@@ -122,7 +133,7 @@
           '[listen]',
           'callers = 127.0.0.1:0',
           'operators = 127.0.0.1:0',
-          `peers = 127.0.0.1:${nextPeerPort}`,
+          `peers = 127.0.0.1:${peerPort}`,
           '[store]',
           `address = 127.0.0.1:${store.port}`,
           '[shutdown]',
