Don't take an oversized response for a lost connection

What callers saw: nothing yet. An attempt that the gateway gave up for too many bytes was passed to the detector of crashes as a connection that the target had lost; if the probe that follows is late, as on a busy event loop, the parts of the prompt are accused of a crash.

Cause: the parser's overflow errors, and now the limits of responses, reach the attempt like a lost connection.

Measured: oversizedresponses, endless, deadlyprompts and test/gateway pass (182 tests).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -159,8 +159,11 @@
     end({ kind, cause, ...(lostAt && { lostAt }) });
   };
 
-  /** Fails the attempt because its response exceeds a limit. */
-  const giveUp = (err: Error, lostAt?: ResponseStage): void => {
+  /**
+   * Fails the attempt because its response exceeds a limit. The target did not lose the connection, so
+   * this is no sign of a crash.
+   */
+  const giveUp = (err: Error): void => {
     if (isEnded) return;
     options.responseMonitor.report({
       call: 'request',
@@ -168,7 +171,7 @@
       receivedBytes: exchange.current?.receivedBytes ?? 0,
       cause: err.message,
     });
-    fail(err.message, lostAt);
+    fail(err.message);
   };
 
   const markUnderway = (): void => {
@@ -299,7 +302,7 @@
 
   const onFailure = (err: Error, isSent: boolean): void => {
     if (!isSent) end({ kind: 'not-run', cause: 'unreachable' });
-    else if (isResponseLimit(err)) giveUp(err, stage);
+    else if (isResponseLimit(err)) giveUp(err);
     else fail(err.message, stage);
   };
 
--- a/test/daemon/oversizedresponses.test.ts
+++ b/test/daemon/oversizedresponses.test.ts
@@ -26,10 +26,11 @@
   const { stream, lines } = createLineStream();
   try {
     site.store.put('servers', 'desk-1', target.registration);
-    const gateway = await site.startGateway('gw-1', createLogger('gw-1', 'warn', stream));
+    const gateway = await site.startGateway('gw-1', createLogger('gw-1', 'info', stream));
     const { status } = await sendPrompt(gateway, 'r', 'order');
     expect(status).toBe(502);
-    const [record] = lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+    const records = lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+    const record = records.find(({ msg }) => String(msg).startsWith('response was given up'));
     expect(record).toMatchObject({
       call: 'request',
       host: '127.0.0.1',
@@ -37,6 +38,10 @@
       cause: 'Parse Error: Header overflow',
     });
     expect(record?.['receivedBytes']).toBeGreaterThan(16_000);
+    // Evidence of a crash would quarantine the prompt.
+    const attempt = records.find(({ msg }) => msg === 'attempt failed');
+    expect(attempt).toMatchObject({ end: 'failed', cause: record?.['cause'] });
+    expect(attempt).not.toHaveProperty('lostAt');
     const metrics = await fetch(`${gateway.addresses.operators}/metrics`);
     expect(await metrics.text()).toContain('oversized_responses_total{call="request"} 1\n');
   } finally {
