Leave the order lease to others while a process stops (VERSION)

A stopping process now takes the lease over from nobody; a holder goes on with its rollout.

'changes no engine when another process held the lease and this process is stopping' failed before (expected [ 2, 2 ] to deeply equal [ 1, 1 ]) and passes.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -383,6 +383,7 @@
     },
     async drain(handledMs = 0) {
       isDraining = true;
+      rollout.leaveToOthers();
       await plannedStop.run(callerServer, handledMs);
     },
     stop,
--- a/src/orders/weightsrollout.ts
+++ b/src/orders/weightsrollout.ts
@@ -14,6 +14,11 @@
 export interface WeightsRollout extends Disposable {
   /** Requests a step at once because the desired versions, engines or lease may have changed. */
   requestStep(): void;
+  /**
+   * From now on the lease is not taken over from another process, because this one ends soon and the
+   * next holder would have to wait until the lease expires. A holder goes on.
+   */
+  leaveToOthers(): void;
 }
 
 export interface WeightsRolloutOptions {
@@ -82,6 +87,7 @@
   let resumeLoop: () => void = () => undefined;
   /** True when a step was requested since the last one started. */
   let isStepRequested = false;
+  let isLeftToOthers = false;
 
   const requestStep = (): void => {
     isStepRequested = true;
@@ -311,7 +317,8 @@
       const isListed = gateway.engines(change.model).some((engine) => engine.id === id);
       if (!isListed) finishLost(id, 'engine is no longer listed');
     }
-    if (!hasOutdatedEngine() && changes.size === 0) {
+    const isOthersTurn = isLeftToOthers && !lease.isHolder;
+    if ((!hasOutdatedEngine() || isOthersTurn) && changes.size === 0) {
       outdatedSince = undefined;
       return undefined;
     }
@@ -347,6 +354,9 @@
 
   return {
     requestStep,
+    leaveToOthers() {
+      isLeftToOthers = true;
+    },
     dispose() {
       source.cancel('rollout closed');
       requestStep();
--- a/test/orders/weightsrollout.test.ts
+++ b/test/orders/weightsrollout.test.ts
@@ -32,6 +32,7 @@
   canAcquire: () => boolean = () => true,
   deadlineMs = Infinity,
   loadMs = 760,
+  isHolder = true,
 ) {
   const clock = createManualClock();
   const startedAt = clock.now();
@@ -87,7 +88,7 @@
   };
   const lease: OnDemandOrderLease = {
     key: 'holder',
-    isHolder: true,
+    isHolder,
     unchangedMs: () => Infinity,
     acquire: async () => (canAcquire() ? 7 : undefined),
     observe: () => undefined,
@@ -129,6 +130,7 @@
       desiredVersions.set('m', version);
       rollout.requestStep();
     },
+    leaveToOthers: () => rollout.leaveToOthers(),
     observed: () => [...engines.keys()].map((id) => observedVersions.get(id)),
     versions: () => [...engines.values()].map(({ version }) => version),
   };
@@ -252,4 +254,16 @@
     expect(site.observed()).toEqual(Array.from({ length: 6 }, () => 6));
     expect(site.clock.now() - startedAt).toBe(1_700);
   });
+
+  // Guards against weights that stay old because processes that end take the lease over (VERSION).
+  it.each([
+    ['no engine when another process held the lease', false, [1, 1]],
+    ['the engines when this process holds the lease', true, [2, 2]],
+  ])('changes %s and this process is stopping', async (_name, isHolder, versions) => {
+    const site = setUp(2, () => true, Infinity, 760, isHolder);
+    site.leaveToOthers();
+    site.setDesired(2);
+    await site.clock.advance(5_000);
+    expect(site.versions()).toEqual(versions);
+  });
 });
