Answer a request whole when unreadable bytes follow it (MIXED)

A caller that sends bytes which are no request while it waits got '400 Bad Request' in the place of the answer that its target was making. The response is now written whole, and the connection closes after it.

'answers a request whole when bytes that are no request follow it' failed before (expected 'HTTP/1.1 400 Bad Request...' to match 200 OK) and passes.

--- a/src/base/activerequests.ts
+++ b/src/base/activerequests.ts
@@ -30,6 +30,8 @@
   readonly flushing: number;
   add(requestId: string, req: IncomingMessage, res: ServerResponse): ActiveRequest;
   remove(request: ActiveRequest): void;
+  /** True while the connection has a request. */
+  isActive(socket: Socket): boolean;
   /**
    * Closes the connections that have no active request and on which no request has begun. Node's
    * `closeIdleConnections` also closes those whose response is complete but not flushed.
@@ -70,6 +72,7 @@
       for (const { isFlushing } of requests.keys()) if (isFlushing) count += 1;
       return count;
     },
+    isActive: (socket) => (connections.get(socket)?.active ?? 0) > 0,
     add(requestId, { socket }, res) {
       // `bytesWritten` is undefined once a socket has lost its buffer.
       const passedBytes = (): number => (socket.bytesWritten ?? 0) - socket.writableLength;
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -99,6 +99,9 @@
   const requests = createActiveRequests(clock, server);
   /** Connections on which a response is the last one; later requests can't be answered there. */
   const closingSockets = new WeakSet<Socket>();
+  /** Connections on which bytes arrived that are no request, while a complete one is answered. */
+  const unreadableSockets = new WeakSet<Socket>();
+  const newestRequests = new WeakMap<Socket, IncomingMessage>();
   let isClosing = false;
   let isRefusing = false;
   let isInterrupting = false;
@@ -201,8 +204,13 @@
     const head = protocol.readCaller(req.headers);
     const response = createCallerResponse(res, protocol, head.requestId);
     const request = requests.add(head.requestId, req, res);
+    const { socket } = req;
+    newestRequests.set(socket, req);
     request.closed.then(
-      () => requests.remove(request),
+      () => {
+        requests.remove(request);
+        if (unreadableSockets.has(socket) && !requests.isActive(socket)) socket.end();
+      },
       () => undefined,
     );
     const logFields = { route: '', team: '', version: -1 };
@@ -271,7 +279,13 @@
     socket.setMaxListeners(0);
     starts.recordConnection();
   });
-  server.on('clientError', (err, socket) => onClientError(err, socket as Socket));
+  server.on('clientError', (err: NodeJS.ErrnoException, duplex) => {
+    const socket = duplex as Socket;
+    const isAnswering = requests.isActive(socket) && newestRequests.get(socket)?.complete === true;
+    // An answer to the unreadable bytes would be taken for the one that the caller waits for.
+    if (isAnswering && err.code !== 'ECONNRESET') unreadableSockets.add(socket);
+    else onClientError(err, socket);
+  });
 
   return {
     server,
