--- a/src/base/activerequests.ts
+++ b/src/base/activerequests.ts
@@ -30,6 +30,8 @@
   readonly flushing: number;
   add(requestId: string, req: IncomingMessage, res: ServerResponse): ActiveRequest;
   remove(request: ActiveRequest): void;
+  /** True when a request of the connection was read in full and its response has not left the process. */
+  isResponding(socket: Socket): boolean;
   /**
    * Closes the connections that have no active request and on which no request has begun. Node's
    * `closeIdleConnections` also closes those whose response is complete but not flushed.
@@ -47,6 +49,7 @@
 
 interface Entry {
   readonly startedAt: number;
+  readonly req: IncomingMessage;
   readonly socket: Socket;
 }
 
@@ -70,7 +73,8 @@
       for (const { isFlushing } of requests.keys()) if (isFlushing) count += 1;
       return count;
     },
-    add(requestId, { socket }, res) {
+    add(requestId, req, res) {
+      const { socket } = req;
       // `bytesWritten` is undefined once a socket has lost its buffer.
       const passedBytes = (): number => (socket.bytesWritten ?? 0) - socket.writableLength;
       const bytesBefore = passedBytes();
@@ -94,7 +98,7 @@
         }),
         sentBytes: () => Math.max(0, passedBytes() - bytesBefore),
       };
-      requests.set(request, { startedAt: clock.now(), socket });
+      requests.set(request, { startedAt: clock.now(), req, socket });
       const connection = connections.get(socket);
       if (connection) connection.active += 1;
       return request;
@@ -107,6 +111,11 @@
       connection.active -= 1;
       if (connection.active === 0) connection.readBytes = socket.bytesRead;
     },
+    isResponding(socket) {
+      for (const { req, socket: other } of requests.values())
+        if (other === socket && req.complete) return true;
+      return false;
+    },
     closeIdleConnections() {
       for (const [socket, { active, readBytes }] of connections)
         if (active === 0 && socket.bytesRead === readBytes) socket.destroySoon();
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -256,7 +256,12 @@
     socket.setMaxListeners(0);
     starts.recordConnection();
   });
-  server.on('clientError', (err, socket) => onClientError(err, socket as Socket));
+  server.on('clientError', (err, duplex) => {
+    const socket = duplex as Socket;
+    // The caller would take a refusal for a part of the response that it waits for.
+    if (requests.isResponding(socket)) socket.destroySoon();
+    else onClientError(err, socket);
+  });
 
   return {
     server,
