Retry budget: pay only with requests that count in every window of a repeat (BUDGET)

Callers saw: after two bursts of requests nearly a window apart, a service could get more repeats than its budget in a window that has only one of the bursts.

Cause: a repeat was paid with all requests of the window that ends with it. A window that ends later has the repeat, but not the oldest of these requests; it is judged by its own requests, those of the window before it or half a window before it, whichever are most.

The older property test adds up the requests of two windows, so it doesn't see this.

Change: the budget takes the least number of requests that count in any window that ends up to one window from now. At a steady rate that is the same number.

--- a/src/gateway/retrybudget.ts
+++ b/src/gateway/retrybudget.ts
@@ -1,5 +1,5 @@
 import { type Clock } from '../base/clock.js';
-import { createWindowCount, type WindowCount } from './windowcount.js';
+import { createWindowCount, defaultBuckets, type WindowCount } from './windowcount.js';
 
 /**
  * Why a request is sent to a target again. `continuation`: the caller has a part of the stream.
@@ -15,7 +15,7 @@
   readonly repeats: number;
   /** Repeats that this gateway may send in the window, for this kind. */
   readonly allowed: number;
-  /** Requests for the service in the window. */
+  /** Requests for the service that count in each window with this repeat. */
   readonly requests: number;
   /** Gateways that share the fixed number; undefined while that is not known. */
   readonly gateways: number | undefined;
@@ -56,7 +56,21 @@
   'further-round': 0.4,
 };
 
+/** Requests are counted in a window, or in one that begins this many buckets earlier if that has more. */
+const windowShifts = [0, defaultBuckets / 2, defaultBuckets];
+
+/** Requests that surely count in each window that begins before now and ends from now on. */
+function surelyCounted(requests: WindowCount): number {
+  let least = Infinity;
+  for (let later = 0; later <= defaultBuckets; later += 1) {
+    const counts = windowShifts.map((shift) => requests.sumOfAges(shift - later, defaultBuckets));
+    least = Math.min(least, Math.max(...counts));
+  }
+  return least;
+}
+
 interface ServiceRecord {
+  /** Of two windows. */
   readonly requests: WindowCount;
   readonly repeats: WindowCount;
 }
@@ -86,7 +100,7 @@
     prune();
     const known = records.get(service);
     if (known) return known;
-    const requests = createWindowCount(clock, windowMs);
+    const requests = createWindowCount(clock, 2 * windowMs, 2 * defaultBuckets);
     const record = { requests, repeats: createWindowCount(clock, windowMs) };
     records.set(service, record);
     return record;
@@ -96,7 +110,7 @@
     deposit: (service) => recordOf(service).requests.add(),
     tryWithdraw(service, kind) {
       const record = recordOf(service);
-      const requests = record.requests.sum('left out');
+      const requests = surelyCounted(record.requests);
       const repeats = record.repeats.sum('included');
       const gateways = options.gatewayCount();
       // Repeats before a restart are forgotten, and the peers learn of this gateway only later.
--- a/src/gateway/windowcount.ts
+++ b/src/gateway/windowcount.ts
@@ -8,11 +8,18 @@
    * that is only partly in the window counts.
    */
   sum(oldest: 'included' | 'left out'): number;
+  /** Events of the buckets from one age on, in buckets; those of negative age are empty. */
+  sumOfAges(first: number, buckets: number): number;
 }
 
-const bucketsPerWindow = 50;
+/** Buckets of a window, unless it has another number. */
+export const defaultBuckets = 50;
 
-export function createWindowCount(clock: Clock, windowMs: number): WindowCount {
+export function createWindowCount(
+  clock: Clock,
+  windowMs: number,
+  bucketsPerWindow = defaultBuckets,
+): WindowCount {
   const counts = new Array<number>(bucketsPerWindow + 1).fill(0);
   /** Number of the newest bucket since the start of the clock. */
   let newest = -Infinity;
@@ -35,5 +42,12 @@
       if (oldest === 'included') return total;
       return total - (counts[(newest + 1) % counts.length] ?? 0);
     },
+    sumOfAges(first, buckets) {
+      advance();
+      let sum = 0;
+      for (let age = Math.max(0, first); age < first + buckets && age <= newest; age += 1)
+        sum += counts[(newest - age) % counts.length] ?? 0;
+      return sum;
+    },
   };
 }
