Evidence of crashes ends an hour after the last one

Callers saw: a request or prompt part that was lost in two crashes more than an hour apart was quarantined (503) as if both were recent. Besides, after its first crash a gateway hashed the body of each answered request for as long as it ran.

Cause: evidence of old crashes was dropped only after the next crash was added, so that crash was counted with it. Contents are mostly sent once, so nothing clears them and a gateway kept suspecting them without an end.

Evidence: two tests in test/quarantine/evidence.test.ts failed before: "expected 1 to be +0" (records an hour after the last crash) and "expected [ 'a' ] to be undefined" (accused by two crashes an hour apart).

Change: old evidence is dropped before a crash is added and before the number of suspects is read.

--- a/src/quarantine/evidence.ts
+++ b/src/quarantine/evidence.ts
@@ -136,7 +136,6 @@
       if (clock.now() - (crashes.at(-1)?.at ?? -Infinity) < evidenceMaxAgeMs) break;
       records.delete(partId);
     }
-    dropOldest(records, maxRecords);
   };
 
   /** Returns true when the part was suspected and no longer is. */
@@ -176,6 +175,7 @@
   };
 
   const add = (sighting: Sighting): void => {
+    dropStaleRecords();
     const unanswered = sighting.unanswered.filter((id) => !answeredAt.has(id));
     const answered = [...sighting.answered, ...sighting.unanswered].filter(
       (id) => !unanswered.includes(id) && (answeredAt.get(id) ?? -Infinity) < sighting.at,
@@ -183,7 +183,7 @@
     for (const partId of unanswered) addToPart(partId, sighting, false, unanswered);
     const suspects = [...unanswered, ...answered];
     for (const partId of answered) addToPart(partId, sighting, true, suspects);
-    dropStaleRecords();
+    dropOldest(records, maxRecords);
   };
 
   const accusationOf = (partId: string): Accusation | undefined => {
@@ -207,6 +207,7 @@
 
   return {
     get size() {
+      dropStaleRecords();
       return records.size;
     },
     observeCrash(targetId, prompts, lostAgain) {
--- a/test/quarantine/evidence.test.ts
+++ b/test/quarantine/evidence.test.ts
@@ -145,6 +145,24 @@
     expect(accusedOf(evidence, 'dead')).toEqual(['dead']);
   });
 
+  // Guards against a hash of each answered body long after the last crash.
+  it('suspects nothing an hour after the last crash, whether or not another follows', async () => {
+    const { evidence, crash, clock } = setUp();
+    await crash('t1', ['content,once']);
+    expect(evidence.size).toBe(1);
+    await clock.advance(3_600_000);
+    expect(evidence.size).toBe(0);
+  });
+
+  it('does not add a crash to evidence that is an hour old', async () => {
+    const { evidence, crash, clock } = setUp();
+    await crash('t1', ['a', 'content,a']);
+    await clock.advance(3_600_000);
+    await crash('t2', ['a', 'content,a']);
+    expect(accusedOf(evidence, 'a')).toBeUndefined();
+    expect(accusedOf(evidence, 'content,a')).toBeUndefined();
+  });
+
   it('comes to the same result in whatever order and however often gateways hear of it', () => {
     const part = fc.constantFrom('a', 'b', 'c', 'd');
     const sightings = fc.array(
