Retry budget: no fixed part for a gateway that its peers don't count (BUDGET)

Callers saw: when the store refused the writes of new gateways but answered their reads, a service got up to the fixed number of repeats from each of them.

Cause: a gateway took its part of the fixed number by the peers that it had read, one window after its start. Peers learn of it only from its row in the store, so until that is written they share the whole number without it.

Evidence: the new test in test/daemon/repeats.test.ts failed before with "expected 36.3 to be less than or equal to 0" repeats beyond the limit, with a fixed number of 30 and gateways whose writes the store refused.

Change: the number of gateways counts as unknown until the gateway has read its own row from the store, for the repeats and for the limits of targets.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -31,7 +31,7 @@
 import { createCacheModelUpdater } from './gatewaycaches.js';
 import { watchTables, type GatewayFeeds } from './gatewayfeeds.js';
 import { createGatewayMetrics, type GatewayMetrics } from './gatewaymetrics.js';
-import { registerGateway } from './gatewaypeers.js';
+import { type GatewayRows, registerGateway } from './gatewaypeers.js';
 import { createGatewayQuarantine, type GatewayQuarantine } from './gatewayquarantine.js';
 import { createRolloutGateway } from './gatewayrollout.js';
 import { createGatewayStop } from './gatewaystop.js';
@@ -85,12 +85,16 @@
       limits: () => targetLimits?.pack(),
     }),
   );
+  let gatewayRows: GatewayRows | undefined;
+  /** Undefined while the peers share the site's limits without this gateway. */
+  const gatewayCount = (): number | undefined =>
+    gatewayRows?.isRegistered ? peers.knownCount : undefined;
   const limits = createTargetLimits({
     clock,
     random,
     log,
     directory,
-    gatewayCount: () => peers.knownCount,
+    gatewayCount,
     requestHint: () => peers.scheduleHint(),
   });
   targetLimits = limits;
@@ -186,7 +190,7 @@
       slack: settings.repeats.slack,
       windowMs: settings.repeats.window,
     },
-    gatewayCount: () => peers.knownCount,
+    gatewayCount,
   });
   const registry = new Registry();
   metrics = createGatewayMetrics(registry, {
@@ -263,7 +267,7 @@
       active: () => callerServer.active,
     }),
   );
-  const gatewayRows = registerGateway({
+  gatewayRows = registerGateway({
     clock,
     random,
     log,
--- a/src/daemon/gatewaypeers.ts
+++ b/src/daemon/gatewaypeers.ts
@@ -8,6 +8,8 @@
 
 /** Rows in which the gateways publish their addresses to each other. */
 export interface GatewayRows {
+  /** The store has this gateway's address, so that its peers count it. */
+  readonly isRegistered: boolean;
   observe(key: string, value: string, version: number): void;
   /** Addresses of the other gateways. */
   peerAddresses(): readonly HostPort[];
@@ -72,6 +74,9 @@
   );
 
   return {
+    get isRegistered() {
+      return addressesByKey.get(key) === value;
+    },
     observe(rowKey, rowValue) {
       if (rowKey.startsWith(keyPrefix)) addressesByKey.set(rowKey, rowValue);
     },
--- a/test/daemon/repeats.test.ts
+++ b/test/daemon/repeats.test.ts
@@ -124,4 +124,16 @@
     expect(repeats).toBeGreaterThan(0);
     expect(excess).toBeLessThanOrEqual(0);
   }, 20_000);
+
+  it('do not each use the whole fixed part while the store has none of their addresses', async () => {
+    const slack = 30;
+    site.store.fault = 'read-only';
+    const gateways = await startGateways(slack);
+    await pause(windowMs);
+    await play(gateways, windowMs, { calls: 60, prompts: 1 });
+    expect(worstExcess(slack).excess).toBeLessThanOrEqual(0);
+    site.store.fault = 'none';
+    await play(gateways, 2 * windowMs, { calls: 60, prompts: 1 });
+    expect(worstExcess(slack).repeats).toBeGreaterThan(0);
+  }, 20_000);
 });
--- a/test/standins/platform/store.ts
+++ b/test/standins/platform/store.ts
@@ -1,8 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type AddressInfo, type Socket } from 'node:net';
 
-/** Faults of the store. `late` applies a write but never sends a response. */
-export type StoreFault = 'none' | 'busy' | 'silent' | 'reset' | 'late';
+/**
+ * Faults of the store. `late` applies a write but never sends a response; `read-only` refuses writes.
+ */
+export type StoreFault = 'none' | 'busy' | 'silent' | 'reset' | 'late' | 'read-only';
 
 interface StoredRow {
   readonly table: string;
@@ -130,7 +132,8 @@
     const timer: { current?: NodeJS.Timeout } = {};
     const reply = (isTimedOut: boolean): void => {
       const changed = history.filter((change) => change.table === table && change.ver > after);
-      if (fault !== 'none' || (changed.length === 0 && !isTimedOut)) return;
+      const isFeedDown = fault !== 'none' && fault !== 'read-only';
+      if (isFeedDown || (changed.length === 0 && !isTimedOut)) return;
       clearTimeout(timer.current);
       waitingFeeds.delete(recheck);
       if (after < firstRetainedVersion) send(res, 410, {});
@@ -169,7 +172,8 @@
     if (url.pathname === '/rows-get') send(res, 200, readRange(url));
     else if (url.pathname === '/rows-feed') handleFeed(url, res);
     else if (url.pathname === '/rows-tx') {
-      transact(JSON.parse(await readBody(req)) as Transaction, res);
+      if (fault === 'read-only') send(res, 503, {});
+      else transact(JSON.parse(await readBody(req)) as Transaction, res);
     } else send(res, 404, {});
   };
 
