Read the bodies of callers into blocks, whatever the size of their chunks

Callers saw: a caller that sends its body in chunks of one byte makes the process hold over a hundred times the bytes of the body; enough of them end it for lack of memory, with the requests of all others (LOST).

Cause: each chunk was kept as a Buffer of its own until the body was complete, as responses of targets were before they got a limit.

Change: bodies are collected in the blocks that responses use; the limit on their length stays that of the configuration.

--- a/src/gateway/requestbody.ts
+++ b/src/gateway/requestbody.ts
@@ -1,16 +1,21 @@
 import { type IncomingMessage } from 'node:http';
+import { createAllowance } from '../base/allowance.js';
+import { createByteBuffer } from '../base/bytebuffer.js';
 
 /** Reads the whole body, so that it can be sent again; undefined if too large or incomplete. */
 export function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const buffer = createByteBuffer({
+      maxBytes,
+      ownBytes: Infinity,
+      allowance: createAllowance(0),
+    });
     req.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) resolve(undefined);
-      else chunks.push(chunk);
+      if (!buffer.push(chunk)) return;
+      buffer.dispose();
+      resolve(undefined);
     });
-    req.on('end', () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
+    req.on('end', () => resolve(buffer.take()));
     req.on('error', () => resolve(undefined));
   });
 }
