Repeats: record the refused move of a silent attempt once

Operators saw: while the budget is used up, each silent attempt wrote a line and counted a refusal every 150 ms, so the log dropped lines and the metric counted checks, not decisions.

Cause: a silent attempt asks for the budget with each check of its target, and each question was recorded.

Evidence: the new test in test/gateway/repeats.test.ts failed before with "expected [ 'desk untried true', ...(2) ] to deeply equal [ ..., ...(1) ]".

Change: refusals that follow a refused move of the same request are not recorded again until one is allowed.

--- a/src/gateway/repeats.ts
+++ b/src/gateway/repeats.ts
@@ -18,7 +18,10 @@
    * that have turned it away may accept it.
    */
   tryStart(target: Target | undefined, isContinuation: boolean): boolean;
-  /** Pays for an attempt that replaces the running one, which has reached its target. */
+  /**
+   * Pays for an attempt that replaces the running one, which has reached its target. Refusals one after
+   * the other are recorded once.
+   */
   tryReplace(target: Target, isContinuation: boolean): boolean;
   /** Records the end of an attempt. */
   observeEnd(target: Target, end: EndOfAttempt): void;
@@ -47,6 +50,7 @@
       const turnedAwayBy = new Set<Target>();
       let hasArrived = false;
       let isPaid = false;
+      let isReplaceRefused = false;
       budget.deposit(service);
 
       const kindOf = (target: Target | undefined, isContinuation: boolean): RepeatKind => {
@@ -55,9 +59,14 @@
         return isTried ? 'further-round' : 'untried';
       };
 
-      const tryPay = (target: Target | undefined, isContinuation: boolean): boolean => {
+      const tryPay = (
+        target: Target | undefined,
+        isContinuation: boolean,
+        isRefusalKnown = false,
+      ): boolean => {
         const kind = kindOf(target, isContinuation);
         const { isAllowed, allowed, slackInMs, ...inputs } = budget.tryWithdraw(service, kind);
+        if (!isAllowed && isRefusalKnown) return false;
         log.info(
           {
             requestId,
@@ -79,7 +88,11 @@
           if (hasArrived && !isPaid) isPaid = tryPay(target, isContinuation);
           return !hasArrived || isPaid;
         },
-        tryReplace: tryPay,
+        tryReplace(target, isContinuation) {
+          const isAllowed = tryPay(target, isContinuation, isReplaceRefused);
+          isReplaceRefused = !isAllowed;
+          return isAllowed;
+        },
         observeEnd(target, end) {
           // Nothing was sent to an unreachable target, so what was paid is left for the next one.
           if (end.kind === 'not-run' && end.cause === 'unreachable') return;
--- a/test/gateway/repeats.test.ts
+++ b/test/gateway/repeats.test.ts
@@ -95,6 +95,19 @@
   `);
 });
 
+// Guards against a line every 150 ms for each silent attempt while the budget is used up.
+it('records the refusal to replace a silent attempt once, however often it is asked', async () => {
+  const { decisions, start, budget } = await setUp(5);
+  const request = start();
+  for (let checks = 0; checks < 3; checks += 1)
+    expect(request.tryReplace(second, false)).toBe(checks === 0);
+  expect(decisions).toEqual(['desk untried true', 'desk untried false']);
+  const other = start();
+  for (let checks = 0; checks < 3; checks += 1) expect(other.tryReplace(second, false)).toBe(false);
+  expect(decisions).toHaveLength(3);
+  expect(budget.tryWithdraw('desk', 'untried').repeats).toBe(1);
+});
+
 describe('repeats of a request', () => {
   it('are only the attempts after the first one that arrived', async () => {
     const { decisions, start } = await setUp(100);
