Claim no trial of a quarantined request that could not be sent

Callers saw: a sound request that was quarantined got 503 for a minute, ten minutes or the whole hold time longer when its trials fell into a time without a usable target, although targets were back.

Cause: the trial, of which there are three in all, was claimed in the store before a target was chosen.

Evidence: test/daemon/wastedtrials.test.ts failed before with "condition was not met in time": one request without a target used the trial up, and the next one is due a minute later.

Change: a trial is claimed only if a target is usable and would finish in time.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -207,9 +207,12 @@
       for (;;) {
         if (token.isCancellationRequested || remainingMs(call) < minRemainingMs)
           return finishUnserved();
-        const held = isTrial ? undefined : quarantine.find(content);
+        const held: Quarantined | undefined = isTrial ? undefined : quarantine.find(content);
         if (held) {
-          isTrial = await quarantine.claimTrial(held, token);
+          // Only a few trials are made, so none is claimed that could not be sent.
+          const sendable = placer.choose(placementRequest, excluded);
+          const maySend = sendable !== undefined && !isTooLate(sendable);
+          isTrial = maySend && (await quarantine.claimTrial(held, token));
           if (!isTrial) return finishQuarantined(held);
         }
         const waitedMs = clock.now() - arrivedAt;
