Entry: put no refusal of bad bytes into the response of a running request

Callers saw: bytes that are no request, sent on a connection while its stream ran, made the entry write a 400 with x-cicadatide-work: not-run into that stream, or in front of it.

Cause: the same as in the gateway's server: the handler of parser errors wrote its response without regard to the responses that the connection still owed.

Evidence: test/daemon/callers/badpipelining.test.ts failed before with "expected 'HTTP/1.1 200 OK...' not to contain 'HTTP/1.1 4'".

Change: while a request that was read in full is unanswered, such a connection is closed after the bytes it already has.

--- a/src/daemon/callers/server.ts
+++ b/src/daemon/callers/server.ts
@@ -85,6 +85,8 @@
 export function createCallerServer(options: CallerServerOptions): CallerServer {
   const { clock, log, replica, routes, maxHeaderBytes, metrics } = options;
   let active = 0;
+  /** Requests whose responses have not left the process. */
+  const unanswered = new Set<IncomingMessage>();
   let isAccepting = true;
   const startQueue = createStartQueue(clock);
 
@@ -129,6 +131,14 @@
     { maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0 },
     (req, res) => {
       active += 1;
+      unanswered.add(req);
+      const { socket } = req;
+      const forget = (): void => {
+        unanswered.delete(req);
+        socket.off('close', forget);
+      };
+      res.once('close', forget);
+      socket.once('close', forget);
       const startedAt = clock.now();
       const record: RequestRecord = { requestId: '', team: '', path: '', outcome: 'ok' };
       handle(req, res, record)
@@ -153,9 +163,13 @@
     socket.setMaxListeners(0);
     startQueue.recordConnection();
   });
-  server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
-    respondToParseError(err, socket as Socket),
-  );
+  server.on('clientError', (err: NodeJS.ErrnoException, duplex) => {
+    const socket = duplex as Socket;
+    const isResponding = [...unanswered].some((req) => req.socket === socket && req.complete);
+    // The caller would take a refusal for a part of the response that it waits for.
+    if (isResponding) socket.destroySoon();
+    else respondToParseError(err, socket);
+  });
 
   return {
     server,
