--- a/src/daemon/callers/server.ts
+++ b/src/daemon/callers/server.ts
@@ -165,9 +165,12 @@
     socket.setMaxListeners(0);
     startQueue.recordConnection();
   });
-  server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
-    respondToParseError(err, socket as Socket),
-  );
+  server.on('clientError', (err: NodeJS.ErrnoException, duplex) => {
+    const socket = duplex as Socket;
+    // The caller would take a refusal for a part of the response that it waits for.
+    if (requests.isResponding(socket)) socket.destroySoon();
+    else respondToParseError(err, socket);
+  });
 
   return {
     server,
--- a/src/gateway/crashes.ts
+++ b/src/gateway/crashes.ts
@@ -44,7 +44,9 @@
   const pending = new Map<Target, { readonly requests: LostRequest[]; result: Promise<boolean> }>();
 
   const check = async (target: Target, requests: readonly LostRequest[]): Promise<boolean> => {
-    const isAlive = await target.connections.probeAnew();
+    const { connections } = target;
+    // A lost packet delays a connection by more than the timeout of a probe.
+    const isAlive = (await connections.probeAnew()) || (await connections.probeAnew());
     pending.delete(target);
     if (isAlive || target.isLeaving) return false;
     const notUnderway = requests.filter(({ stage }) => stage !== 'underway');
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -101,7 +101,6 @@
   const closingSockets = new WeakSet<Socket>();
   /** Connections on which bytes arrived that are no request, while a complete one is answered. */
   const unreadableSockets = new WeakSet<Socket>();
-  const newestRequests = new WeakMap<Socket, IncomingMessage>();
   let isClosing = false;
   let isRefusing = false;
   let isInterrupting = false;
@@ -205,11 +204,10 @@
     const response = createCallerResponse(res, protocol, head.requestId);
     const request = requests.add(head.requestId, req, res);
     const { socket } = req;
-    newestRequests.set(socket, req);
     request.closed.then(
       () => {
         requests.remove(request);
-        if (unreadableSockets.has(socket) && !requests.isActive(socket)) socket.end();
+        if (unreadableSockets.has(socket) && !requests.isResponding(socket)) socket.end();
       },
       () => undefined,
     );
@@ -281,9 +279,8 @@
   });
   server.on('clientError', (err: NodeJS.ErrnoException, duplex) => {
     const socket = duplex as Socket;
-    const isAnswering = requests.isActive(socket) && newestRequests.get(socket)?.complete === true;
     // An answer to the unreadable bytes would be taken for the one that the caller waits for.
-    if (isAnswering && err.code !== 'ECONNRESET') unreadableSockets.add(socket);
+    if (requests.isResponding(socket) && err.code !== 'ECONNRESET') unreadableSockets.add(socket);
     else onClientError(err, socket);
   });
 
--- a/src/gateway/silencewatch.ts
+++ b/src/gateway/silencewatch.ts
@@ -33,16 +33,23 @@
   let timer: Disposable | undefined;
   let isDisposed = false;
 
-  const nextStep = (acceptsConnections: Reachability): SilenceStep => {
+  const nextStep = (reachability: Reachability): SilenceStep => {
     if (attempt.isPaused()) return 'wait';
     const isReplaced = attempt.isReplaced();
-    return nextSilenceStep({ ...attempt.facts(), acceptsConnections, isReplaced }, attempt);
+    return nextSilenceStep(
+      { ...attempt.facts(), acceptsConnections: reachability, isReplaced },
+      attempt,
+    );
   };
 
+  /** Tries twice, because a lost packet delays a connection by more than the timeout of a probe. */
+  const acceptsConnections = async (): Promise<boolean> =>
+    (await connections.probe()) || (!isDisposed && (await connections.probe()));
+
   const check = async (): Promise<void> => {
     const isReachable = connections.sinceReachableMs() < probeAfterMs;
     let step = nextStep(isReachable ? 'yes' : 'unknown');
-    if (step === 'probe') step = nextStep((await connections.probe()) ? 'yes' : 'no');
+    if (step === 'probe') step = nextStep((await acceptsConnections()) ? 'yes' : 'no');
     if (isDisposed) return;
     const silence = attempt.facts();
     if (step === 'give-up') {
--- a/test/gateway/crashes.test.ts
+++ b/test/gateway/crashes.test.ts
@@ -12,7 +12,12 @@
 });
 
 /** Reports two lost requests of one target; returns the requests of each crash that is detected. */
-async function observe(isAlive: boolean, isLeaving = false): Promise<readonly string[][]> {
+async function observe(
+  isAlive: boolean,
+  isLeaving = false,
+  failedProbes = 0,
+): Promise<readonly string[][]> {
+  let probes = 0;
   const crashes: string[][] = [];
   const detector = createCrashDetector({
     log: createNullLogger(),
@@ -22,7 +27,12 @@
     id: 't',
     registration: { service: 's' },
     isLeaving,
-    connections: { probeAnew: async () => isAlive },
+    connections: {
+      async probeAnew() {
+        probes += 1;
+        return isAlive && probes > failedProbes;
+      },
+    },
   } as unknown as Target;
   const results = [
     detector.observeLoss(target, lost('a')),
@@ -33,11 +43,12 @@
 }
 
 describe('a lost connection', () => {
-  it.each<[string, boolean, boolean, readonly string[][]]>([
+  it.each<[string, boolean, boolean, readonly string[][], number?]>([
     ['is a crash when the target accepts no other one', false, false, [['a', 'b']]],
     ['is no crash when the target accepts another one', true, false, []],
     ['is no crash when the target is leaving', false, true, []],
-  ])('%s', async (_name, isAlive, isLeaving, expected) => {
-    expect(await observe(isAlive, isLeaving)).toEqual(expected);
+    ['is no crash when the packets of one new connection are lost', true, false, [], 1],
+  ])('%s', async (_name, isAlive, isLeaving, expected, failedProbes) => {
+    expect(await observe(isAlive, isLeaving, failedProbes)).toEqual(expected);
   });
 });
