--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -5,7 +5,7 @@
 
 /**
  * Runs seeds manually: `npm run soak -- --from 1 --count 50 --seconds 8 --jobs 4 --logs FILE`. `--port` is the first
- * of the ports, and `--known-faults` adds faults that the gateways are known not to handle.
+ * of the ports.
  */
 const { values } = parseArgs({
   options: {
@@ -16,7 +16,6 @@
     jobs: { type: 'string', default: '2' },
     logs: { type: 'string' },
     port: { type: 'string' },
-    'known-faults': { type: 'boolean', default: false },
   },
 });
 
@@ -38,7 +37,6 @@
       gateways: Number(values.gateways),
       bundle: 'target/gateway.mjs',
       port: firstPort + job * portsPerJob,
-      hasKnownFaults: values['known-faults'],
     });
     const { requests, served, faults, violations, logs } = result;
     console.log(
--- a/test/soak/plannedfaults.ts
+++ b/test/soak/plannedfaults.ts
@@ -10,8 +10,6 @@
   readonly targets: readonly TargetStandin[];
   /** Kills a process that does not exit by itself, which is an impairment. */
   kill(gateway: GatewayProcess): Promise<void>;
-  /** Adds faults that the gateways are known not to handle; see KNOWN-RED.txt. */
-  readonly hasKnownFaults: boolean;
 }
 
 /** Time that a stopping process gets before it is killed. */
@@ -58,7 +56,7 @@
     }
   };
 
-  const usual: FaultHandlers = {
+  return {
     stopSeveral: async () => {
       const first = random.integer(gateways.length);
       const stopped = gateways.filter((_gateway, index) => index !== first);
@@ -87,10 +85,6 @@
       const stalled = { pause: { beforeEvent: 3, durationMs }, hasCopies: false };
       await behave('llm', stalled, 500 + faultMs);
     },
-  };
-  if (!options.hasKnownFaults) return usual;
-  return {
-    ...usual,
     longAnswers: async (faultMs) => behave('desk', { answerBytes: longAnswerBytes }, 500 + faultMs),
     cutLongAnswers: async (faultMs) =>
       behave('desk', { answerBytes: longAnswerBytes, fault: 'cut' }, 200 + faultMs / 4),
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -36,7 +36,6 @@
   /** First port of a free range; each gateway uses three ports. */
   readonly port: number;
   /** Adds faults that the gateways are known not to handle. */
-  readonly hasKnownFaults?: boolean;
 }
 
 const requestsPerSecond = 40;
@@ -271,7 +270,6 @@
       injectFrom(
         createPlannedFaults({
           ...{ random: plannedRandom, gateways, targets, kill },
-          hasKnownFaults: options.hasKnownFaults === true,
         }),
         plannedRandom,
         durationMs - plannedEndMs,
