--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -35,7 +35,6 @@
   readonly bundle: string;
   /** First port of a free range; each gateway uses three ports. */
   readonly port: number;
-  /** Adds faults that the gateways are known not to handle. */
 }
 
 const requestsPerSecond = 40;
