Soak: check the configuration at once, but for processes that have just started

Only the traced case is left: a process that a planned stop started near the end, which did not listen yet.

--- a/test/soak/process.ts
+++ b/test/soak/process.ts
@@ -15,6 +15,8 @@
   readonly callersPort: number;
   readonly readyPort: number;
   readonly isRunning: boolean;
+  /** Time of the last start. */
+  readonly startedAt: number;
   /** Largest resident memory since the process started, in bytes; 0 when it does not run. */
   peakMemory(): number;
   readonly stopSignals: readonly StopSignal[];
@@ -73,6 +75,7 @@
   let lines: string[] = [];
   const stopSignals: StopSignal[] = [];
   let isStopping = false;
+  let startedAt = -Infinity;
   return {
     name,
     callersPort: port,
@@ -80,6 +83,9 @@
     get isRunning() {
       return child !== undefined && child.exitCode === null && child.signalCode === null;
     },
+    get startedAt() {
+      return startedAt;
+    },
     peakMemory() {
       if (!this.isRunning) return 0;
       const status = readFileSync(`/proc/${child?.pid}/status`, 'utf8');
@@ -87,6 +93,7 @@
     },
     start() {
       isStopping = false;
+      startedAt = performance.now();
       child = spawn(process.execPath, [...(options.nodeOptions ?? []), bundle], {
         env: { ...process.env, CICADATIDE_BOOT: settingsPath },
         stdio: ['ignore', 'pipe', 'pipe'],
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -67,7 +67,7 @@
 /** Time within which all engines have to load the desired weights, as documented for operators. */
 const weightsTimeoutMs = 10_000;
 
-/** Time within which a configuration has to be in force everywhere, as stated for operators. */
+/** Time within which a process that has just started has the configuration, as stated for operators. */
 const configurationTimeoutMs = 5_000;
 
 const pause = (durationMs: number): Promise<void> =>
@@ -279,10 +279,12 @@
   };
 
   /** Versions of the configuration that are in force although the faults are over and it is newer. */
-  const findOldConfigurations = async (): Promise<readonly string[]> => {
+  const findOldConfigurations = async (
+    isChecked: (gateway: GatewayProcess) => boolean,
+  ): Promise<readonly string[]> => {
     const versions = await Promise.all(
       gateways
-        .filter(({ isRunning }) => isRunning)
+        .filter((gateway) => gateway.isRunning && isChecked(gateway))
         .map(async ({ name, readyPort }) => {
           // A process that has just started does not listen yet.
           const res = await fetch(`http://127.0.0.1:${readyPort}/metrics`).catch(() => undefined);
@@ -337,14 +339,15 @@
       violations.push({ promise: 'requests succeed after the faults', requestId: '', detail });
     }
     const faultsOverAt = performance.now();
-    let oldConfigurations = await findOldConfigurations();
-    while (
-      oldConfigurations.length > 0 &&
-      performance.now() - faultsOverAt < configurationTimeoutMs
-    ) {
+    const isNew = ({ startedAt: gatewayStartedAt }: GatewayProcess): boolean =>
+      gatewayStartedAt > faultsOverAt - configurationTimeoutMs;
+    const settledOnes = await findOldConfigurations((gateway) => !isNew(gateway));
+    let newOnes = await findOldConfigurations(isNew);
+    while (newOnes.length > 0 && performance.now() - faultsOverAt < configurationTimeoutMs) {
       await pause(100);
-      oldConfigurations = await findOldConfigurations();
+      newOnes = await findOldConfigurations(isNew);
     }
+    const oldConfigurations = [...settledOnes, ...newOnes];
     if (areFaultsOver && oldConfigurations.length > 0) {
       const detail = oldConfigurations.join(', ');
       violations.push({
