--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -139,7 +139,8 @@
       /** Versions of the weights under which the run's memory was made. */
       memoryOf: new Set(copy ? copy.memoryOf : [version]),
       events: first - 1,
-      isOver: false,
+      socket: req.socket,
+      hasCopy: false,
     };
     runs.add(run);
     record('run', {
@@ -157,6 +158,7 @@
       const to = engines.get(req.headers['x-kv-backup']);
       if (!to || performance.now() - backupAt < backupMs) return;
       backupAt = performance.now();
+      run.hasCopy = true;
       to.receive(requestId, { engine: id, memoryOf: new Set(run.memoryOf), events: run.events });
     };
     res.writeHead(200, {
@@ -177,7 +179,6 @@
       if (!res.destroyed) res.write(`${change}id: ${event}\ndata: ${requestId} ${event}\n\n`);
       backUp();
     }
-    run.isOver = true;
     runs.delete(run);
     record('run over', {
       engine: id,
@@ -241,10 +242,11 @@
       server.close();
       for (const socket of sockets) socket.resetAndDestroy();
     },
-    /** Spoils the bytes of the running streams: what follows is no chunk of HTTP. */
-    garble() {
-      record('garble', { engine: id, runs: [...runs].map(({ requestId }) => requestId) });
-      for (const socket of sockets) if (!socket.destroyed) socket.write('zz not a chunk\r\n');
+    /** Spoils the bytes of `count` running streams of which a copy was sent: what follows is no chunk of HTTP. */
+    garble(count) {
+      const spoiled = [...runs].filter(({ hasCopy }) => hasCopy).slice(-count);
+      record('garble', { engine: id, runs: spoiled.map(({ requestId }) => requestId) });
+      for (const { socket } of spoiled) if (!socket.destroyed) socket.write('zz not a chunk\r\n');
     },
     close() {
       clearInterval(stateTimer);
