--- a/review/7/case.mjs
+++ b/review/9/case.mjs
@@ -92,5 +92,5 @@
 }
 for (const close of closers.reverse()) await close();
 await record.write();
-console.log(record.lines.at(-1).text);
+console.log(record.lines.findLast(({ what }) => what === 'note').text);
 process.exitCode = code;
