--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -2,7 +2,7 @@
 import { Agent } from 'node:http';
 import { startDesk } from '../lib-2/desk.mjs';
 import { model, startEngine } from '../lib-2/engine.mjs';
-import { pause, startGateway, until } from '../lib-2/gateway.mjs';
+import { pause, root, startGateway, until } from '../lib-2/gateway.mjs';
 import { configuration, createRecord, send } from '../lib-2/site.mjs';
 import { startStore } from '../lib-2/store.mjs';
 
@@ -97,7 +97,7 @@
       `${results.length} requests of kept connections were passed on to sound engines and closed without an answer`,
   );
   for (const line of gateway.log.slice(-40))
-    if (line.includes('Error')) record.note(line.slice(0, 600));
+    if (line.includes('Error')) record.note(line.replaceAll(root, '').slice(0, 600));
   code = gateway.end || lost.length > allowedLost ? 1 : 0;
   if (hasTrouble && !isSpoiled) code = 2;
 }
