Streams go on only from copies that were made with the same weights

Seen by callers: an engine loaded new weights under its runs and crashed 0.25 s later.

Cause: `placeAtBackup` compared the versions of the last response heads, reports and registrations. The gateway had seen a newer one in the events that it forwarded, which nothing read, and knew from its peers that the engine was changing, which was not asked. Class: the version that a decision uses is older than one the gateway has already seen. Ruled out: a backup of another version (it refuses the request, which names the version).

Change: all sources of a version pass src/gateway/targetweights.ts, which keeps when the last sign of a change came. src/continuation/copy.ts uses a copy only if there was none at either engine since the run began. Versions may go back: nothing compares them for order. The log names the reason.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,6 +17,7 @@
     'src/orders',
     'src/quarantine',
     'src/enginememory',
+    'src/continuation',
     'src/gateway',
     'src/targetspeeds',
     'src/teamrates',
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -9,6 +9,7 @@
 import { systemRandom } from '../base/random.js';
 import { deriveLimits } from '../callerlimits/derivedlimits.js';
 import { type RowChange } from '../configuration/watch.js';
+import { createContinuations } from '../continuation/copy.js';
 import { createEngineMemory } from '../enginememory/memory.js';
 import { createCacheModel } from '../gateway/cachemodel.js';
 import { type CacheSalts, createCacheSalts } from '../gateway/cachesalt.js';
@@ -205,8 +206,9 @@
   peers.listen({
     onCacheUse: (use) => transfers.record(use),
     onWeightsChange: ({ targetId, model, version }) => {
-      directory.find(targetId)?.observeWeights(model, version);
+      directory.find(targetId)?.weights.observe(model, version);
     },
+    onWeightsOrder: (targetId) => directory.find(targetId)?.weights.observeOrder(),
     onTableVersions: (versions) => feeds?.expectVersions(versions),
     onEvidence: (evidence) => gatewayQuarantine?.mergeEvidence(evidence),
     onLimits: (hints) => limits.merge(hints),
@@ -340,6 +342,7 @@
     targetSpeeds,
     streamAdmission,
     memory,
+    continuations: createContinuations({ failureTracker, isChangingWeights }),
     remainingGraceMs: plannedStop.remainingGraceMs,
     onLoadChange: () => peers.scheduleHint(),
   });
--- a/src/daemon/gatewayrollout.ts
+++ b/src/daemon/gatewayrollout.ts
@@ -33,7 +33,7 @@
       directory.all
         .filter(({ isLeaving, registration }) => !isLeaving && registration.weights.has(model))
         .map((target) => {
-          const version = target.weightsVersion(model);
+          const version = target.weights.version(model);
           return {
             id: target.id,
             address: target.registration.address,
@@ -49,12 +49,15 @@
       if (target) failureTracker.observe(target, 'replaced');
     },
     setChangingEngines(ids) {
+      // At the begin of a change and at its end, for runs that began in between.
+      for (const id of new Set([...changingTargetIds, ...ids]))
+        directory.find(id)?.weights.observeOrder();
       changingTargetIds.clear();
       for (const id of ids) changingTargetIds.add(id);
       peers.publishChangingTargets(ids);
     },
     observeWeights(id, model, version) {
-      directory.find(id)?.observeWeights(model, version);
+      directory.find(id)?.weights.observe(model, version);
       peers.publishWeightsChange({ targetId: id, model, version });
     },
   };
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -52,6 +52,8 @@
    */
   tryMove(silence: SilenceFacts): boolean;
   onHead(head: TargetHead, status: number): void;
+  /** Called for each event that names new weights; the version is undefined when it can't be read. */
+  onWeightsChange(version: number | undefined): void;
   onFirstByte(): void;
   /** Called with the number of events that arrived together. */
   onEvents?(count: number): void;
@@ -116,6 +118,11 @@
     settle(result);
   };
 
+  const isOk = (): boolean => {
+    const status = targetRes?.statusCode ?? 0;
+    return status >= 200 && status < 300;
+  };
+
   /** True when the target has begun to respond to this request or to one sent clearly later. */
   const isOvertaken = (): boolean =>
     targetRes !== undefined ||
@@ -127,7 +134,13 @@
     answersOthers: isOvertaken(),
   });
 
+  const observeWeights = (events: Buffer): void => {
+    for (const version of protocol.readWeightsChanges(events)) options.onWeightsChange(version);
+  };
+
   const fail = (cause: string, lostAt?: ResponseStage): void => {
+    // The event that broke off may have begun with the version.
+    if (!isEnded && isStream && isOk()) observeWeights(buffer.take());
     const kind = progress.hasEvents || isForwarding ? 'broken' : 'failed';
     end({ kind, cause, silence: silenceFacts(), ...(lostAt && { lostAt }) });
   };
@@ -196,6 +209,7 @@
       return;
     }
     if (!batch || !targetRes || !beginResponse(targetRes)) return;
+    observeWeights(batch.bytes);
     inFlight.markPrefilled();
     if (hasFirstEvents) markUnderway();
     hasFirstEvents = true;
@@ -238,11 +252,6 @@
     else stage = 'head';
   };
 
-  const isOk = (): boolean => {
-    const status = targetRes?.statusCode ?? 0;
-    return status >= 200 && status < 300;
-  };
-
   const onData = (chunk: Buffer): void => {
     lastByteAt = clock.now();
     bodyBytes += chunk.length;
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -3,6 +3,7 @@
 import { type Logger } from '../base/logging.js';
 import { type Random } from '../base/random.js';
 import { type ResponseMonitor } from '../base/responselimits.js';
+import { type BrokenRun, type Continuations } from '../continuation/copy.js';
 import { type EngineMemory } from '../enginememory/memory.js';
 import { type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse, type LocalResponse } from './response.js';
@@ -13,7 +14,7 @@
 import { fitsGrace } from './graceperiod.js';
 import { createMover } from './moves.js';
 import { type FailureTracker } from './failuretracker.js';
-import { describeFailure, placeAtBackup, recordAttemptEnd } from './outcomes.js';
+import { describeFailure, recordAttemptEnd } from './outcomes.js';
 import { createRequestContent } from '../quarantine/content.js';
 import { type Quarantine, type Quarantined } from '../quarantine/quarantine.js';
 import { type Choice, type Placement, type PlacementRequest, type Placer } from './placement.js';
@@ -46,6 +47,7 @@
   readonly targetSpeeds: Pick<TargetSpeedModel, 'start'>;
   readonly streamAdmission: StreamAdmission;
   readonly memory: Pick<EngineMemory, 'hold'>;
+  readonly continuations: Continuations;
   /** Time for which this process serves requests, in milliseconds; Infinity until it stops. */
   remainingGraceMs(): number;
   /** Called when this process's in-flight requests at targets change. */
@@ -131,12 +133,15 @@
         return !fitsGrace(stopping, options.remainingGraceMs());
       };
 
-      /** What can go on with the request after its attempt at `placement` failed, for the log. */
-      const describeSuccessor = (placement: Placement): 'backup' | 'other-target' | 'none' => {
-        if (continuation) return 'other-target';
-        if (placeAtBackup(failureTracker, head, placement, progress)) return 'backup';
+      /** What can go on with the request after its run failed, for the log. */
+      const describeSuccessor = (run: BrokenRun): Readonly<Record<string, unknown>> => {
+        if (continuation) return { goesOn: 'other-target' };
+        const copy = options.continuations.find(run);
+        if (copy.kind === 'placed') return { goesOn: 'backup' };
         const mayRetry = isRetryable(call) && ranOn.size + 1 < route.maxTargets;
-        return mayRetry && placer.choose(placementRequest, excluded) ? 'other-target' : 'none';
+        const hasOther = mayRetry && placer.choose(placementRequest, excluded) !== undefined;
+        const noCopy = run.placement.backup && copy.reason;
+        return { goesOn: hasOther ? 'other-target' : 'none', noCopy };
       };
 
       if (placer.exceedsMemory(placementRequest)) return endings.finishRefused('exceeds-memory');
@@ -251,6 +256,7 @@
         work?.dispose();
         if (attemptEnd.kind === 'left') return finish('left');
         excluded.add(target);
+        const run: BrokenRun = { head, placement, progress, startedAt };
         log.info(
           {
             requestId: head.requestId,
@@ -260,7 +266,7 @@
             end: attemptEnd.kind,
             cause: attemptEnd.cause,
             ...describeFailure(attemptEnd, progress, response.hasStarted),
-            goesOn: attemptEnd.kind === 'not-run' ? undefined : describeSuccessor(placement),
+            ...(attemptEnd.kind !== 'not-run' && describeSuccessor(run)),
             remainingMs: Math.round(remainingMs(call)),
             remainingGraceMs: finiteOrNone(Math.round(options.remainingGraceMs())),
           },
@@ -284,7 +290,8 @@
         if (response.hasStarted) needsTargetSince = clock.now();
         if (continuation) continue;
         if (attemptEnd.kind === 'broken' && remainingMs(call) > minRemainingMs) {
-          continuation = placeAtBackup(failureTracker, head, placement, progress);
+          const copy = options.continuations.find(run);
+          continuation = copy.kind === 'placed' ? copy.placement : undefined;
           const isPermitted = continuation && limits.tryTake(continuation.target);
           if (isPermitted && repeats.tryStart(continuation?.target, true)) continue;
           continuation = undefined;
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -20,6 +20,8 @@
 export interface PeerListener {
   onCacheUse(use: CacheUse): void;
   onWeightsChange(change: WeightsChange): void;
+  /** A peer changes the weights of the target, or has just ended to. */
+  onWeightsOrder(targetId: string): void;
   /** Versions of the newest changes of the configuration and target tables that a peer observed. */
   onTableVersions(versions: readonly number[]): void;
   /** Evidence of prompt parts that crash engines; a peer repeats it in several hints. */
@@ -290,6 +292,8 @@
       changingReportedAt:
         hint.c.length > 0 ? clock.now() : (previous?.changingReportedAt ?? -Infinity),
     });
+    for (const id of new Set([...(previous?.changing ?? []), ...hint.c]))
+      listener?.onWeightsOrder(id);
     for (const use of hint.u) listener?.onCacheUse(readCacheUse(use));
     for (const [targetId, model, version] of hint.w)
       listener?.onWeightsChange({ targetId, model, version });
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -210,7 +210,7 @@
       return view;
     };
     const details = targets.map((target) => {
-      const version = isEngine ? target.weightsVersion(head.model as string) : undefined;
+      const version = isEngine ? target.weights.version(head.model as string) : undefined;
       const sharedSalt =
         version === undefined ? undefined : options.cacheSalts()?.saltOf(version, team);
       if (sharedSalt === undefined) {
--- a/src/gateway/sender.ts
+++ b/src/gateway/sender.ts
@@ -113,7 +113,10 @@
         }
         if (load) target.observeLoad(load);
         if (weightsVersion === undefined || head.model === undefined) return;
-        target.observeWeights(head.model, weightsVersion);
+        target.weights.observe(head.model, weightsVersion);
+      },
+      onWeightsChange(version) {
+        if (head.model !== undefined) target.weights.observeChange(head.model, version);
       },
       ...listener,
     });
--- a/src/gateway/targets.ts
+++ b/src/gateway/targets.ts
@@ -7,6 +7,7 @@
 import { type ConnectionPool } from './connectionpool.js';
 import { type Connections, createConnections } from './exchange.js';
 import { type InFlightLoad, lowestPriority } from './inflight.js';
+import { createTargetWeights, type TargetWeights } from './targetweights.js';
 
 /** One target: its registration and what this process observed of it. */
 export interface Target {
@@ -22,10 +23,8 @@
   readonly load: TargetLoad | undefined;
   /** Age of `load` in milliseconds. */
   loadAgeMs(): number;
-  /** Version of a model's weights by the latest observation or registration. */
-  weightsVersion(model: string): number | undefined;
+  readonly weights: Omit<TargetWeights, 'register'>;
   observeLoad(load: TargetLoad): void;
-  observeWeights(model: string, version: number): void;
   /** Records that a response said that the target is leaving, which holds until its next start. */
   observeLeaving(): void;
   /**
@@ -34,8 +33,6 @@
    */
   newestRespondedSentAt(priority: number): number;
   observeResponseStart(sentAt: number, priority: number): void;
-  /** Discards the version after the target refused a request for it. */
-  clearWeightsVersion(model: string): void;
   /** Counts a request with its tokens to prefill as in flight until the result is disposed. */
   startRequest(tokens: number, priority: number): InFlightRequest;
 }
@@ -79,9 +76,6 @@
  */
 const expiryGraceMs = 2_200;
 
-/** For this long, a version observed at a target takes precedence over an older registered one. */
-const registrationLagMs = 3_000;
-
 interface ListedTarget extends Target {
   updateRegistration(registration: TargetRegistration): void;
   close(): void;
@@ -103,9 +97,7 @@
   let prefillTokens: readonly number[] = [];
   let load: TargetLoad | undefined;
   let loadAt = -Infinity;
-  const weights = new Map<string, { readonly version: number; readonly observedAt: number }>();
-  for (const [model, version] of initial.weights)
-    weights.set(model, { version, observedAt: -Infinity });
+  const weights = createTargetWeights(clock, initial.weights, onWeightsChange);
   const connections = createConnections(clock, initial.address, {
     dataCentre: initial.dataCentre,
     service: initial.service,
@@ -131,16 +123,11 @@
       return load;
     },
     loadAgeMs: () => clock.now() - loadAt,
-    weightsVersion: (model) => weights.get(model)?.version,
+    weights,
     observeLoad(value) {
       load = value;
       loadAt = clock.now();
     },
-    observeWeights(model, version) {
-      const isChanged = weights.get(model)?.version !== version;
-      weights.set(model, { version, observedAt: clock.now() });
-      if (isChanged) onWeightsChange();
-    },
     observeLeaving() {
       if (hasAnnouncedLeaving) return;
       hasAnnouncedLeaving = true;
@@ -155,9 +142,6 @@
     observeResponseStart(sentAt, priority) {
       respondedSentAt[priority] = Math.max(sentAt, respondedSentAt[priority] ?? -Infinity);
     },
-    clearWeightsVersion(model) {
-      weights.delete(model);
-    },
     startRequest(tokens, priority) {
       const addTokens = (count: number): void => {
         if (count === 0) return;
@@ -186,14 +170,7 @@
     },
     updateRegistration(next) {
       registration = next;
-      for (const [model, version] of next.weights) {
-        const known = weights.get(model);
-        const isStale = !known || clock.now() - known.observedAt > registrationLagMs;
-        if (known?.version === version) continue;
-        if (!isStale && version < known.version) continue;
-        weights.set(model, { version, observedAt: -Infinity });
-        onWeightsChange();
-      }
+      weights.register(next.weights);
     },
   };
 }
--- a/src/gateway/transfers.ts
+++ b/src/gateway/transfers.ts
@@ -176,14 +176,14 @@
       return cachedTokens < sharedTokens ? store : undefined;
     },
     findBackup(target, model) {
-      const version = target.weightsVersion(model);
+      const version = target.weights.version(model);
       if (version === undefined) return undefined;
       let best: Target | undefined;
       let bestCost = Infinity;
       for (const other of directory.usable(target.registration.service)) {
         if (other === target || failureTracker.isDown(other) || options.isChangingWeights(other))
           continue;
-        if (other.weightsVersion(model) !== version) continue;
+        if (other.weights.version(model) !== version) continue;
         const isSameDataCentre = other.registration.dataCentre === target.registration.dataCentre;
         const requests = other.inFlight.requests + peers.inFlight(other.id).requests;
         const cost = requests + (isSameDataCentre ? 0 : crossDataCentrePenaltyRequests);
--- a/src/ports/wire.ts
+++ b/src/ports/wire.ts
@@ -99,6 +99,11 @@
   /** Headers of a forwarded request. The caller's values of system headers are dropped. */
   toTarget(rawHeaders: readonly string[], dispatch: Dispatch, bodyBytes: number): string[];
   readTarget(headers: IncomingHttpHeaders): TargetHead;
+  /**
+   * Versions of the weights that events of a stream name because these changed under the run; undefined
+   * for one that can't be read, as where the bytes end within it.
+   */
+  readWeightsChanges(events: Buffer): readonly (number | undefined)[];
   /** Headers of a target's response that are forwarded to the caller. */
   toCaller(rawHeaders: readonly string[]): string[];
   /** Headers of a response that the gateway itself makes. */
--- a/test/gateway/targets.test.ts
+++ b/test/gateway/targets.test.ts
@@ -104,12 +104,12 @@
     const site = setUp();
     site.apply('a', registrationRow());
     const target = site.directory.find('a');
-    target?.observeWeights('m', 2);
+    target?.weights.observe('m', 2);
     site.apply('a', registrationRow());
-    expect(target?.weightsVersion('m')).toBe(2);
+    expect(target?.weights.version('m')).toBe(2);
     await site.clock.advance(3_500);
     site.apply('a', registrationRow());
-    expect(target?.weightsVersion('m')).toBe(1);
+    expect(target?.weights.version('m')).toBe(1);
   });
 
   it('counts tokens by priority until the prompt is prefilled', () => {
--- a/test/standins/attempt.ts
+++ b/test/standins/attempt.ts
@@ -100,6 +100,7 @@
     prefillTokens: 0,
     priority: 0,
     onHead: () => undefined,
+    onWeightsChange: () => undefined,
     onFirstByte: () => undefined,
     onUnderway() {
       answers += 1;
