A stream goes on elsewhere only once its run has ended

Seen: an engine sent bytes that are no chunk in a stream that may run only once.

Cause: the run was believed ended because its connection was. Most engines drop a request then, some don't. Ruled out: a connection that stays open, and a new run instead of a continued one (Kv-From was sent).

Change: src/continuation/runend.ts tells the engine to stop the run and to send its memory along, and waits for a sign that it has ended: the reply, a report without the run, another incarnation, or two refused connections. Without one the stream doesn't go on. The stand-ins of engines know the order; the soak spoils bytes of engines that work on and checks for overlaps.

--- a/src/continuation/copy.ts
+++ b/src/continuation/copy.ts
@@ -20,25 +20,25 @@
  */
 export type NoCopyReason = 'no-backup' | 'backup-down' | 'no-event' | 'weights-unsettled';
 
-export type Continuation =
+export type CopyChoice =
   | { readonly kind: 'placed'; readonly placement: Placement }
   | { readonly kind: 'none'; readonly reason: NoCopyReason };
 
-/** Finds where a stream that may run only once goes on, from the copy that its engine made. */
-export interface Continuations {
+/** Copies of the KV cache of streams that may run only once, which their engines make. */
+export interface Copies {
   /** Places the stream at the engine that has the copy; it continues the same execution there. */
-  find(run: BrokenRun): Continuation;
+  find(run: BrokenRun): CopyChoice;
 }
 
-export interface ContinuationOptions {
+export interface CopiesOptions {
   readonly failureTracker: Pick<FailureTracker, 'isDown'>;
   /** True while the target loads other weights or is about to. */
   isChangingWeights(target: Target): boolean;
 }
 
-export function createContinuations(options: ContinuationOptions): Continuations {
+export function createCopies(options: CopiesOptions): Copies {
   const { failureTracker, isChangingWeights } = options;
-  const none = (reason: NoCopyReason): Continuation => ({ kind: 'none', reason });
+  const none = (reason: NoCopyReason): CopyChoice => ({ kind: 'none', reason });
 
   const isSettled = (
     target: Target,
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -9,7 +9,9 @@
 import { systemRandom } from '../base/random.js';
 import { deriveLimits } from '../callerlimits/derivedlimits.js';
 import { type RowChange } from '../configuration/watch.js';
-import { createContinuations } from '../continuation/copy.js';
+import { createContinuations } from '../continuation/continuation.js';
+import { createCopies } from '../continuation/copy.js';
+import { createRunEnds } from '../continuation/runend.js';
 import { createEngineMemory } from '../enginememory/memory.js';
 import { createCacheModel } from '../gateway/cachemodel.js';
 import { type CacheSalts, createCacheSalts } from '../gateway/cachesalt.js';
@@ -342,7 +344,10 @@
     targetSpeeds,
     streamAdmission,
     memory,
-    continuations: createContinuations({ failureTracker, isChangingWeights }),
+    continuations: createContinuations(
+      createCopies({ failureTracker, isChangingWeights }),
+      createRunEnds({ clock, log, control: platform.control }),
+    ),
     remainingGraceMs: plannedStop.remainingGraceMs,
     onLoadChange: () => peers.scheduleHint(),
   });
--- a/src/daemon/gatewayplatform.ts
+++ b/src/daemon/gatewayplatform.ts
@@ -3,7 +3,12 @@
 import { type RowFeedPort } from '../ports/rows.js';
 import { type SiteDecoder } from '../ports/site.js';
 import { type TablePort } from '../ports/table.js';
-import { type CacheReader, type EngineControl, type WireProtocol } from '../ports/wire.js';
+import {
+  type CacheReader,
+  type EngineControl,
+  type RunControl,
+  type WireProtocol,
+} from '../ports/wire.js';
 import { type GatewaySettings } from './settings/read.js';
 
 /** Platform adapters that a gateway uses. */
@@ -11,7 +16,7 @@
   readonly decoder: SiteDecoder;
   readonly protocol: WireProtocol;
   readonly store: TablePort & RowFeedPort & { readonly systemTable: string };
-  readonly control: EngineControl;
+  readonly control: EngineControl & RunControl;
   readonly cacheReader: CacheReader;
   /** Oversized responses to the calls of the adapters. */
   readonly responseMonitor: ResponseMonitor;
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -3,7 +3,8 @@
 import { type Logger } from '../base/logging.js';
 import { type Random } from '../base/random.js';
 import { type ResponseMonitor } from '../base/responselimits.js';
-import { type BrokenRun, type Continuations } from '../continuation/copy.js';
+import { type Continuations } from '../continuation/continuation.js';
+import { type BrokenRun } from '../continuation/copy.js';
 import { type EngineMemory } from '../enginememory/memory.js';
 import { type WireProtocol } from '../ports/wire.js';
 import { type CallerResponse, type LocalResponse } from './response.js';
@@ -290,8 +291,7 @@
         if (response.hasStarted) needsTargetSince = clock.now();
         if (continuation) continue;
         if (attemptEnd.kind === 'broken' && remainingMs(call) > minRemainingMs) {
-          const copy = options.continuations.find(run);
-          continuation = copy.kind === 'placed' ? copy.placement : undefined;
+          continuation = await options.continuations.place(run, () => remainingMs(call), token);
           const isPermitted = continuation && limits.tryTake(continuation.target);
           if (isPermitted && repeats.tryStart(continuation?.target, true)) continue;
           continuation = undefined;
--- a/src/ports/wire.ts
+++ b/src/ports/wire.ts
@@ -119,6 +119,8 @@
   readonly acceptedOrders: number;
   readonly running: number;
   readonly waiting: number;
+  /** Ids of the running requests; absent when the engine does not list them. */
+  readonly runIds?: ReadonlySet<string>;
 }
 
 /**
@@ -162,6 +164,35 @@
   ): Promise<OrderReply>;
 }
 
+/** Order to end a run without the end of its response, and to send its memory to another engine. */
+export interface StopRunOrder {
+  readonly requestId: string;
+  readonly copyTo: HostPort;
+}
+
+/**
+ * Reply to such an order: `moved` means that the run has ended and that its memory is at the other
+ * engine under the handle, `stopped` that it has ended and its memory was not sent, `no-run` that the
+ * engine has no such run, `replaced` that another incarnation has the address, and `unknown`
+ * anything else, after which the run may go on.
+ */
+export type StopRunReply =
+  | { readonly kind: 'moved'; readonly handle: string }
+  | { readonly kind: 'stopped' | 'no-run' | 'replaced' | 'unknown' };
+
+/**
+ * Control of running requests. Rejects with `TargetRefusedError` when a call was not sent, and with
+ * `TargetFailedError` when its reply did not arrive.
+ */
+export interface RunControl extends Pick<EngineControl, 'fetchReport'> {
+  stopRun(
+    address: HostPort,
+    targetId: string,
+    order: StopRunOrder,
+    token: CancellationToken,
+  ): Promise<StopRunReply>;
+}
+
 /** One change in the KV cache of an engine or a KV store. */
 export interface CacheChange {
   readonly salt: string;
--- a/test/continuation/copy.test.ts
+++ b/test/continuation/copy.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { type BrokenRun, createContinuations } from '../../src/continuation/copy.js';
+import { type BrokenRun, createCopies } from '../../src/continuation/copy.js';
 import { type Placement } from '../../src/gateway/placement.js';
 import { type Target } from '../../src/gateway/targets.js';
 import { createTargetWeights } from '../../src/gateway/targetweights.js';
@@ -32,7 +32,7 @@
   const startedAt = clock.now();
   await clock.advance(100);
   observe(engines);
-  const continuations = createContinuations({
+  const copies = createCopies({
     failureTracker: { isDown: () => false },
     isChangingWeights: (target) => changing.has(target),
   });
@@ -42,7 +42,7 @@
     salt: 's',
     weightsVersion: 1,
   } as unknown as Placement;
-  const found = continuations.find({
+  const found = copies.find({
     head: { requestId: 'r', model: 'm' } as BrokenRun['head'],
     progress: { lastEventId: '4' } as BrokenRun['progress'],
     ...{ placement, startedAt },
--- a/test/daemon/gateway.test.ts
+++ b/test/daemon/gateway.test.ts
@@ -322,6 +322,36 @@
     expect(continued?.headers['kv-from']).toBe(`127.0.0.1:${copy.port}/${run?.requestId}`);
   });
 
+  // Guards against a stream that two engines work on: a closed connection does not end every run.
+  it.each([
+    ['its engine stops it', { ignoresStops: false }],
+    ['its engine no longer lists it', { ignoresStops: true }],
+  ])('go on elsewhere only when the run before has ended (%s)', async (_name, { ignoresStops }) => {
+    const engines = [
+      await site.startTarget('llm', { id: 'llm-1', model }),
+      await site.startTarget('llm', { id: 'llm-2', model }),
+    ];
+    const { addresses } = await site.startSettledGateway('gw-1');
+    const behaviour = { firstByteMs: 5, events: 14, gapMs: 40, keepsWorking: true, ignoresStops };
+    for (const engine of engines) engine.behaviour = { ...behaviour, fault: 'garble' };
+    const url = `${addresses.callers}/reply/x`;
+    const headers = { ...promptHeaders, 'X-Deadline-Ms': '2000' };
+    const running = sendRequest({ url, body: 'prompt', headers });
+    await until(() => engines.some(({ runs }) => runs.length > 0));
+    const copy = engines.find(({ runs }) => runs.length === 0);
+    if (copy) copy.behaviour = { ...behaviour, fault: 'none' };
+    const { status, body, isComplete } = await running;
+    expect({ status, isComplete, events: body.match(/^id: /gm)?.length }).toEqual({
+      status: 200,
+      isComplete: true,
+      events: 14,
+    });
+    const [before] = engines.flatMap(({ runs }) => runs.filter((run) => !run.headers['kv-from']));
+    const [after] = engines.flatMap(({ runs }) => runs.filter((run) => run.headers['kv-from']));
+    // The stand-in learns at its next event that it was told to stop.
+    expect((after?.startedAt ?? 0) + 60).toBeGreaterThan(before?.endedAt ?? Infinity);
+  });
+
   it('never appear complete when they are interrupted and can not resume', async () => {
     const only = await site.startTarget('llm', { id: 'llm-1', model });
     only.behaviour = { ...only.behaviour, fault: 'cut' };
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -2,6 +2,7 @@
 import { type TargetArrival, type TargetStandin } from '../standins/platform/target.js';
 import { type ObservedResponse } from './caller.js';
 import { findLostAnswers } from './lostanswers.js';
+import { findOverlaps } from './overlaps.js';
 import { findExcessRepeats } from './repeats.js';
 
 const whole: ObservedResponse = {
@@ -105,3 +106,29 @@
     );
   });
 });
+
+describe('the check of streams at two engines', () => {
+  const runAt = (startedAt: number, endedAt: number | undefined, from?: string) => ({
+    requestId: 'r1',
+    headers: { 'kv-from': from },
+    ...{ startedAt, endedAt },
+  });
+
+  it.each<[string, number | undefined, string, boolean]>([
+    ['finds one that both work on', 2_000, '', true],
+    ['finds one whose first engine never ended', undefined, '', true],
+    ['leaves out one whose first engine had ended', 1_050, '', false],
+    ['leaves out an engine that was not reached', 2_000, 'e1', false],
+  ])('%s', (_name, endedAt, impaired, isFound) => {
+    const engines = [
+      { id: 'e1', runs: [runAt(900, endedAt)] },
+      { id: 'e2', runs: [runAt(1_100, 2_500, '127.0.0.1:1/r1')] },
+    ] as unknown as readonly TargetStandin[];
+    const found = findOverlaps({
+      targets: engines,
+      cutLinks: { begin: () => () => undefined, has: (name) => name === impaired },
+      maxEventLoopDelayMs: 0,
+    });
+    expect(found.length > 0).toBe(isFound);
+  });
+});
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -10,6 +10,7 @@
 import { createSoakCaller, patientProfile, type SoakCaller } from './caller.js';
 import { createImpairments } from './impairments.js';
 import { findLostAnswers } from './lostanswers.js';
+import { findOverlaps, spoiledGapMs } from './overlaps.js';
 import { createPlannedFaults } from './plannedfaults.js';
 import { findExcessRepeats } from './repeats.js';
 import { type LinkFault, startLink } from './link.js';
@@ -110,6 +111,7 @@
   const patientRandom = createSeededRandom(seed + patientSeedOffset);
   const patientCaller = createSoakCaller(patientRandom, patientRandom, patientProfile);
   const impairments = createImpairments();
+  const cutLinks = createImpairments();
   const faults: string[] = [];
   const inFlight = new Set<Promise<void>>();
   const background = new Set<Promise<void>>();
@@ -178,11 +180,12 @@
     },
     targetLink: async (faultMs) => {
       const link = pick(random, links);
-      const end = impairments.begin(targets[links.indexOf(link)]?.id ?? '');
+      const id = targets[links.indexOf(link)]?.id ?? '';
+      const ends = [impairments.begin(id), cutLinks.begin(id)];
       link.fault = pick<LinkFault>(random, ['delay', 'reset', 'oneWay', 'silent']);
       await pause(faultMs);
       link.fault = 'none';
-      end();
+      for (const end of ends) end();
     },
     target: async (faultMs) => {
       const target = pick(random, targets);
@@ -232,6 +235,17 @@
       await pause(faultMs);
       target.behaviour = { ...target.behaviour, fault: 'none', headers: {} };
     },
+    spoiledBytes: async (faultMs) => {
+      const engines = targets.filter(({ id }) => id.startsWith('llm'));
+      const engine = pick(contentRandom, engines);
+      const { gapMs } = engine.behaviour;
+      const end = impairments.begin(engine.id);
+      const spoiled = { fault: 'garble', keepsWorking: true, gapMs: spoiledGapMs } as const;
+      engine.behaviour = { ...engine.behaviour, ...spoiled };
+      await pause(faultMs);
+      engine.behaviour = { ...engine.behaviour, fault: 'none', keepsWorking: false, gapMs };
+      end();
+    },
   };
 
   const sendTraffic = async (
@@ -334,6 +348,7 @@
       ...findViolations(all, targets, maxEventLoopDelayMs),
       ...findOrderViolations(targets),
       ...findExcessRepeats(all, targets, repeatLimits),
+      ...findOverlaps({ targets, cutLinks, maxEventLoopDelayMs }),
       ...findLostAnswers({
         ...{ responses: all, targets, impairments, maxEventLoopDelayMs },
         nameOf: (port) => gateways.find((gateway) => gateway.callersPort === port)?.name ?? '',
--- a/test/standins/platform/target.ts
+++ b/test/standins/platform/target.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type AddressInfo, type Socket } from 'node:net';
+import { createActiveRuns } from './activeruns.js';
 
 /** How the target handles the next requests. */
 export interface TargetBehaviour {
@@ -10,6 +11,10 @@
   readonly gapMs: number;
   /** Pause of a stream before one of its events, for example after a preemption. */
   readonly pause?: { readonly beforeEvent: number; readonly durationMs: number };
+  /** Works on a stream to its end when the connection closes, as some engines do. */
+  readonly keepsWorking?: boolean;
+  /** Leaves orders to stop a run unanswered. */
+  readonly ignoresStops?: boolean;
   /** False when there was no room for copies, so no stream can go on from one here. */
   readonly hasCopies?: boolean;
   /** Least length of the answer of a plain service. */
@@ -32,6 +37,8 @@
     | 'cut'
     /** Runs the request and responds with status 503 as if it had not. */
     | 'falseRefusal'
+    /** Sends bytes that are no chunk in the middle of a stream, and works on. */
+    | 'garble'
     /** Sends a response without a signature. */
     | 'unsigned'
     /** Sends a response with the id of another request. */
@@ -53,6 +60,8 @@
   readonly startedAt: number;
   /** Set when the connection was closed before the response was complete. */
   isInterrupted: boolean;
+  /** Set once the target no longer works on a stream. */
+  endedAt?: number;
 }
 
 /** One request that reached a target, whether it ran or not. */
@@ -135,6 +144,7 @@
   const crashes: number[] = [];
   const orders: Record<string, unknown>[] = [];
   const sockets = new Set<Socket>();
+  const active = createActiveRuns();
   let behaviour = defaultBehaviour;
   let weights = 1;
   let isBusy = false;
@@ -183,21 +193,36 @@
       busy: isBusy,
       seq: orders.length,
       queued: 0,
-      active: 0,
+      active: active.ids.length,
+      runs: active.ids.map((requestId) => [requestId, 100, 1, 1]),
     });
 
-  const sendEvents = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+  /** Stops a run and sends its memory to another engine. */
+  const handleMove = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const { id: requestId } = JSON.parse(await readBody(req)) as { readonly id: string };
+    if (behaviour.ignoresStops) return;
+    if (active.stop(requestId)) sendJson(res, 200, { handle: `h-${requestId}`, createRev: 1 });
+    else sendJson(res, 404, {});
+  };
+
+  const sendEvents = async (
+    req: IncomingMessage,
+    res: ServerResponse,
+    isStopped: () => boolean,
+  ): Promise<void> => {
     const firstEvent = Number(req.headers['last-event-id'] ?? 0) + 1;
     for (let event = firstEvent; event <= behaviour.events; event += 1) {
       if (event === behaviour.pause?.beforeEvent) await pause(behaviour.pause.durationMs);
-      if (res.destroyed) return;
+      if (isStopped() || (res.destroyed && !behaviour.keepsWorking)) return;
+      if (behaviour.fault === 'garble' && event === behaviour.events / 2)
+        req.socket.write('zz not a chunk\r\n');
       if (behaviour.fault === 'cut' && event > behaviour.events / 2) {
         res.write(`id: ${event}\ndata: to`);
         await pause(5);
         req.socket.resetAndDestroy();
         return;
       }
-      res.write(`id: ${event}\ndata: token ${event}\n\n`);
+      if (!res.destroyed) res.write(`id: ${event}\ndata: token ${event}\n\n`);
       await pause(behaviour.gapMs);
     }
     res.end();
@@ -254,7 +279,13 @@
         await pause(2);
         return crash();
       }
-      return sendEvents(req, res);
+      const activeRun = active.begin(requestId);
+      await sendEvents(req, res, () => activeRun.isStopped);
+      activeRun.end();
+      run.endedAt = performance.now();
+      // A stopped run closes its stream without the end.
+      if (activeRun.isStopped) req.socket.destroy();
+      return undefined;
     }
     if (behaviour.fault === 'falseRefusal') {
       res.writeHead(503);
@@ -274,6 +305,7 @@
     const handlers: Readonly<Record<string, () => unknown>> = {
       '/report': () => sendReport(res),
       '/order': () => handleOrder(req, res),
+      '/kv-move': () => handleMove(req, res),
       '/health': () => sendJson(res, 200, {}),
       '/kv-events?since=0': () =>
         sendJson(res, 200, {
