A part of a response no longer looks whole when its connection ends

Shown: a gateway passed on, as complete, a part whose target ended the connection before it had read the upload; the reset followed with the next bytes. Ruled out by tests: a reset at a gateway, status 000 at gateways and agents, completions of engines (they need their end event). Class: an end of a connection is taken for the end of a response.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,11 +4,11 @@
 import { type Clock } from '../base/clock.js';
 import { createHandlerGuard } from '../base/handlerguard.js';
 import { type Disposable } from '../base/lifecycle.js';
+import { watchResponseEnd } from '../base/responseend.js';
 import { type ResponseWatch, watchResponse } from '../base/responsewatch.js';
 import { type ConnectionPool, createConnectionPool } from './connectionpool.js';
 import { createProbe, type Probe } from './connectionprobe.js';
 import { createIdleConnections, type NextIdle } from './idleconnections.js';
-import { isCloseDelimited } from './responsecheck.js';
 import { evidenceAgeMs, mayReuse, type RequestRisk } from './reuserules.js';
 
 /** Request to a target. */
@@ -111,15 +111,6 @@
 /** For this long after such a sign, only own contacts with the target count. */
 const suspicionMs = 5_000;
 
-/**
- * Node reports a reset that arrives together with the last bytes as a normal end of the connection.
- * The operating system has no peer address for a connection that was reset. The address must not be
- * read earlier, because Node caches the first result.
- */
-function isReset(socket: Socket): boolean {
-  return socket.remoteAddress === undefined;
-}
-
 export function createConnections(
   clock: Clock,
   address: HostPort,
@@ -263,14 +254,7 @@
       idle.observeResponse(res);
       res.on('data', guard(onData));
       res.on('error', guard(fail));
-      if (isCloseDelimited(res)) {
-        res.socket.prependOnceListener(
-          'end',
-          guard(() => {
-            if (isReset(res.socket)) fail(new Error('connection was reset'));
-          }),
-        );
-      }
+      watchResponseEnd(req, res, fail);
       res.on(
         'end',
         guard(() => onEnd(res)),
--- a/src/gateway/responsecheck.ts
+++ b/src/gateway/responsecheck.ts
@@ -1,4 +1,5 @@
 import { type IncomingMessage } from 'node:http';
+import { isCloseDelimited } from '../base/responseend.js';
 import { findHeadFault } from '../base/responsehead.js';
 import { type TargetHead } from '../ports/wire.js';
 
@@ -38,12 +39,6 @@
   return undefined;
 }
 
-/** A response without a length or a transfer coding ends with its connection. */
-export function isCloseDelimited({ headers }: Pick<IncomingMessage, 'headers'>): boolean {
-  const { 'content-length': length, 'transfer-encoding': coding } = headers;
-  return length === undefined && coding === undefined;
-}
-
 /**
  * True when the end of the connection was the only sign of the end of a response and nothing of its
  * body arrived. A target that stops just after the head can't be told from one that is done.
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -8,6 +8,9 @@
 
 const servers: Server[] = [];
 
+/** More than the buffers of a connection hold. */
+const uploadBytes = 16_000_000;
+
 async function startTarget(scripts: readonly Script[]): Promise<number> {
   let next = 0;
   const server = createServer((socket) => {
@@ -27,11 +30,13 @@
 function exchange(
   connections: ReturnType<typeof createConnections>,
   overrides: Partial<ExchangeListener> = {},
+  body?: Buffer,
 ): Promise<readonly string[]> {
   const received: string[] = [];
+  const framing = body ? ['Content-Length', String(body.length)] : [];
   return new Promise((resolve) => {
     connections.start(
-      { method: 'GET', path: '/', headers: ['Host', 'target'], body: undefined },
+      { method: body ? 'POST' : 'GET', path: '/', headers: ['Host', 'target', ...framing], body },
       {
         onHead: (res) => received.push(`head ${res.statusCode}`),
         onData: (chunk) => received.push(`data ${chunk.toString()}`),
@@ -80,6 +85,20 @@
     expect((await exchange(connections)).at(-1)).toBe('failure sent=true');
   });
 
+  // Guards against a part of a response that looks whole (MIXED).
+  it('fails when the connection ends before the request was sent', async () => {
+    const port = await startTarget([
+      (socket) => {
+        socket.pause();
+        socket.end('HTTP/1.1 200 OK\r\n\r\nhalf');
+        setTimeout(() => socket.resetAndDestroy(), 100);
+      },
+    ]);
+    const connections = createConnections(systemClock, { host: '127.0.0.1', port });
+    const body = Buffer.alloc(uploadBytes);
+    expect((await exchange(connections, {}, body)).at(-1)).toBe('failure sent=true');
+  });
+
   it('fails when a response is shorter than its Content-Length', async () => {
     const port = await startTarget([
       (socket) => socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'),
--- a/test/standins/platform/rawtarget.ts
+++ b/test/standins/platform/rawtarget.ts
@@ -18,11 +18,15 @@
 const headerOf = (head: string, name: string): string | undefined =>
   new RegExp(`^${name}: (.*)$`, 'im').exec(head)?.[1]?.trim();
 
-/** Starts a target; `respond` writes the response to each request that has arrived in full. */
+/**
+ * Starts a target; `respond` writes the response to each request that has arrived in full, or whose head
+ * has arrived if the target does not read bodies.
+ */
 export async function startRawTarget(
   service: string,
   respond: (socket: Socket, req: RawRequest) => void,
   model?: string,
+  readsBodies = true,
 ): Promise<RawTarget> {
   const requests: RawRequest[] = [];
   const sockets = new Set<Socket>();
@@ -36,7 +40,8 @@
       text += chunk.toString('latin1');
       const headEnd = text.indexOf('\r\n\r\n') + 4;
       const bodyLength = Number(headerOf(text, 'content-length') ?? 0);
-      if (headEnd < 4 || text.length < headEnd + bodyLength) return;
+      if (headEnd < 4 || (readsBodies && text.length < headEnd + bodyLength)) return;
+      if (bodyLength > 0 && !readsBodies) socket.pause();
       const req: RawRequest = {
         requestId: headerOf(text, 'x-request-id') ?? '',
         lastEventId: headerOf(text, 'last-event-id'),
