Idle control connections are closed when bytes arrive on them

Cause: where bytes arrive in a later read than the response, the connection is idle and nothing listens on it, so Node reads and drops them without end; the next request on it gets the rest as its response. Connections to targets were guarded, those of control calls were not, nor those of the agent to its service since it uses Node's client. Ruled out: bytes in the same read as the response (the parser's error closes the connection).

Change: src/base/unaskedbytes.ts closes such connections for both agents.

--- a/src/adapters/http/service.ts
+++ b/src/adapters/http/service.ts
@@ -7,6 +7,7 @@
 import { type Disposable } from '../../base/lifecycle.js';
 import { watchResponseEnd } from '../../base/responseend.js';
 import { findHeadFault } from '../../base/responsehead.js';
+import { closeOnUnaskedBytes } from '../../base/unaskedbytes.js';
 import { type HeaderList, type ServicePort, type ServiceRequest } from '../../ports/service.js';
 
 const connectTimeoutMs = 1_000;
@@ -51,6 +52,7 @@
 export function createHttpService(baseUrl: string): ServicePort & Disposable {
   const { request, createAgent } = clients[new URL(baseUrl).protocol as keyof typeof clients];
   const agent = createAgent();
+  closeOnUnaskedBytes(agent);
 
   /** A flat list keeps repeated headers; Node adds neither a host nor a framing to it. */
   const toRequestHeaders = (url: URL, { headers }: ServiceRequest, hasBody: boolean): string[] => {
--- a/src/base/httpclient.ts
+++ b/src/base/httpclient.ts
@@ -10,6 +10,7 @@
   toLimitError,
 } from './responselimits.js';
 import { type ResponseWatch, watchResponse } from './responsewatch.js';
+import { closeOnUnaskedBytes } from './unaskedbytes.js';
 
 /** HTTP request with a small body, whose response is read in full. */
 export interface HttpRequest {
@@ -42,6 +43,7 @@
 
 export function createHttpClient(monitor: ResponseMonitor = createResponseMonitor()): HttpClient {
   const agent = new Agent({ keepAlive: true, scheduling: 'lifo' });
+  closeOnUnaskedBytes(agent);
   const closeIdle = ({ host, port }: HostPort): void => {
     const idle = agent.freeSockets[agent.getName({ host, port })] ?? [];
     for (const socket of [...idle]) socket.destroy();
--- a/src/gateway/idleconnections.ts
+++ b/src/gateway/idleconnections.ts
@@ -1,6 +1,7 @@
-import { Agent, type ClientRequest, type IncomingMessage } from 'node:http';
+import { Agent, type IncomingMessage } from 'node:http';
 import { type Socket } from 'node:net';
 import { type Clock } from '../base/clock.js';
+import { type AgentHooks, closeUnasked } from '../base/unaskedbytes.js';
 import { type ConnectionPool, type IdleConnection } from './connectionpool.js';
 import { idleLimitMs, readKeepAliveMs } from './reuserules.js';
 
@@ -57,22 +58,12 @@
   [stateKey]?: IdleState | undefined;
 }
 
-/** Hooks and fields of Node's Agent that its type declarations lack. */
-interface AgentHooks {
-  keepSocketAlive(socket: Socket): boolean;
-  reuseSocket(socket: Socket, req: ClientRequest): void;
-}
-
 type SocketLists = NodeJS.ReadOnlyDict<Socket[]>;
 
 function listSockets(lists: SocketLists): readonly TargetSocket[] {
   return Object.values(lists).flatMap((sockets) => sockets ?? []);
 }
 
-function closeUnasked(this: Socket): void {
-  this.destroy();
-}
-
 export function createIdleConnections(options: IdleConnectionsOptions): IdleConnections {
   const { clock, pool, maxConnections } = options;
   const agent = new Agent({
--- a/test/adapters/httpservice.test.ts
+++ b/test/adapters/httpservice.test.ts
@@ -120,6 +120,29 @@
     expect(await call(url, method, [], Buffer.alloc(16_000_000))).toMatchObject(failed);
   });
 
+  // Guards against a late second response that is taken for that to the next request.
+  it('closes an idle connection on which bytes arrive', async () => {
+    let connections = 0;
+    const url = await startRaw((socket) => {
+      connections += 1;
+      socket.resume();
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst');
+      setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate'), 20);
+    });
+    const service = createHttpService(url);
+    for (let count = 1; count <= 2; count += 1) {
+      const req = { method: 'GET', path: '/x', headers: [], body: bodyOf() };
+      const res = await service.send(req, noCancellation);
+      let text = '';
+      for await (const bytes of res.body) text += Buffer.from(bytes).toString();
+      expect([text, connections]).toEqual(['first', count]);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 60);
+      });
+    }
+    service.dispose();
+  });
+
   // Guards against a response with an invalid status that reaches the caller.
   it.each(['000 Odd', '099 Odd', '101 Odd'])('fails when the status is %s', async (status) => {
     const url = await startRaw((socket) =>
--- a/test/base/httpclient.test.ts
+++ b/test/base/httpclient.test.ts
@@ -40,3 +40,27 @@
   await expect(send(50)).rejects.toThrow('request timed out');
   expect((await send(5_000)).status).toBe(200);
 });
+
+// Guards against a server that sends bytes without end on a connection that no request uses.
+it('closes an idle connection on which bytes arrive', async () => {
+  // So that the server itself keeps the connection.
+  server.keepAliveTimeout = 60_000;
+  const { port } = server.address() as AddressInfo;
+  const address = { host: '127.0.0.1', port };
+  const call = {
+    call: 'cache-events',
+    address,
+    method: 'GET',
+    path: '/',
+    timeoutMs: 5_000,
+  } as const;
+  await httpClient(call, noCancellation);
+  const [socket] = sockets;
+  const closed = new Promise((resolve) => {
+    socket?.once('close', () => resolve('closed'));
+    setTimeout(() => resolve('open'), 1_000);
+  });
+  socket?.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+  expect(await closed).toBe('closed');
+  expect((await httpClient(call, noCancellation)).body).toBe('reply');
+});
