--- a/src/continuation/runend.ts
+++ b/src/continuation/runend.ts
@@ -43,7 +43,7 @@
 /** Delay before the second call to an engine that did not answer the first; later ones double. */
 const firstRetryMs = 50;
 
-/** Reports lag by some hundred milliseconds, so more frequent ones show nothing new. */
+/** Reports lag by some hundred milliseconds, so more frequent calls would show little. */
 const maxRetryMs = 400;
 
 /** A report may not show a run yet that began this short a time before, in milliseconds. */
@@ -85,7 +85,7 @@
     return report;
   };
 
-  /** Returns undefined when the reply shows nothing; 'refused' when the call could not be sent. */
+  /** Resolves to undefined when the run may go on, to `refused` when the call could not be sent. */
   const stop = async (
     { requestId, target, copyTo }: DetachedRun,
     token: CancellationToken,
--- a/src/daemon/gatewayrollout.ts
+++ b/src/daemon/gatewayrollout.ts
@@ -49,7 +49,7 @@
       if (target) failureTracker.observe(target, 'replaced');
     },
     setChangingEngines(ids) {
-      // At the begin of a change and at its end, for runs that began in between.
+      // At the start of a change and at its end, for runs that began in between.
       for (const id of new Set([...changingTargetIds, ...ids]))
         directory.find(id)?.weights.observeOrder();
       changingTargetIds.clear();
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -20,7 +20,7 @@
 export interface PeerListener {
   onCacheUse(use: CacheUse): void;
   onWeightsChange(change: WeightsChange): void;
-  /** A peer changes the weights of the target, or has just ended to. */
+  /** A peer changes the weights of the target, or has just stopped doing so. */
   onWeightsOrder(targetId: string): void;
   /** Versions of the newest changes of the configuration and target tables that a peer observed. */
   onTableVersions(versions: readonly number[]): void;
--- a/test/gateway/malformedresponses.test.ts
+++ b/test/gateway/malformedresponses.test.ts
@@ -50,7 +50,7 @@
     expect(callerResponse.mayResumeAfter('1')).toBe(true);
   });
 
-  it('does not count as the begin of a response when its head can not be written', () => {
+  it('does not count as the start of a response when its head can not be written', () => {
     const { callerResponse } = startForwarding();
     const writer = callerResponse.openWriter(undefined);
     expect(() => writer.begin(messageOf(200, 'Cache Control', 'no-store'), false)).toThrow();
