--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -85,6 +85,8 @@
 export async function startSite(record, { llm = 4, desk = 3, gateways = 3 } = {}) {
   const store = await startStore(record);
   const written = new Map();
+  /** Changes of the operator that wait for the store. */
+  const waiting = [];
   /** The operator's write to `op`; it is repeated when the store has lost it. */
   const operate = (name, value) => {
     written.set(name, value);
@@ -94,6 +96,7 @@
   store.onRestored(() => {
     for (const [name, value] of written) store.put('op', name, value);
     record.add('operator has written its rows again');
+    for (const change of waiting.splice(0)) change();
   });
   operate('config', configOf(1));
   operate(`version/${model}`, { model, version: 1 });
@@ -116,7 +119,12 @@
   for (let index = 0; index < gateways; index += 1) {
     const zone = zones[index % zones.length];
     machines.push(
-      await createMachine({ name: `front-${zone}-1`, zone, storePort: store.port, record }),
+      await createMachine({
+        name: `front-${zone}-${1 + Math.floor(index / zones.length)}`,
+        zone,
+        storePort: store.port,
+        record,
+      }),
     );
   }
   for (const machine of machines) machine.start();
@@ -126,6 +134,12 @@
     desks,
     machines,
     operate,
+    /** The operator changes a row as soon as the store is back. */
+    operateOnceRestored: (name, value, onWritten) =>
+      waiting.push(() => {
+        operate(name, value);
+        onWritten();
+      }),
     nameWeights: (version) => operate(`version/${model}`, { model, version }),
     async isReady() {
       for (const machine of machines) if (!(await machine.isReady())) return false;
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -174,8 +174,11 @@
       const copy = copies.findLast(({ at }) => performance.now() - at >= minAgeMs);
       return copy && performance.now() - copy.at;
     },
-    /** The drill: the store is away for a moment and comes back from a copy some seconds old. */
-    async drill({ copyAgeMs, awayMs }) {
+    /**
+     * The drill: the store is away for a moment and comes back from a copy some seconds old. Who wrote
+     * to it writes again, each at a random time within `rewriteMs`.
+     */
+    async drill({ copyAgeMs, awayMs, rewriteMs = 0 }) {
       const copy = copies.findLast(({ at }) => performance.now() - at >= copyAgeMs);
       const ageMs = Math.round(performance.now() - copy.at);
       record.add(`drill    the store goes away at version ${ver}`);
@@ -191,7 +194,10 @@
       era += 1;
       isAway = false;
       record.add(`drill    it is back from a copy of ${ageMs} ms before, at version ${ver}`);
-      for (const listener of restoreListeners) listener();
+      for (const listener of restoreListeners) {
+        if (rewriteMs > 0) setTimeout(listener, Math.random() * rewriteMs);
+        else listener();
+      }
     },
     async close() {
       clearInterval(copyTimer);
