--- a/review/lib-3/run.mjs
+++ b/review/lib-3/run.mjs
@@ -31,7 +31,9 @@
     await cleanup().catch((err) => record.add(`cleanup  ${err.message}`));
   }
   clearTimeout(timer);
-  record.add(`result   ${{ 0: 'the rule held', 10: 'the rule was broken' }[code] ?? 'could not run'}`);
+  record.add(
+    `result   ${{ 0: 'the rule held', 10: 'the rule was broken' }[code] ?? 'could not run'}`,
+  );
   await record.save();
   process.exit(code);
 }
