--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -16,7 +16,14 @@
 }
 
 export async function startEngine({ id, service, zone, model, slots, store, record, ...options }) {
-  const { workMs = 40, events = 4, gapMs = 15, version: firstVersion = 1, coldMs = 0 } = options;
+  const {
+    workMs = 40,
+    spreadMs = 0,
+    events = 4,
+    gapMs = 15,
+    version: firstVersion = 1,
+    coldMs = 0,
+  } = options;
   const born = Date.now();
   const sockets = new Set();
   const runs = [];
@@ -112,7 +119,7 @@
     active += 1;
     runs.push({ requestId, at: performance.now(), version, method: req.method, path: req.url });
     options.onRun?.(requestId);
-    await pause(workMs);
+    await pause(workMs + Math.random() * spreadMs);
     const headers = {
       ...head(),
       'X-Request-Id': requestId,
