--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -204,6 +204,13 @@
       new Promise((resolve) => {
         onCheckIn.push(resolve);
       }),
+    /** A planned end that the engine reports at once. */
+    drain() {
+      state = 'draining';
+      isLeaving = true;
+      record.add(`engine   ${id} reports that it is draining`);
+      register();
+    },
     /** A planned end that the engine doesn't report as `draining`: its entry is removed. */
     leave() {
       isRegistered = false;
