--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -111,11 +111,12 @@
     record.add(`operator writes op/${name}${value.model ? ` version ${value.version}` : ''}`);
     return store.put('op', name, value);
   };
-  store.onRestored(() => {
+  const writeAgain = () => {
     for (const [name, value] of written) store.put('op', name, value);
     record.add('operator has written its rows again');
     for (const change of waiting.splice(0)) change();
-  });
+  };
+  store.onRestored(writeAgain, true);
   operate('config', configOf(1));
   operate(`version/${model}`, { model, version: 1 });
   const engines = [];
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -166,8 +166,8 @@
       return true;
     },
     /** Called once the store is back from a copy: who wrote to it writes again. */
-    onRestored(listener) {
-      restoreListeners.push(listener);
+    onRestored(listener, isAtOnce = false) {
+      restoreListeners.push({ listener, isAtOnce });
     },
     /** Age in milliseconds of the newest copy that is at least this old. */
     copyAgeMs(minAgeMs) {
@@ -176,7 +176,7 @@
     },
     /**
      * The drill: the store is away for a moment and comes back from a copy some seconds old. Who wrote
-     * to it writes again, each at a random time within `rewriteMs`.
+     * to it writes again: the operator at once, each engine at a random time within `rewriteMs`.
      */
     async drill({ copyAgeMs, awayMs, rewriteMs = 0 }) {
       const copy = copies.findLast(({ at }) => performance.now() - at >= copyAgeMs);
@@ -194,9 +194,9 @@
       era += 1;
       isAway = false;
       record.add(`drill    it is back from a copy of ${ageMs} ms before, at version ${ver}`);
-      for (const listener of restoreListeners) {
-        if (rewriteMs > 0) setTimeout(listener, Math.random() * rewriteMs);
-        else listener();
+      for (const { listener, isAtOnce } of restoreListeners) {
+        if (isAtOnce || rewriteMs === 0) listener();
+        else setTimeout(listener, Math.random() * rewriteMs);
       }
     },
     async close() {
