--- a/review/lib-3/client.mjs
+++ b/review/lib-3/client.mjs
@@ -52,13 +52,13 @@
   });
 }
 
-/** Sends a streaming request with a prompt whose last part is its own. */
-export const sendPrompt = ({ model, tokens = [900, 4], ...options }) =>
+/** Sends a streaming request with a prompt whose last part is its own, or all parts (`isUnique`). */
+export const sendPrompt = ({ model, tokens = [900, 4], isUnique = false, ...options }) =>
   sendRequest({
     ...options,
     headers: {
       'X-Model': model,
       'X-Token-Count': tokens.join(','),
-      'X-Prompt-Prefix': `aa:${tokens[0] - 400},${(nextId * 7919).toString(16)}:400`,
+      'X-Prompt-Prefix': `${isUnique ? (nextId * 104729).toString(16) : 'aa'}:${tokens[0] - 400},${(nextId * 7919).toString(16)}:400`,
     },
   });
--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -16,13 +16,14 @@
 }
 
 export async function startEngine({ id, service, zone, model, slots, store, record, ...options }) {
-  const { workMs = 40, events = 4, gapMs = 15, version: firstVersion = 1 } = options;
+  const { workMs = 40, events = 4, gapMs = 15, version: firstVersion = 1, coldMs = 0 } = options;
   const born = Date.now();
   const sockets = new Set();
   const runs = [];
   const orders = [];
   let version = firstVersion;
   let state = 'ready';
+  let isLeaving = false;
   let isRegistered = true;
   let isBusy = false;
   let active = 0;
@@ -32,7 +33,7 @@
   const head = () => ({
     'X-Instance': id,
     'X-Load': `${active},0,${slots}`,
-    ...(state === 'draining' ? { 'Server-Leaving': '1' } : {}),
+    ...(isLeaving ? { 'Server-Leaving': '1' } : {}),
   });
 
   const json = (res, status, body, headers = {}) => {
@@ -103,7 +104,8 @@
       return;
     }
     await readBody(req);
-    if (isBusy || active >= slots) {
+    // It has no room for copies of other engines' runs.
+    if (isBusy || active >= slots || req.headers['kv-from'] !== undefined) {
       json(res, 503, {}, { 'X-Not-Run': '1', 'X-Request-Id': requestId });
       return;
     }
@@ -131,6 +133,7 @@
     const handlers = {
       '/order': () => handleOrder(req, res),
       '/report': () => handleReport(res),
+      '/kv-move': () => json(res, 404, {}),
       '/health': () => json(res, state === 'ready' ? 200 : 503, {}),
       '/kv-events': () => json(res, 200, { bootEpoch: 1, next: 1, lost: false, events: [] }),
     };
@@ -161,7 +164,7 @@
       version: 'v1',
       slots,
       state,
-      coldLeftMs: 0,
+      coldLeftMs: Math.max(0, Math.round(born + coldMs - Date.now())),
       born,
       ...(model ? { stage: 'both', models: [{ name: model, version, adapters: [] }] } : {}),
     };
@@ -170,7 +173,11 @@
     if (store.put('servers', id, { ...entry, seq: 1 })) lastEntry = text;
   };
   register();
-  const beat = setInterval(register, beatMs);
+  const onCheckIn = [];
+  const beat = setInterval(() => {
+    register();
+    for (const listener of onCheckIn.splice(0)) listener();
+  }, beatMs);
   store.onRestored(() => {
     if (isRegistered) register(true);
   });
@@ -186,6 +193,17 @@
     get active() {
       return active;
     },
+    nextCheckIn: () =>
+      new Promise((resolve) => {
+        onCheckIn.push(resolve);
+      }),
+    /** A planned end that the engine doesn't report as `draining`: its entry is removed. */
+    leave() {
+      isRegistered = false;
+      isLeaving = true;
+      record.add(`engine   ${id} leaves: its entry is removed`);
+      return store.remove('servers', id);
+    },
     async close() {
       clearInterval(beat);
       isRegistered = false;
--- a/review/lib-3/gateway.mjs
+++ b/review/lib-3/gateway.mjs
@@ -3,7 +3,7 @@
 import { get } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { freePort, freeUdpPort, until } from './util.mjs';
+import { freePort, until } from './util.mjs';
 
 /** Bounds of the small deployment lucka-hq, as its sheet and `fleetbench wire` state them. */
 export const bounds = {
@@ -20,6 +20,12 @@
   versionAllMs: 14_000,
 };
 
+/** Processes that run; none outlives the script, whatever ends it. */
+const running = new Set();
+process.on('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 /** Fills in a template of the deploy file: `{{a.b}}` and sections `{{#a.b}}..{{.}}..{{/a.b}}`. */
 function render(template, settings) {
   const find = (path) =>
@@ -64,7 +70,7 @@
       front: `127.0.0.1:${await freePort()}`,
       ready: `127.0.0.1:${await freePort()}`,
     },
-    portRange: [await freeUdpPort()],
+    portRange: [await freePort()],
     platform: { addr: `127.0.0.1:${storePort}` },
     limits: { memoryMb: 200, maxFds: 4_100 },
     bounds,
@@ -92,6 +98,7 @@
       const [program, ...args] = run;
       const env = { PATH: process.env.PATH, HOME: process.env.HOME, CICADATIDE_BOOT: path };
       child = spawn(program, args, { env, stdio: ['ignore', 'pipe', 'pipe'] });
+      running.add(child);
       record.add(`gateway  ${name} is started`);
       let rest = '';
       child.stdout.on('data', (bytes) => {
@@ -105,8 +112,13 @@
           }
         }
       });
-      child.stderr.on('data', (bytes) => record.add(`gateway  ${name} stderr: ${bytes}`));
+      child.stderr.on('data', (bytes) => {
+        for (const line of bytes.toString('utf8').split('\n'))
+          if (/^(FATAL|cicadatide:)/.test(line)) record.add(`gateway  ${name} stderr: ${line}`);
+      });
+      const started = child;
       child.on('exit', (code, signal) => {
+        running.delete(started);
         end = { code, signal };
         record.add(`gateway  ${name} ended with ${signal ?? code}`);
       });
--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -26,6 +26,21 @@
       resumable: true,
       gapSloMs: 300,
     },
+    {
+      name: 'reply',
+      host,
+      prefix: '/reply/',
+      kind: 'streaming',
+      timeoutMs: 12_000,
+      sloMs: 600,
+      priority: 0,
+      service: 'llm',
+      attempts: 1,
+      public: false,
+      sticky: true,
+      resumable: false,
+      gapSloMs: 300,
+    },
     {
       name: 'reserve',
       host,
@@ -82,7 +97,10 @@
 });
 
 /** Starts the store with a first config, engines of both services, and one gateway in each zone. */
-export async function startSite(record, { llm = 4, desk = 3, gateways = 3 } = {}) {
+export async function startSite(
+  record,
+  { llm = 4, desk = 3, gateways = 3, llmOptions, deskOptions } = {},
+) {
   const store = await startStore(record);
   const written = new Map();
   /** Changes of the operator that wait for the store. */
@@ -102,19 +120,35 @@
   operate(`version/${model}`, { model, version: 1 });
   const engines = [];
   const common = { store, record };
-  for (let index = 0; index < llm; index += 1) {
+  const startLlm = async (options = {}) => {
+    const index = engines.length;
     const zone = zones[index % zones.length];
-    engines.push(
-      await startEngine({ ...common, id: `llm-${index}`, service: 'llm', zone, model, slots: 64 }),
-    );
-  }
+    const id = `llm-${index}`;
+    const engine = await startEngine({
+      ...{ ...common, id, service: 'llm', zone, model, slots: 64 },
+      ...options,
+    });
+    engines.push(engine);
+    return engine;
+  };
+  for (let index = 0; index < llm; index += 1) await startLlm(llmOptions);
   const desks = [];
-  for (let index = 0; index < desk; index += 1) {
+  const startDesk = async (options = {}) => {
+    const index = desks.length;
     const zone = zones[index % zones.length];
-    desks.push(
-      await startEngine({ ...common, id: `desk-${index}`, service: 'desk', zone, slots: 6 }),
-    );
-  }
+    const id = `desk-${index}`;
+    const engine = await startEngine({
+      ...common,
+      id,
+      service: 'desk',
+      zone,
+      slots: 6,
+      ...options,
+    });
+    desks.push(engine);
+    return engine;
+  };
+  for (let index = 0; index < desk; index += 1) await startDesk(deskOptions);
   const machines = [];
   for (let index = 0; index < gateways; index += 1) {
     const zone = zones[index % zones.length];
@@ -134,6 +168,8 @@
     desks,
     machines,
     operate,
+    startDesk,
+    startLlm,
     /** The operator changes a row as soon as the store is back. */
     operateOnceRestored: (name, value, onWritten) =>
       waiting.push(() => {
--- a/review/lib-3/util.mjs
+++ b/review/lib-3/util.mjs
@@ -17,24 +17,30 @@
   return false;
 }
 
-/** Finds a free TCP port of the loopback address. */
-export const freePort = () =>
-  new Promise((resolve, reject) => {
+/** Ports below those that the system gives to outgoing connections. */
+const firstPort = 20_000;
+const portCount = 12_000;
+
+const taken = new Set();
+
+const isFree = (port) =>
+  new Promise((resolve) => {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => {
+      const socket = createSocket('udp4');
+      const finish = (result) => server.close(() => resolve(result));
+      socket.once('error', () => finish(false));
+      socket.bind(port, '127.0.0.1', () => socket.close(() => finish(true)));
     });
   });
 
-/** Finds a free UDP port of the loopback address. */
-export const freeUdpPort = () =>
-  new Promise((resolve, reject) => {
-    const socket = createSocket('udp4');
-    socket.once('error', reject);
-    socket.bind(0, '127.0.0.1', () => {
-      const { port } = socket.address();
-      socket.close(() => resolve(port));
-    });
-  });
+/** Finds a port of the loopback address that is free for TCP and UDP. */
+export async function freePort() {
+  for (;;) {
+    const port = firstPort + Math.floor(Math.random() * portCount);
+    if (taken.has(port) || !(await isFree(port))) continue;
+    taken.add(port);
+    return port;
+  }
+}
