VERSION: versions of the store carry its era, so the lease row is read again

Cause: a row version of the store was a bare number. After a restore numbers go back and are given out again, and the lease ignored every row version that wasn't higher than the one it knew, also those that it had just read; where the copy had no row it kept the version from before. Each write then expected a version that no longer existed.

Ruled out: the feed (refresh reads the row itself and drops the result), the holder's expiry (unchanged for the whole run).

The lease reads the row again when its version is of an earlier era, and takes a missing row for missing.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,6 +7,7 @@
   ['src/gen', 'src/base'],
   ['src/ports'],
   [
+    'src/storeera',
     'src/routing',
     'src/scheduling',
     'src/limits',
--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -219,6 +219,7 @@
     clock,
     log,
     table: store,
+    eras: store.eras,
     holder: `${instance}/${randomUUID()}`,
     leaseMs: settings.orders.lease,
   });
--- a/src/daemon/gatewayplatform.ts
+++ b/src/daemon/gatewayplatform.ts
@@ -9,13 +9,15 @@
   type RunControl,
   type WireProtocol,
 } from '../ports/wire.js';
+import { type StoreEras } from '../storeera/eras.js';
 import { type GatewaySettings } from './settings/read.js';
 
 /** Platform adapters that a gateway uses. */
 export interface GatewayPlatform {
   readonly decoder: SiteDecoder;
   readonly protocol: WireProtocol;
-  readonly store: TablePort & RowFeedPort & { readonly systemTable: string };
+  readonly store: TablePort &
+    RowFeedPort & { readonly systemTable: string; readonly eras: StoreEras };
   readonly control: EngineControl & RunControl;
   readonly cacheReader: CacheReader;
   /** Oversized responses to the calls of the adapters. */
--- a/src/orders/ondemandlease.ts
+++ b/src/orders/ondemandlease.ts
@@ -3,6 +3,8 @@
 import { errMessage } from '../base/errors.js';
 import { type Logger } from '../base/logging.js';
 import { type TableKey, type TablePort } from '../ports/table.js';
+import { type StoreEras } from '../storeera/eras.js';
+import { eraOf, toVersion } from '../storeera/version.js';
 
 /** Key of the row that names the holder of the lease. */
 const rowKey: TableKey = { partition: '', sort: 'order-holder' };
@@ -39,6 +41,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly table: TablePort;
+  readonly eras: StoreEras;
   /** Identifies one incarnation of this process. */
   readonly holder: string;
   /** Minimum time between the orders of two holders. */
@@ -66,7 +69,7 @@
 }
 
 export function createOnDemandOrderLease(options: OnDemandOrderLeaseOptions): OnDemandOrderLease {
-  const { clock, log, table, holder, leaseMs } = options;
+  const { clock, log, table, eras, holder, leaseMs } = options;
   const expiryMs = leaseMs + orderWindowMs + expiryMarginMs;
   let row: HolderRow | undefined;
   let version = -1;
@@ -90,7 +93,10 @@
   const refresh = async (token: CancellationToken): Promise<void> => {
     const item = await table.get(rowKey, token);
     if (item) observe(item.value, item.version);
-    else if (version < 0) version = 0;
+    else {
+      version = toVersion(eras.current, 0);
+      row = undefined;
+    }
     isVersionKnown = true;
   };
 
@@ -130,7 +136,7 @@
 
   const tryAcquire = async (token: CancellationToken): Promise<number | undefined> => {
     try {
-      if (!isVersionKnown) await refresh(token);
+      if (!isVersionKnown || eraOf(version) !== eras.current) await refresh(token);
       if (row?.holder === holder && isValid()) return row.fencingNumber;
       const isAvailable = !row || row.holder === holder || clock.now() - observedAt >= expiryMs;
       return isAvailable ? await write(token) : undefined;
--- a/test/orders/ondemandlease.test.ts
+++ b/test/orders/ondemandlease.test.ts
@@ -5,6 +5,7 @@
 import { createNullLogger } from '../../src/base/logging.js';
 import { createOnDemandOrderLease, orderWindowMs } from '../../src/orders/ondemandlease.js';
 import { type TableItem, type TablePort } from '../../src/ports/table.js';
+import { singleEra } from '../../src/storeera/eras.js';
 import { createManualClock, type ManualClock } from '../standins/clock.js';
 
 const leaseMs = 3_000;
@@ -43,7 +44,14 @@
   const row = createRow();
   const log = createNullLogger();
   const create = (holder: string, own: Clock = clock) =>
-    createOnDemandOrderLease({ clock: own, log, table: row.table, holder, leaseMs });
+    createOnDemandOrderLease({
+      clock: own,
+      log,
+      table: row.table,
+      eras: singleEra,
+      holder,
+      leaseMs,
+    });
   return { row, create };
 }
 
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -1,7 +1,10 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createHttpClient } from '../../src/base/httpclient.js';
+import { systemClock } from '../../src/base/clock.js';
 import { noCancellation } from '../../src/base/cancellation.js';
 import { StoreReplyLostError, StoreUnavailableError } from '../../src/base/errors.js';
+import { createNullLogger } from '../../src/base/logging.js';
+import { createEraTracker } from '../../src/storeera/eras.js';
 import { createPlatformStore, type PlatformStore } from '../../platform/store.js';
 import { startStoreStandin, type StoreStandin } from '../standins/platform/store.js';
 
@@ -11,7 +14,8 @@
 beforeEach(async () => {
   standin = await startStoreStandin();
   const address = { host: '127.0.0.1', port: standin.port };
-  store = createPlatformStore({ address, httpClient: createHttpClient() });
+  const eras = createEraTracker({ clock: systemClock, log: createNullLogger() });
+  store = createPlatformStore({ address, httpClient: createHttpClient(), eras });
 });
 
 afterEach(() => standin.close());
--- a/test/standins/platform/site.ts
+++ b/test/standins/platform/site.ts
@@ -1,10 +1,12 @@
 import { createSocket } from 'node:dgram';
+import { systemClock } from '../../../src/base/clock.js';
 import { createHttpClient } from '../../../src/base/httpclient.js';
 import { createResponseMonitor } from '../../../src/base/responselimits.js';
 import { createNullLogger, type Logger } from '../../../src/base/logging.js';
 import { startGateway } from '../../../src/daemon/gateway.js';
 import { type DaemonProcess } from '../../../src/daemon/process.js';
 import { parseGatewaySettings } from '../../../src/daemon/settings/read.js';
+import { createEraTracker } from '../../../src/storeera/eras.js';
 import { createCacheReader, createEngineControl } from '../../../platform/engine.js';
 import { headerProtocol } from '../../../platform/headers.js';
 import { siteDecoder } from '../../../platform/site.js';
@@ -152,7 +154,11 @@
         platform: {
           decoder: siteDecoder,
           protocol: headerProtocol,
-          store: createPlatformStore({ address: settings.store.address, httpClient }),
+          store: createPlatformStore({
+            address: settings.store.address,
+            httpClient,
+            eras: createEraTracker({ clock: systemClock, log }),
+          }),
           control: createEngineControl(httpClient),
           cacheReader: createCacheReader(httpClient),
           responseMonitor,
