CONFIG: tables are read again when the store comes back from an older copy

The feed was read on from the old position, and when as many numbers had been given out again the store answered 200 and what it had written at lower numbers was never read; rows with lower numbers counted as outdated, and the verification compared numbers only.

The watches of a process listen to the era: whichever call names a new one ends the open calls of all, and each reads its table once. The time since the last failure restarts, so that targets that are missing in the copy get the time to register again that they have after an outage. Rows of a new era are not shared as changes that others lack; readers and followers of different eras take over nothing from each other.

--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -5,6 +5,8 @@
 import { type Logger } from '../base/logging.js';
 import { fullJitter, type Random } from '../base/random.js';
 import { type Row, type RowFeedPort } from '../ports/rows.js';
+import { type StoreEras } from '../storeera/eras.js';
+import { eraOf } from '../storeera/version.js';
 import { type SharedChanges, type TableSharing } from './sharing.js';
 import { verifyRepeatedly } from './verification.js';
 
@@ -25,7 +27,10 @@
   readonly isSynced: boolean;
   /** Time since the store last confirmed the state, in milliseconds; Infinity before the first read. */
   ageMs(): number;
-  /** Time since a call last failed, in milliseconds; Infinity when none has. */
+  /**
+   * Time since a call last failed or the store came back from an older copy, in milliseconds; Infinity
+   * when neither has happened.
+   */
   sinceFailureMs(): number;
   /** Version of the newest change of a row; undefined before the first row was read. */
   readonly newestRowVersion: number | undefined;
@@ -39,6 +44,8 @@
   readonly log: Logger;
   readonly feed: RowFeedPort;
   readonly table: string;
+  /** Eras of the store; absent for one that never comes back from an older copy. */
+  readonly eras?: Pick<StoreEras, 'onDidChange'>;
   /** Time that the next call waits for changes. */
   waitMs(): number;
   /** Pause after a change, so that changes in quick succession are read together. */
@@ -168,11 +175,24 @@
   /** True when the open call began before the expected change was reported and should return it. */
   const isAwaitingExpectedChange = (): boolean => isBehind() && failures === 0 && !isCatchingUp;
 
+  const hasRestored = (version: number): boolean =>
+    completeVersion !== -Infinity && eraOf(version) !== eraOf(completeVersion);
+
+  const logRestoredTable = (rows: readonly Row[], version: number): void => {
+    const keys = new Set(rows.map(({ key }) => key));
+    const removed = [...rowVersions.keys()].filter((key) => !keys.has(key)).length;
+    const added = rows.filter(({ key }) => !rowVersions.has(key)).length;
+    const fields = { table, previousVersion: completeVersion, version, added, removed };
+    log.info(fields, 'table was read again from an older copy');
+  };
+
   const readOnce = async (token: CancellationToken): Promise<void> => {
     openCallSource = createCancellationSource();
     if (position === undefined || shouldReadWholeTable) {
       const isFirst = completeAt === -Infinity;
       const { rows, version, malformedRows } = await feed.list(table, token);
+      const isRestored = hasRestored(version);
+      if (isRestored) logRestoredTable(rows, version);
       const maxAgeMs = clock.now() - completeAt;
       recordSuccess();
       completeAt = clock.now();
@@ -184,7 +204,7 @@
       logMalformedRows(malformedRows);
       // Others lack the same changes if all rely on one feed that left them out.
       const isNew = (row: Row): boolean => (rowVersions.get(row.key) ?? -1) < row.version;
-      const missed = isFirst ? [] : rows.filter(isNew);
+      const missed = isFirst || isRestored ? [] : rows.filter(isNew);
       if (!malformedRows) options.sharing?.publish({ from: version, to: version, rows: missed });
       await notify({ rows, isSnapshot: true, maxAgeMs }, token);
       const settleMs = options.sharing?.settleMs() ?? 0;
@@ -311,6 +331,13 @@
     log.error({ table, err: errMessage(err) }, 'table watch ended; restart the process');
   };
 
+  const eraListener = options.eras?.onDidChange(() => {
+    // Registrations may be missing in the copy, as after an outage.
+    failedAt = clock.now();
+    shouldReadWholeTable = true;
+    openCallSource.cancel('the store came back from an older copy');
+  });
+
   run(source.token).catch(onEnded);
   const { verifyMs } = options;
   if (verifyMs) {
@@ -369,6 +396,7 @@
       });
     },
     dispose() {
+      eraListener?.dispose();
       expectTimer?.dispose();
       source.cancel('watch closed');
     },
--- a/src/daemon/gatewayfeeds.ts
+++ b/src/daemon/gatewayfeeds.ts
@@ -184,7 +184,7 @@
   const byRole = (table: TableSharing | undefined, sharedMs: number, ownMs: number): number =>
     table?.hearsOthers() ? Math.min(sharedMs, ownMs) : ownMs;
   const resources = createDisposableStore();
-  const sharedOptions = { clock, random, log, feed: store };
+  const sharedOptions = { clock, random, log, feed: store, eras: store.eras };
   const watches: { configuration?: TableWatch; targets?: TableWatch } = {};
 
   const publishVersions = (): void => {
