--- a/src/orders/ondemandlease.ts
+++ b/src/orders/ondemandlease.ts
@@ -11,7 +11,10 @@
 
 interface HolderRow {
   readonly holder: string;
-  /** Increases by 1 with each change of holder. */
+  /**
+   * Increases with each change of holder. It has the era of the store in which the lease was acquired,
+   * so a number that was given out before a restore is never given out again.
+   */
   readonly fencingNumber: number;
 }
 
@@ -19,11 +22,15 @@
  * Lease on the right to give orders that is acquired only while engines have outdated weights or an
  * order is due. A lease with periodic renewal costs store calls in every process, while there are
  * only a few orders a minute.
+ *
+ * When the store comes back from an older copy, the row may be gone or name an earlier holder. A row of
+ * an earlier era therefore names nobody, and only a process that has just acted may acquire the lease
+ * at once; any other one waits until the orders of every unknown holder are too old to conflict.
  */
 export interface OnDemandOrderLease {
   /** Key of the row in the system's own table. */
   readonly key: string;
-  /** True while the row names this process. */
+  /** True while this process may acquire the lease at once because it was the last holder. */
   readonly isHolder: boolean;
   /** Time since this process last observed a change of the row; Infinity without a row. */
   unchangedMs(): number;
@@ -76,6 +83,8 @@
   let isVersionKnown = false;
   let observedAt = -Infinity;
   let validUntil = -Infinity;
+  /** Until then no other process can have acquired the lease after this one did, in any era. */
+  let exclusiveUntil = -Infinity;
   let clockGap = 0;
   let pendingAcquire: Promise<number | undefined> | undefined;
 
@@ -104,14 +113,31 @@
    * The monotonic clock stops while the machine is suspended, the wall clock does not. A changed
    * gap between them means that the lease may be older than the monotonic clock shows.
    */
-  const isValid = (): boolean =>
-    clock.now() < validUntil && Math.abs(currentClockGap() - clockGap) < maxClockDriftMs;
+  const isClockSteady = (): boolean => Math.abs(currentClockGap() - clockGap) < maxClockDriftMs;
+
+  const isValid = (): boolean => clock.now() < validUntil && isClockSteady();
+
+  /** The row, if it was written in this era of the store. */
+  const currentRow = (): HolderRow | undefined =>
+    row && eraOf(row.fencingNumber) === eras.current ? row : undefined;
+
+  const isLastHolder = (): boolean => {
+    const current = currentRow();
+    if (current) return current.holder === holder;
+    return clock.now() < exclusiveUntil && isClockSteady();
+  };
+
+  /** True once the orders of any other holder, including one that the store has forgotten, are old. */
+  const isExpired = (): boolean => Math.min(clock.now() - observedAt, eras.ageMs()) >= expiryMs;
 
   const write = async (token: CancellationToken): Promise<number | undefined> => {
-    const isOwn = row?.holder === holder;
-    const fencingNumber = isOwn ? (row?.fencingNumber ?? 0) : (row?.fencingNumber ?? 0) + 1;
-    const next: HolderRow = { holder, fencingNumber };
+    const current = currentRow();
+    const isOwn = current?.holder === holder;
     const expected = version;
+    const fencingNumber = isOwn
+      ? current.fencingNumber
+      : Math.max(row?.fencingNumber ?? 0, expected) + 1;
+    const next: HolderRow = { holder, fencingNumber };
     const startedAt = clock.now();
     const unchangedMs = startedAt - observedAt;
     const gap = currentClockGap();
@@ -128,6 +154,7 @@
       log.info({ fencingNumber, unchangedMs: Math.round(unchangedMs) }, 'order lease acquired');
     row = next;
     validUntil = startedAt + orderWindowMs;
+    exclusiveUntil = startedAt + leaseMs;
     clockGap = gap;
     // The reply lacks the new version; the watch delivers it, mostly before the next write.
     isVersionKnown = version !== expected;
@@ -137,9 +164,9 @@
   const tryAcquire = async (token: CancellationToken): Promise<number | undefined> => {
     try {
       if (!isVersionKnown || eraOf(version) !== eras.current) await refresh(token);
-      if (row?.holder === holder && isValid()) return row.fencingNumber;
-      const isAvailable = !row || row.holder === holder || clock.now() - observedAt >= expiryMs;
-      return isAvailable ? await write(token) : undefined;
+      const current = currentRow();
+      if (current?.holder === holder && isValid()) return current.fencingNumber;
+      return isLastHolder() || isExpired() ? await write(token) : undefined;
     } catch (err) {
       log.warn(
         { err: errMessage(err) },
@@ -152,7 +179,7 @@
   return {
     key: rowKey.sort,
     get isHolder() {
-      return row?.holder === holder;
+      return isLastHolder();
     },
     unchangedMs: () => (row ? clock.now() - observedAt : Infinity),
     observe,
--- a/test/orders/restoredlease.test.ts
+++ b/test/orders/restoredlease.test.ts
@@ -1,7 +1,9 @@
+import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { noCancellation } from '../../src/base/cancellation.js';
 import { createNullLogger } from '../../src/base/logging.js';
-import { createOnDemandOrderLease } from '../../src/orders/ondemandlease.js';
+import { createOnDemandOrderLease, orderWindowMs } from '../../src/orders/ondemandlease.js';
+import { eraOf, numberOf } from '../../src/storeera/version.js';
 import { createManualClock } from '../standins/clock.js';
 import { createRestorableStore, type StoreCopy } from '../standins/platform/restorablestore.js';
 
@@ -9,6 +11,8 @@
 
 const leaseRow = { partition: '', sort: 'order-holder' };
 
+const pairOf = (fencingNumber: number) => [eraOf(fencingNumber), numberOf(fencingNumber)];
+
 function setUp() {
   const clock = createManualClock();
   const store = createRestorableStore(clock);
@@ -71,4 +75,143 @@
       expect(acquired).not.toEqual([]);
     },
   );
+
+  // Guards against two machines that give orders with one fencing number (ONE).
+  it('gives no holder a fencing number that another one had before', async () => {
+    const { clock, store, start } = setUp();
+    const [a, b] = [start('a'), start('b')];
+    await a.observe();
+    await b.observe();
+    const copy = store.copy();
+    await clock.advance(5_000);
+    const first = await a.acquire();
+    store.restore(copy);
+    await clock.advance(5_000);
+    await b.observe();
+    await clock.advance(5_000);
+    const second = await b.acquire();
+    await a.observe();
+    await clock.advance(5_000);
+    const third = await a.acquire();
+    expect([first, second, third].map((number) => pairOf(number ?? -1))).toMatchInlineSnapshot(`
+      [
+        [
+          1,
+          1,
+        ],
+        [
+          2,
+          1,
+        ],
+        [
+          2,
+          2,
+        ],
+      ]
+    `);
+  });
+
+  // Guards against a process that knows only the copy and acts beside a holder that the copy lacks.
+  it('is not acquired by a process that starts after the restore until other orders are old', async () => {
+    const { clock, store, start } = setUp();
+    const a = start('a');
+    await a.observe();
+    await clock.advance(5_000);
+    const copy = store.copy();
+    await a.acquire();
+    store.restore(copy);
+    const late = start('late');
+    const acquiredAt: number[] = [];
+    const startedAt = clock.now();
+    while (acquiredAt.length === 0) {
+      if ((await late.acquire()) !== undefined) acquiredAt.push(clock.now() - startedAt);
+      await clock.advance(100);
+    }
+    expect(acquiredAt[0]).toBeGreaterThanOrEqual(leaseMs + orderWindowMs);
+    expect(acquiredAt[0]).toBeLessThan(2 * leaseMs);
+  });
+
+  // Guards against rollouts that stop for seconds although the holder is known.
+  it('is acquired at once by the process that has just acted', async () => {
+    const { clock, store, start } = setUp();
+    const a = start('a');
+    await a.observe();
+    await clock.advance(5_000);
+    const copy = store.copy();
+    const before = await a.acquire();
+    await clock.advance(1_000);
+    store.restore(copy);
+    await a.observe();
+    const after = await a.acquire();
+    expect([before, after].map((number) => pairOf(number ?? -1))).toMatchInlineSnapshot(`
+      [
+        [
+          1,
+          1,
+        ],
+        [
+          2,
+          1,
+        ],
+      ]
+    `);
+  });
+
+  // Guards against a former holder that acts at once because the row names it again.
+  it('is not acquired at once by a holder whose successor the copy lacks', async () => {
+    const { clock, store, start } = setUp();
+    const [a, b] = [start('a'), start('b')];
+    await a.acquire();
+    await clock.advance(5_000);
+    await a.acquire();
+    const copy = store.copy();
+    await b.observe();
+    await clock.advance(5_000);
+    expect(await b.acquire()).toBeDefined();
+    store.restore(copy);
+    await a.observe();
+    expect(await a.acquire()).toBeUndefined();
+    expect(a.lease.isHolder).toBe(false);
+  });
+
+  // Guards against series of restores, restarts and missed changes in which two processes act.
+  it('lets no two processes act within its duration, whatever happens', async () => {
+    const name = fc.constantFrom('a', 'b', 'c');
+    const event = fc.oneof(
+      { weight: 3, arbitrary: fc.record({ kind: fc.constant('acquire' as const), name }) },
+      { weight: 2, arbitrary: fc.record({ kind: fc.constant('observe' as const), name }) },
+      fc.record({ kind: fc.constant('restart' as const), name }),
+      fc.record({ kind: fc.constant('copy' as const) }),
+      fc.record({ kind: fc.constant('restore' as const) }),
+      fc.record({ kind: fc.constant('wait' as const), ms: fc.nat({ max: 5_000 }) }),
+      fc.record({ kind: fc.constant('wait' as const), ms: fc.nat({ max: 900 }) }),
+    );
+    await fc.assert(
+      fc.asyncProperty(fc.array(event, { maxLength: 40 }), async (events) => {
+        const { clock, store, start } = setUp();
+        let copy = store.copy();
+        const processes = new Map(['a', 'b', 'c'].map((holder) => [holder, start(holder)]));
+        const acts: { readonly holder: string; readonly at: number; readonly fence: number }[] = [];
+        for (const item of events) {
+          if (item.kind === 'wait') await clock.advance(item.ms);
+          if (item.kind === 'copy') copy = store.copy();
+          if (item.kind === 'restore') store.restore(copy);
+          if (!('name' in item)) continue;
+          if (item.kind === 'restart')
+            processes.set(item.name, start(`${item.name}/${acts.length}`));
+          const found = processes.get(item.name);
+          if (item.kind === 'observe') await found?.observe();
+          const fence = item.kind === 'acquire' ? await found?.acquire() : undefined;
+          if (fence !== undefined) acts.push({ holder: item.name, at: clock.now(), fence });
+        }
+        for (const [index, act] of acts.entries()) {
+          const before = acts[index - 1];
+          if (!before || before.holder === act.holder) continue;
+          expect(act.at - before.at).toBeGreaterThanOrEqual(leaseMs);
+          expect(act.fence).toBeGreaterThan(before.fence);
+        }
+      }),
+      { seed: 56, numRuns: 2_000 },
+    );
+  });
 });
