--- a/src/gateway/targets.ts
+++ b/src/gateway/targets.ts
@@ -3,45 +3,14 @@
 import { type Logger } from '../base/logging.js';
 import { type RowChange } from '../configuration/watch.js';
 import { type SiteDecoder, type TargetRegistration } from '../ports/site.js';
-import { type TargetLoad } from '../ports/wire.js';
-import { type ConnectionPool } from './connectionpool.js';
-import { type Connections, createConnections } from './exchange.js';
-import { type InFlightLoad, lowestPriority } from './inflight.js';
-import { createTargetWeights, type TargetWeights } from './targetweights.js';
+import {
+  createTarget,
+  type ListedTarget,
+  type Target,
+  type TargetConnectionOptions,
+} from './target.js';
 
-/** One target: its registration and what this process observed of it. */
-export interface Target {
-  readonly id: string;
-  readonly registration: TargetRegistration;
-  readonly connections: Connections;
-  /** True once the target is no longer listed. */
-  readonly isRemoved: boolean;
-  /** The target will stop soon, by its registration or by a response; it gets no more requests. */
-  readonly isLeaving: boolean;
-  /** This process's own requests there. */
-  readonly inFlight: InFlightLoad;
-  readonly load: TargetLoad | undefined;
-  /** Age of `load` in milliseconds. */
-  loadAgeMs(): number;
-  readonly weights: Omit<TargetWeights, 'register'>;
-  observeLoad(load: TargetLoad): void;
-  /** Records that a response said that the target is leaving, which holds until its next start. */
-  observeLeaving(): void;
-  /**
-   * When the newest request was sent to which the target began a response, of those that are not
-   * more urgent than `priority`: an engine lets more urgent ones overtake.
-   */
-  newestRespondedSentAt(priority: number): number;
-  observeResponseStart(sentAt: number, priority: number): void;
-  /** Counts a request with its tokens to prefill as in flight until the result is disposed. */
-  startRequest(tokens: number, priority: number): InFlightRequest;
-}
-
-/** One counted request. */
-export interface InFlightRequest extends Disposable {
-  /** Marks the prompt as prefilled, so that its tokens no longer count. */
-  markPrefilled(): void;
-}
+export { type Target } from './target.js';
 
 /** All targets of the site. */
 export interface TargetDirectory {
@@ -54,7 +23,7 @@
   onChange(listener: () => void): Disposable;
 }
 
-export interface TargetDirectoryOptions {
+export interface TargetDirectoryOptions extends TargetConnectionOptions {
   readonly clock: Clock;
   readonly log: Logger;
   readonly decoder: SiteDecoder;
@@ -64,10 +33,6 @@
   onCacheCleared(id: string): void;
   /** Called when a registration could not be decoded. */
   onInvalidRegistration?(): void;
-  /** Called with the time that a new connection to a target took. */
-  onConnected?(durationMs: number): void;
-  /** State that the connections to all targets share; each target has its own if absent. */
-  readonly pool?: ConnectionPool;
 }
 
 /**
@@ -76,105 +41,6 @@
  */
 const expiryGraceMs = 2_200;
 
-interface ListedTarget extends Target {
-  updateRegistration(registration: TargetRegistration): void;
-  close(): void;
-}
-
-function createTarget(
-  clock: Clock,
-  initial: TargetRegistration,
-  onWeightsChange: () => void,
-  onLeaving: () => void,
-  { onConnected, pool }: Pick<TargetDirectoryOptions, 'onConnected' | 'pool'>,
-): ListedTarget {
-  let registration = initial;
-  let isRemoved = false;
-  let hasAnnouncedLeaving = false;
-  /** When the newest request with a response was sent, by priority. */
-  const respondedSentAt: number[] = [];
-  let requests = 0;
-  let prefillTokens: readonly number[] = [];
-  let load: TargetLoad | undefined;
-  let loadAt = -Infinity;
-  const weights = createTargetWeights(clock, initial.weights, onWeightsChange);
-  const connections = createConnections(clock, initial.address, {
-    dataCentre: initial.dataCentre,
-    service: initial.service,
-    ...(pool && { pool }),
-    ...(onConnected && { onConnected }),
-  });
-  return {
-    id: initial.id,
-    get registration() {
-      return registration;
-    },
-    connections,
-    get isRemoved() {
-      return isRemoved;
-    },
-    get isLeaving() {
-      return hasAnnouncedLeaving || registration.isLeaving;
-    },
-    get inFlight() {
-      return { requests, prefillTokens };
-    },
-    get load() {
-      return load;
-    },
-    loadAgeMs: () => clock.now() - loadAt,
-    weights,
-    observeLoad(value) {
-      load = value;
-      loadAt = clock.now();
-    },
-    observeLeaving() {
-      if (hasAnnouncedLeaving) return;
-      hasAnnouncedLeaving = true;
-      onLeaving();
-    },
-    newestRespondedSentAt(priority) {
-      let newest = -Infinity;
-      for (let index = priority; index <= lowestPriority; index += 1)
-        newest = Math.max(newest, respondedSentAt[index] ?? -Infinity);
-      return newest;
-    },
-    observeResponseStart(sentAt, priority) {
-      respondedSentAt[priority] = Math.max(sentAt, respondedSentAt[priority] ?? -Infinity);
-    },
-    startRequest(tokens, priority) {
-      const addTokens = (count: number): void => {
-        if (count === 0) return;
-        const length = Math.max(prefillTokens.length, priority + 1);
-        prefillTokens = Array.from(
-          { length },
-          (_, index) => (prefillTokens[index] ?? 0) + (index === priority ? count : 0),
-        );
-      };
-      requests += 1;
-      addTokens(tokens);
-      let pendingTokens = tokens;
-      const markPrefilled = (): void => {
-        addTokens(-pendingTokens);
-        pendingTokens = 0;
-      };
-      const finish = toDisposable(() => {
-        markPrefilled();
-        requests -= 1;
-      });
-      return { markPrefilled, dispose: () => finish.dispose() };
-    },
-    close() {
-      isRemoved = true;
-      connections.dispose();
-    },
-    updateRegistration(next) {
-      registration = next;
-      weights.register(next.weights);
-    },
-  };
-}
-
 function isSameIncarnation(a: TargetRegistration, b: TargetRegistration): boolean {
   const sameAddress = a.address.host === b.address.host && a.address.port === b.address.port;
   return sameAddress && a.startedAt === b.startedAt && a.service === b.service;
