DRAIN: what a gateway knew of a target holds when the copy says less

The row of the copy stands there alone until its writer writes it again; with versions of the new era it counts as the newest one.

Change: of one incarnation of a target, what was known in an earlier era is not taken back by a row: leaving is final ("A machine that has itself acknowledged an engine's leaving is bound by that also while the store is in impairment", RULES.md), and lower weights are left to what the target itself answers. An incarnation that was replaced never returns. One whose row was removed returns when it writes its row again, or when the row outlasts the expiry of silent targets ("It is removed ... after three check-in intervals of silence", PROTOCOL.md), for which the new setting [targets] check_in names the interval. Within one era the order of the rows decides as before.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -95,6 +95,8 @@
     log,
     pool: connectionPool,
     decoder,
+    eras: store.eras,
+    checkInMs: settings.targets.check_in,
     sinceStoreFailureMs: () => feeds?.targets.sinceFailureMs() ?? Infinity,
     onCacheCleared: (id) => cache.clear(id),
     onInvalidRegistration: () => metrics?.recordIgnoredRow(decoder.targetTable),
--- a/src/daemon/settings/gateway.ts
+++ b/src/daemon/settings/gateway.ts
@@ -28,6 +28,13 @@
       doc: 'Address of the store of configuration, targets and claims.',
     },
   },
+  targets: {
+    check_in: {
+      type: types.duration,
+      fallback: '2s',
+      doc: 'Interval at which targets renew their registrations in the store; one that misses three of them expires.',
+    },
+  },
   machine: {
     memory: {
       type: types.size,
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -2,6 +2,7 @@
 import { type Disposable, toDisposable } from '../base/lifecycle.js';
 import { type TargetRegistration } from '../ports/site.js';
 import { type TargetLoad } from '../ports/wire.js';
+import { type StoreEras } from '../storeera/eras.js';
 import { type ConnectionPool } from './connectionpool.js';
 import { type Connections, createConnections } from './exchange.js';
 import { type InFlightLoad, lowestPriority } from './inflight.js';
@@ -41,7 +42,8 @@
   markPrefilled(): void;
 }
 
-export interface TargetConnectionOptions {
+export interface TargetOptions {
+  readonly eras: Pick<StoreEras, 'current'>;
   /** Called with the time that a new connection to a target took. */
   onConnected?(durationMs: number): void;
   /** State that the connections to all targets share; each target has its own if absent. */
@@ -50,6 +52,10 @@
 
 /** Target with the methods of its directory. */
 export interface ListedTarget extends Target {
+  /**
+   * Applies the row of the target. A target that announced its end in an earlier era of the store goes
+   * on leaving, because the row may be older than the announcement.
+   */
   updateRegistration(registration: TargetRegistration): void;
   close(): void;
 }
@@ -59,9 +65,11 @@
   initial: TargetRegistration,
   onWeightsChange: () => void,
   onLeaving: () => void,
-  { onConnected, pool }: TargetConnectionOptions,
+  { eras, onConnected, pool }: TargetOptions,
 ): ListedTarget {
   let registration = initial;
+  /** Era in which a row first said that the target is leaving. */
+  let leavingEra = initial.isLeaving ? eras.current : Infinity;
   let isRemoved = false;
   let hasAnnouncedLeaving = false;
   /** When the newest request with a response was sent, by priority. */
@@ -70,7 +78,7 @@
   let prefillTokens: readonly number[] = [];
   let load: TargetLoad | undefined;
   let loadAt = -Infinity;
-  const weights = createTargetWeights(clock, initial.weights, onWeightsChange);
+  const weights = createTargetWeights(clock, eras, initial.weights, onWeightsChange);
   const connections = createConnections(clock, initial.address, {
     dataCentre: initial.dataCentre,
     service: initial.service,
@@ -142,7 +150,10 @@
       connections.dispose();
     },
     updateRegistration(next) {
-      registration = next;
+      const isLeaving = next.isLeaving || leavingEra < eras.current;
+      if (!isLeaving) leavingEra = Infinity;
+      else if (leavingEra === Infinity) leavingEra = eras.current;
+      registration = { ...next, isLeaving };
       weights.register(next.weights);
     },
   };
--- a/src/gateway/targets.ts
+++ b/src/gateway/targets.ts
@@ -2,13 +2,10 @@
 import { type Disposable, toDisposable } from '../base/lifecycle.js';
 import { type Logger } from '../base/logging.js';
 import { type RowChange } from '../configuration/watch.js';
+import { type Row } from '../ports/rows.js';
 import { type SiteDecoder, type TargetRegistration } from '../ports/site.js';
-import {
-  createTarget,
-  type ListedTarget,
-  type Target,
-  type TargetConnectionOptions,
-} from './target.js';
+import { createRestoredRegistrations } from './restoredregistrations.js';
+import { createTarget, type ListedTarget, type Target, type TargetOptions } from './target.js';
 
 export { type Target } from './target.js';
 
@@ -23,10 +20,12 @@
   onChange(listener: () => void): Disposable;
 }
 
-export interface TargetDirectoryOptions extends TargetConnectionOptions {
+export interface TargetDirectoryOptions extends TargetOptions {
   readonly clock: Clock;
   readonly log: Logger;
   readonly decoder: SiteDecoder;
+  /** Interval at which targets renew their registrations. */
+  readonly checkInMs: number;
   /** Time since a call to the store last failed; registrations expire during an outage. */
   sinceStoreFailureMs(): number;
   /** Called when a target is removed or has other weights, so that its KV cache is empty. */
@@ -49,6 +48,7 @@
 /** Creates the list of targets from the registrations that they write. */
 export function createTargetDirectory(options: TargetDirectoryOptions): TargetDirectory {
   const { clock, log, decoder, sinceStoreFailureMs, onCacheCleared } = options;
+  const restored = createRestoredRegistrations(options);
   const targets = new Map<string, ListedTarget>();
   const pendingRemovals = new Map<string, Disposable>();
   const listeners = new Set<() => void>();
@@ -84,10 +84,11 @@
     rebuild();
   };
 
-  const removeTarget = (id: string, reason: string): void => {
+  const removeTarget = (id: string, reason: string, isReplaced = false): void => {
     const target = targets.get(id);
     if (!target) return;
     targets.delete(id);
+    restored.recordEnd(target.registration, isReplaced);
     target.close();
     onCacheCleared(id);
     log.info({ target: id, service: target.registration.service, reason }, 'target removed');
@@ -99,6 +100,7 @@
   };
 
   const scheduleRemoval = (id: string): void => {
+    restored.recordRemovedRow(id);
     if (!targets.has(id) || pendingRemovals.has(id)) return;
     const waitMs = expiryGraceMs - sinceStoreFailureMs();
     if (waitMs <= 0) {
@@ -113,7 +115,7 @@
     pendingRemovals.set(id, timer);
   };
 
-  const upsert = (id: string, value: string): void => {
+  const upsert = ({ key: id, version }: Row, value: string): void => {
     const registration = decoder.target(id, value);
     if (!registration) {
       log.warn({ target: id }, 'target registration is invalid and is treated as removed');
@@ -121,19 +123,26 @@
       scheduleRemoval(id);
       return;
     }
+    const applyLater = (): void => {
+      upsert({ key: id, version, value }, value);
+      rebuild();
+    };
+    if (restored.isFromCopy(registration, version, applyLater)) {
+      log.info({ target: id }, 'ignoring the registration of a target that had ended before');
+      return;
+    }
+    restored.recordListed(registration);
     cancelRemoval(id);
     const known = targets.get(id);
     if (known && isSameIncarnation(known.registration, registration)) {
-      if (known.registration.isLeaving !== registration.isLeaving) {
-        log.info(
-          { target: id, isLeaving: registration.isLeaving },
-          'target changed its leaving state',
-        );
-      }
+      const wasLeaving = known.registration.isLeaving;
       known.updateRegistration(registration);
+      const { isLeaving } = known.registration;
+      if (isLeaving !== wasLeaving)
+        log.info({ target: id, isLeaving }, 'target changed its leaving state');
       return;
     }
-    if (known) removeTarget(id, 'target restarted');
+    if (known) removeTarget(id, 'target restarted', true);
     targets.set(
       id,
       createTarget(
@@ -156,11 +165,12 @@
     find: (id) => targets.get(id),
     apply({ rows, isSnapshot }) {
       const listed = new Set<string>();
-      for (const { key, value } of rows) {
+      for (const row of rows) {
+        const { key, value } = row;
         if (value === undefined) scheduleRemoval(key);
         else {
           listed.add(key);
-          upsert(key, value);
+          upsert(row, value);
         }
       }
       if (isSnapshot) {
--- a/src/gateway/targetweights.ts
+++ b/src/gateway/targetweights.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '../base/clock.js';
+import { type StoreEras } from '../storeera/eras.js';
 
 /** What is known of the weights of one target, by model. All sources of a version pass it. */
 export interface TargetWeights {
@@ -18,26 +19,39 @@
   observeOrder(): void;
   /** Discards the version after the target refused a request for it. */
   clear(model: string): void;
-  /** Records the versions of a registration. */
+  /**
+   * Records the versions of a registration. A version that was known in an earlier era of the store is
+   * not replaced by a lower one, because the registration may be older.
+   */
   register(versions: ReadonlyMap<string, number>): void;
 }
 
+interface KnownVersion {
+  readonly version: number;
+  /** When the target named it itself; -Infinity for a registered version. */
+  readonly observedAt: number;
+  /** Era of the store at that time. */
+  readonly era: number;
+}
+
 /** For this long, a version observed at a target takes precedence over an older registered one. */
 const registrationLagMs = 3_000;
 
 export function createTargetWeights(
   clock: Clock,
+  eras: Pick<StoreEras, 'current'>,
   initial: ReadonlyMap<string, number>,
   onChange: () => void,
 ): TargetWeights {
-  const known = new Map<string, { readonly version: number; readonly observedAt: number }>();
+  const known = new Map<string, KnownVersion>();
   const changedAt = new Map<string, number>();
   let orderedAt = -Infinity;
-  for (const [model, version] of initial) known.set(model, { version, observedAt: -Infinity });
+  for (const [model, version] of initial)
+    known.set(model, { version, observedAt: -Infinity, era: eras.current });
 
   const set = (model: string, version: number, observedAt: number): void => {
     const isChanged = known.get(model)?.version !== version;
-    known.set(model, { version, observedAt });
+    known.set(model, { version, observedAt, era: eras.current });
     if (!isChanged) return;
     changedAt.set(model, clock.now());
     onChange();
@@ -61,8 +75,10 @@
     register(versions) {
       for (const [model, version] of versions) {
         const current = known.get(model);
+        if (current?.version === version) continue;
         const isRecent = current && clock.now() - current.observedAt <= registrationLagMs;
-        if (current?.version === version || (isRecent && version < current.version)) continue;
+        const isOfEarlierEra = current && current.era < eras.current;
+        if ((isRecent || isOfEarlierEra) && version < current.version) continue;
         set(model, version, -Infinity);
       }
     },
--- a/test/continuation/copy.test.ts
+++ b/test/continuation/copy.test.ts
@@ -3,6 +3,7 @@
 import { type Placement } from '../../src/gateway/placement.js';
 import { type Target } from '../../src/gateway/targets.js';
 import { createTargetWeights } from '../../src/gateway/targetweights.js';
+import { singleEra } from '../../src/storeera/eras.js';
 import { createManualClock } from '../standins/clock.js';
 
 function createEngine(clock: ReturnType<typeof createManualClock>): Target {
@@ -10,7 +11,7 @@
     registration: { address: { host: '127.0.0.1', port: 1 } },
     isRemoved: false,
     isLeaving: false,
-    weights: createTargetWeights(clock, new Map([['m', 1]]), () => undefined),
+    weights: createTargetWeights(clock, singleEra, new Map([['m', 1]]), () => undefined),
   } as unknown as Target;
 }
 
--- a/test/gateway/targets.test.ts
+++ b/test/gateway/targets.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { createNullLogger } from '../../src/base/logging.js';
 import { createTargetDirectory } from '../../src/gateway/targets.js';
+import { singleEra } from '../../src/storeera/eras.js';
 import { siteDecoder } from '../../platform/site.js';
 import { createManualClock } from '../standins/clock.js';
 
@@ -23,6 +24,8 @@
     clock,
     log: createNullLogger(),
     decoder: siteDecoder,
+    eras: singleEra,
+    checkInMs: 1_000,
     sinceStoreFailureMs: () => sinceStoreFailureMs,
     onCacheCleared: (id) => emptied.push(id),
   });
--- a/test/gateway/targetweights.test.ts
+++ b/test/gateway/targetweights.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { createTargetWeights, type TargetWeights } from '../../src/gateway/targetweights.js';
+import { singleEra } from '../../src/storeera/eras.js';
 import { createManualClock } from '../standins/clock.js';
 
 // Guards against a decision by a version that is older than one already seen, or equal by chance.
@@ -16,7 +17,7 @@
     ['a refusal of the known version', (weights) => weights.clear('m'), 100],
   ])('are settled or not after %s', async (_name, observe, unsettledAt) => {
     const clock = createManualClock();
-    const weights = createTargetWeights(clock, new Map([['m', 1]]), () => undefined);
+    const weights = createTargetWeights(clock, singleEra, new Map([['m', 1]]), () => undefined);
     await clock.advance(100);
     observe(weights);
     expect(weights.unsettledAt('m')).toBe(unsettledAt);
@@ -24,7 +25,7 @@
 
   it('stay unsettled for earlier runs when an older response arrives late', async () => {
     const clock = createManualClock();
-    const weights = createTargetWeights(clock, new Map([['m', 1]]), () => undefined);
+    const weights = createTargetWeights(clock, singleEra, new Map([['m', 1]]), () => undefined);
     await clock.advance(100);
     weights.observeChange('m', 2);
     weights.observe('m', 1);
