--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -185,6 +185,7 @@
       random,
       log,
       table: store,
+      eras: store.eras,
       failureTracker,
       holdMs: settings.quarantine.hold,
       token: stopSource.token,
--- a/src/daemon/gatewayquarantine.ts
+++ b/src/daemon/gatewayquarantine.ts
@@ -9,6 +9,7 @@
 import { createEvidence } from '../quarantine/evidence.js';
 import { createQuarantine, type Quarantine } from '../quarantine/quarantine.js';
 import { createEvidenceShare, type EvidenceHint } from '../quarantine/share.js';
+import { type StoreEras } from '../storeera/eras.js';
 
 /** Quarantine of prompt parts that crash engines, with its sources of evidence. */
 export interface GatewayQuarantine extends Disposable {
@@ -24,6 +25,7 @@
   readonly random: Random;
   readonly log: Logger;
   readonly table: TablePort;
+  readonly eras: Pick<StoreEras, 'current'>;
   readonly failureTracker: FailureTracker;
   readonly holdMs: number;
   readonly token: CancellationToken;
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -7,6 +7,8 @@
 import { type RowChange } from '../configuration/watch.js';
 import { type Row } from '../ports/rows.js';
 import { type TablePort } from '../ports/table.js';
+import { type StoreEras } from '../storeera/eras.js';
+import { eraOf } from '../storeera/version.js';
 import { idsOf, type RequestContent } from './content.js';
 import { type Evidence } from './evidence.js';
 import {
@@ -71,6 +73,7 @@
   readonly random: Random;
   readonly log: Logger;
   readonly table: TablePort;
+  readonly eras: Pick<StoreEras, 'current'>;
   readonly evidence: Evidence;
   readonly share: Pick<EvidenceShare, 'publishSightings' | 'publishAnswers'>;
   /** Time without a change after which a quarantine is lifted. */
@@ -88,6 +91,9 @@
 /** Quarantined combinations; beyond it, the oldest one is lifted. Operators see only a few at a time. */
 const maxEntries = 1_000;
 
+/** Lifted combinations that are remembered for a restore of the store; the oldest one is forgotten. */
+const maxLifted = 1_000;
+
 interface Entry {
   readonly row: QuarantineRow;
   /** Version in the store; undefined while this process's change has not come back from there. */
@@ -97,8 +103,10 @@
 }
 
 export function createQuarantine(options: QuarantineOptions): Quarantine {
-  const { clock, random, log, table, evidence, share, token } = options;
+  const { clock, random, log, table, eras, evidence, share, token } = options;
   const entries = new Map<string, Entry>();
+  /** Era of the store in which each combination was lifted; a copy of the store may still have it. */
+  const liftedIn = new Map<string, number>();
   const waiting = createWaitingRequests();
   const rowWriter = createRowWriter(options);
   const claiming = new Set<string>();
@@ -114,6 +122,10 @@
     const entry = entries.get(key);
     if (!entry) return;
     entries.delete(key);
+    liftedIn.delete(key);
+    liftedIn.set(key, eras.current);
+    const [oldest] = liftedIn.keys();
+    if (liftedIn.size > maxLifted && oldest !== undefined) liftedIn.delete(oldest);
     log.warn({ parts: entry.row.partIds, reason }, 'quarantine of prompt parts was lifted');
     if (isWriter) rowWriter.remove(key);
   };
@@ -209,6 +221,15 @@
     if (!isCovered(partIds)) evidence.forget(partIds);
   };
 
+  /** Writes an entry again that the store has lost. */
+  const restoreRow = (key: string, entry: Entry): void => {
+    entries.set(key, { ...entry, version: undefined });
+    rowWriter.write(key, undefined, () => {
+      const current = entries.get(key);
+      return current?.version === undefined ? current?.row : undefined;
+    });
+  };
+
   const observeRow = ({ key, value, version }: Row): void => {
     const known = entries.get(key);
     if (known?.version !== undefined && version <= known.version) return;
@@ -222,7 +243,14 @@
       return;
     }
     if (!known) log.warn({ ...row }, 'prompt parts were quarantined by another gateway');
-    put(key, row, version);
+    // The row of a copy may lack trials that were made.
+    put(key, { ...row, trials: Math.max(row.trials, known?.row.trials ?? 0) }, version);
+  };
+
+  /** True for a row that a copy of the store still has although the quarantine was lifted. */
+  const isLiftedBefore = ({ key, version }: Row): boolean => {
+    const era = liftedIn.get(key);
+    return !entries.has(key) && era !== undefined && era < eraOf(version);
   };
 
   return {
@@ -267,10 +295,15 @@
     release: (partIds) => release(partIds, false),
     observeRows({ rows, isSnapshot }) {
       const own = rows.filter(({ key }) => isQuarantineKey(key));
-      for (const row of own) observeRow(row);
+      for (const row of own) if (!isSnapshot || !isLiftedBefore(row)) observeRow(row);
       if (!isSnapshot) return;
       const present = new Set(own.map(({ key }) => key));
-      for (const key of [...entries.keys()]) if (!present.has(key)) observeRemoval(key);
+      for (const [key, entry] of [...entries]) {
+        if (present.has(key)) continue;
+        const { version } = entry;
+        if (version !== undefined && eraOf(version) < eras.current) restoreRow(key, entry);
+        else observeRemoval(key);
+      }
     },
   };
 }
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -11,6 +11,7 @@
   type Quarantined,
 } from '../../src/quarantine/quarantine.js';
 import { createEvidenceShare, type EvidenceShare } from '../../src/quarantine/share.js';
+import { singleEra } from '../../src/storeera/eras.js';
 import { createManualClock } from '../standins/clock.js';
 import { createFaultyTable } from '../standins/faultytable.js';
 
@@ -50,6 +51,7 @@
       random: createSeededRandom(seed),
       log: createNullLogger(),
       table,
+      eras: singleEra,
       evidence,
       share,
       holdMs,
