Gateways register again when the store comes back without their addresses

Cause: a gateway wrote its address once. When the store came back from a copy that is older than this row, gateways that started later didn't count it, so they sent it no hints and took too large parts of shared limits.

Change: the address is written again after the first read of an era in which the row is missing; where the copy has it, no call is made.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -387,6 +387,7 @@
     random,
     log,
     table: store,
+    eras: store.eras,
     instance,
     address: settings.listen.peers,
     token: stopSource.token,
@@ -436,11 +437,9 @@
 
   const onSystemRows = (change: RowChange): void => {
     quarantine.observeRows(change);
-    const { rows } = change;
-    for (const { key, value, version } of rows) {
-      if (value !== undefined) gatewayRows.observe(key, value, version);
+    gatewayRows.observeRows(change);
+    for (const { key, value, version } of change.rows)
       if (value !== undefined && key === orderLease.key) orderLease.observe(value, version);
-    }
     peers.setPeers(gatewayRows.peerAddresses());
     rollout.requestStep();
   };
--- a/test/standins/platform/store.ts
+++ b/test/standins/platform/store.ts
@@ -50,6 +50,13 @@
   losesChanges: boolean;
   remove(table: string, key: string): void;
   rows(table: string): ReadonlyMap<string, string>;
+  /** Value of `Store-Era` in all responses; undefined leaves the header out. */
+  era: number | undefined;
+  /**
+   * Copies the rows. The result brings the store back from this copy in the next era, at the version of
+   * the copy; open calls for changes go on waiting.
+   */
+  copy(): () => void;
   /** Drops the change history, so that feeds from an earlier version get status 410. */
   compact(): void;
   /** Stops all responses on the open connections without closing them; new connections work. */
@@ -69,20 +76,16 @@
   });
 }
 
-function send(res: ServerResponse, status: number, body: unknown): void {
-  res.writeHead(status, { 'Content-Type': 'application/json' });
-  res.end(JSON.stringify(body));
-}
-
 /** Starts the stand-in on a free port. */
 export async function startStoreStandin(): Promise<StoreStandin> {
-  const rows = new Map<string, StoredRow>();
+  let rows = new Map<string, StoredRow>();
   const sockets = new Set<Socket>();
   const silenced = new WeakSet<Socket>();
   const waitingFeeds = new Set<() => void>();
   let history: Change[] = [];
   let firstRetainedVersion = 0;
   let ver = 0;
+  let era: number | undefined;
   let calls = 0;
   let fault: StoreFault = 'none';
   let losesChanges = false;
@@ -91,6 +94,12 @@
     malformedTables.has(table) ? [{ table, value: 7 }] : [];
   const startedAt = performance.now();
 
+  const send = (res: ServerResponse, status: number, body: unknown): void => {
+    const named = era === undefined ? {} : { 'Store-Era': String(era) };
+    res.writeHead(status, { 'Content-Type': 'application/json', ...named });
+    res.end(JSON.stringify(body));
+  };
+
   const versionStamp = (): { readonly ver: number; readonly nowMs: number } => ({
     ver,
     nowMs: Math.round(performance.now() - startedAt),
@@ -125,7 +134,7 @@
     const table = url.searchParams.get('table') ?? '';
     const after = Number(url.searchParams.get('after'));
     const waitMs = Number(url.searchParams.get('waitMs'));
-    if (after < firstRetainedVersion) {
+    if (after < firstRetainedVersion || after > ver) {
       send(res, 410, {});
       return;
     }
@@ -221,6 +230,21 @@
           .filter((row) => row.table === table)
           .map((row) => [row.key, Buffer.from(row.value, 'base64').toString('utf8')]),
       ),
+    get era() {
+      return era;
+    },
+    set era(value) {
+      era = value;
+    },
+    copy() {
+      const copied = { rows: new Map(rows), history: [...history], ver };
+      return () => {
+        rows = new Map(copied.rows);
+        history = [...copied.history];
+        ver = copied.ver;
+        era = (era ?? 0) + 1;
+      };
+    },
     compact() {
       history = [];
       ver += 1;
