--- a/src/gateway/restoredregistrations.ts
+++ b/src/gateway/restoredregistrations.ts
@@ -19,8 +19,10 @@
    * when the row is still there after the time in which the registration of a silent target expires.
    */
   isFromCopy(registration: TargetRegistration, version: number, applyLater: () => void): boolean;
-  /** The row of the target is gone. */
+  /** Records that the row of a target is gone. */
   recordRemovedRow(id: string): void;
+  /** Records that no other targets have a row. */
+  recordListedIds(ids: ReadonlySet<string>): void;
 }
 
 export interface RestoredRegistrationsOptions {
@@ -90,5 +92,8 @@
       return true;
     },
     recordRemovedRow: release,
+    recordListedIds(ids) {
+      for (const id of [...heldRows.keys()]) if (!ids.has(id)) release(id);
+    },
   };
 }
--- a/src/gateway/targets.ts
+++ b/src/gateway/targets.ts
@@ -174,6 +174,7 @@
         }
       }
       if (isSnapshot) {
+        restored.recordListedIds(listed);
         for (const id of [...targets.keys()]) if (!listed.has(id)) scheduleRemoval(id);
       }
       rebuild();
--- a/src/ports/rows.ts
+++ b/src/ports/rows.ts
@@ -5,7 +5,7 @@
   readonly key: string;
   /** Value of the row as text; undefined when the row was removed. */
   readonly value: string | undefined;
-  /** Increases with each transaction of the store. */
+  /** Increases with each transaction of the store, also when it comes back from an older copy. */
   readonly version: number;
 }
 
--- a/src/ports/table.ts
+++ b/src/ports/table.ts
@@ -8,7 +8,8 @@
 
 /**
  * One stored item. `version` increases with each write: by 1 in the DynamoDB and the in-memory
- * table, to the version of the transaction in the platform's store.
+ * table, to the version of the transaction in the platform's store, which includes the era of the store
+ * (`src/storeera`).
  */
 export interface TableItem extends TableKey {
   readonly version: number;
--- a/test/configuration/restoredtable.test.ts
+++ b/test/configuration/restoredtable.test.ts
@@ -58,6 +58,7 @@
 /** What happens between the restore and the first read; `copy` was taken before the row `b2`. */
 const orders: Readonly<Record<string, (site: Site, copy: StoreCopy, watch: TableWatch) => void>> = {
   'nothing is written again': ({ store }, copy) => store.restore(copy),
+  'the copy has all that was read': ({ store }) => store.restore(store.copy()),
   'fewer numbers are given out than the known ones'({ store, put }, copy) {
     store.restore(copy);
     put('b4');
--- a/test/gateway/restoredregistrations.test.ts
+++ b/test/gateway/restoredregistrations.test.ts
@@ -68,7 +68,7 @@
       apply(true, state, toVersion(eras.current, number));
     },
     /** The same table is read once more. */
-    readAgain: (state: State) => apply(true, state, toVersion(eras.current, number)),
+    readAgain: (state: State | undefined) => apply(true, state, toVersion(eras.current, number)),
     usable: () =>
       directory.usable('llm').map(({ id, registration }) => `${id}${registration.startedAt}`),
     weights: () => directory.find('a')?.weights.version('m'),
@@ -99,7 +99,7 @@
   });
 
   // Guards against requests to a target whose removal was known (DRAIN).
-  it('stay removed while the copy still lists them', async () => {
+  it.each(['the feed', 'a snapshot'])('stay removed until %s has no row either', async (source) => {
     const site = setUp();
     site.write({});
     site.remove();
@@ -108,7 +108,8 @@
     site.readAgain({});
     expect(site.usable()).toEqual([]);
     // The store drops the row of a silent target.
-    site.remove();
+    if (source === 'the feed') site.remove();
+    else site.readAgain(undefined);
     await site.clock.advance(10 * checkInMs);
     expect(site.usable()).toEqual([]);
   });
--- a/test/orders/ondemandlease.test.ts
+++ b/test/orders/ondemandlease.test.ts
@@ -90,6 +90,21 @@
     expect(a.isHolder).toBe(false);
   });
 
+  // Guards against numbers that engines have seen before, or that are lower.
+  it('continues its fencing numbers after a row that can not be decoded', async () => {
+    const clock = createManualClock();
+    const { row, create } = setUp(clock);
+    const [a, b] = [create('a'), create('b')];
+    await acquire(a);
+    await row.table.transact(
+      [{ partition: '', sort: 'order-holder', value: '{', condition: { version: 1 } }],
+      noCancellation,
+    );
+    row.deliver(b);
+    await clock.advance(5_000);
+    expect(await acquire(b)).toBe(3);
+  });
+
   it('is renewed by the holder before each later order', async () => {
     const clock = createManualClock();
     const { row, create } = setUp(clock);
