--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -35,6 +35,7 @@
 import { createDesiredWeightsHistory } from '../gateway/desiredweights.js';
 import { createEqualSpeeds } from '../targetspeeds/equalspeeds.js';
 import { createTargetSpeedModel, type TargetSpeedModel } from '../targetspeeds/targetspeeds.js';
+import { createFreeLeaseMarker } from '../orders/freelease.js';
 import { createOnDemandOrderLease } from '../orders/ondemandlease.js';
 import { createWeightsRollout } from '../orders/weightsrollout.js';
 import { type ServiceSpec, type SiteConfiguration } from '../ports/site.js';
@@ -226,6 +227,17 @@
     holder: `${instance}/${randomUUID()}`,
     leaseMs: settings.orders.lease,
   });
+  const freeLeaseMarker = resources.add(
+    createFreeLeaseMarker({
+      clock,
+      random,
+      log,
+      eras: store.eras,
+      lease: orderLease,
+      leaseMs: settings.orders.lease,
+      token: stopSource.token,
+    }),
+  );
   const rollout = resources.add(
     createWeightsRollout({
       clock,
@@ -440,6 +452,7 @@
     gatewayRows.observeRows(change);
     for (const { key, value, version } of change.rows)
       if (value !== undefined && key === orderLease.key) orderLease.observe(value, version);
+    freeLeaseMarker.observeTable();
     peers.setPeers(gatewayRows.peerAddresses());
     rollout.requestStep();
   };
--- a/src/orders/ondemandlease.ts
+++ b/src/orders/ondemandlease.ts
@@ -10,6 +10,7 @@
 const rowKey: TableKey = { partition: '', sort: 'order-holder' };
 
 interface HolderRow {
+  /** Empty when the lease is free: all orders of any former holder are old. */
   readonly holder: string;
   /**
    * Increases with each change of holder. It has the era of the store in which the lease was acquired,
@@ -32,7 +33,7 @@
   readonly key: string;
   /** True while this process may acquire the lease at once because it was the last holder. */
   readonly isHolder: boolean;
-  /** Time since this process last observed a change of the row; Infinity without a row. */
+  /** Time since this process last observed a change of the row; Infinity without a holder. */
   unchangedMs(): number;
   /**
    * Returns the fencing number when this process may give an order now, at most `orderWindowMs`
@@ -40,6 +41,12 @@
    * be written in this time.
    */
   acquire(token: CancellationToken): Promise<number | undefined>;
+  /**
+   * Writes that the lease is free if no process has acquired it in this era of the store and all orders
+   * of earlier ones are old. Processes that start later in the era then need not wait; a row that is
+   * missing tells them nothing, because the copy may lack it. Rejects like `TablePort`.
+   */
+  markFree(token: CancellationToken): Promise<void>;
   /** Applies a version of the row from the store; versions that are not newer are ignored. */
   observe(value: string, version: number): void;
 }
@@ -75,9 +82,11 @@
   }
 }
 
+/** Time without a change of the row after which another process may acquire the lease. */
+export const expiryMs = (leaseMs: number): number => leaseMs + orderWindowMs + expiryMarginMs;
+
 export function createOnDemandOrderLease(options: OnDemandOrderLeaseOptions): OnDemandOrderLease {
   const { clock, log, table, eras, holder, leaseMs } = options;
-  const expiryMs = leaseMs + orderWindowMs + expiryMarginMs;
   let row: HolderRow | undefined;
   let version = -1;
   let isVersionKnown = false;
@@ -128,15 +137,18 @@
   };
 
   /** True once the orders of any other holder, including one that the store has forgotten, are old. */
-  const isExpired = (): boolean => Math.min(clock.now() - observedAt, eras.ageMs()) >= expiryMs;
+  const isExpired = (): boolean =>
+    currentRow()?.holder === '' ||
+    Math.min(clock.now() - observedAt, eras.ageMs()) >= expiryMs(leaseMs);
+
+  /** Above all earlier numbers: each version is replaced once, and versions of later eras are higher. */
+  const nextFencingNumber = (): number => Math.max(row?.fencingNumber ?? 0, version) + 1;
 
   const write = async (token: CancellationToken): Promise<number | undefined> => {
     const current = currentRow();
     const isOwn = current?.holder === holder;
     const expected = version;
-    const fencingNumber = isOwn
-      ? current.fencingNumber
-      : Math.max(row?.fencingNumber ?? 0, expected) + 1;
+    const fencingNumber = isOwn ? current.fencingNumber : nextFencingNumber();
     const next: HolderRow = { holder, fencingNumber };
     const startedAt = clock.now();
     const unchangedMs = startedAt - observedAt;
@@ -181,8 +193,16 @@
     get isHolder() {
       return isLastHolder();
     },
-    unchangedMs: () => (row ? clock.now() - observedAt : Infinity),
+    unchangedMs: () => (row?.holder ? clock.now() - observedAt : Infinity),
     observe,
+    async markFree(token) {
+      if (eras.current === 0) return;
+      if (!isVersionKnown || eraOf(version) !== eras.current) await refresh(token);
+      if (currentRow() || !isExpired()) return;
+      const value = JSON.stringify({ holder: '', fencingNumber: nextFencingNumber() });
+      isVersionKnown = false;
+      await table.transact([{ ...rowKey, value, condition: { version } }], token);
+    },
     acquire(token) {
       // Orders of one process share one write; concurrent writes would conflict with each other.
       pendingAcquire ??= tryAcquire(token).finally(() => {
--- a/test/orders/restoredlease.test.ts
+++ b/test/orders/restoredlease.test.ts
@@ -1,6 +1,8 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { noCancellation } from '../../src/base/cancellation.js';
+import { createSeededRandom } from '../../src/base/random.js';
+import { createFreeLeaseMarker } from '../../src/orders/freelease.js';
 import { createNullLogger } from '../../src/base/logging.js';
 import { createOnDemandOrderLease, orderWindowMs } from '../../src/orders/ondemandlease.js';
 import { eraOf, numberOf } from '../../src/storeera/version.js';
@@ -36,6 +38,7 @@
     return {
       lease,
       acquire: () => settled(lease.acquire(noCancellation)),
+      markFree: () => settled(lease.markFree(noCancellation)),
       /** Delivers the row as the watch of the table does. */
       async observe() {
         const item = await settled(table.get(leaseRow, noCancellation));
@@ -123,7 +126,7 @@
     const late = start('late');
     const acquiredAt: number[] = [];
     const startedAt = clock.now();
-    while (acquiredAt.length === 0) {
+    for (let tries = 0; tries < 100 && acquiredAt.length === 0; tries += 1) {
       if ((await late.acquire()) !== undefined) acquiredAt.push(clock.now() - startedAt);
       await clock.advance(100);
     }
@@ -131,6 +134,37 @@
     expect(acquiredAt[0]).toBeLessThan(2 * leaseMs);
   });
 
+  // Guards against late weights on days without a restore, when all processes start anew (VERSION).
+  it('is acquired at once by a process that starts later in an era without orders', async () => {
+    const { clock, store, start } = setUp();
+    const a = start('a');
+    await a.observe();
+    const marker = createFreeLeaseMarker({
+      clock,
+      random: createSeededRandom(1),
+      log: createNullLogger(),
+      eras: { current: 1 },
+      lease: a.lease,
+      leaseMs,
+      token: noCancellation,
+    });
+    marker.observeTable();
+    await clock.advance(3 * leaseMs + 5_000);
+    const free = store.copy();
+    const first = await start('b').acquire();
+    store.restore(free);
+    const afterRestore = await start('c').acquire();
+    expect({ first: pairOf(first ?? -1), afterRestore }).toMatchInlineSnapshot(`
+      {
+        "afterRestore": undefined,
+        "first": [
+          1,
+          2,
+        ],
+      }
+    `);
+  });
+
   // Guards against rollouts that stop for seconds although the holder is known.
   it('is acquired at once by the process that has just acted', async () => {
     const { clock, store, start } = setUp();
@@ -181,6 +215,7 @@
       { weight: 3, arbitrary: fc.record({ kind: fc.constant('acquire' as const), name }) },
       { weight: 2, arbitrary: fc.record({ kind: fc.constant('observe' as const), name }) },
       fc.record({ kind: fc.constant('restart' as const), name }),
+      fc.record({ kind: fc.constant('markFree' as const), name }),
       fc.record({ kind: fc.constant('copy' as const) }),
       fc.record({ kind: fc.constant('restore' as const) }),
       fc.record({ kind: fc.constant('wait' as const), ms: fc.nat({ max: 5_000 }) }),
@@ -200,6 +235,8 @@
           if (item.kind === 'restart')
             processes.set(item.name, start(`${item.name}/${acts.length}`));
           const found = processes.get(item.name);
+          // Rejects when the write was applied in an era that the process doesn't know.
+          if (item.kind === 'markFree') await found?.markFree().catch(() => undefined);
           if (item.kind === 'observe') await found?.observe();
           const fence = item.kind === 'acquire' ? await found?.acquire() : undefined;
           if (fence !== undefined) acts.push({ holder: item.name, at: clock.now(), fence });
--- a/test/orders/weightsrollout.test.ts
+++ b/test/orders/weightsrollout.test.ts
@@ -92,6 +92,7 @@
     unchangedMs: () => Infinity,
     acquire: async () => (canAcquire() ? 7 : undefined),
     observe: () => undefined,
+    markFree: async () => undefined,
   };
   const rollout = createWeightsRollout({
     clock,
