Quarantines: a row that is written anew is not taken for one of the copy

`isFromCopy`, which also starts a timer, is called `holdBack`. Measured: the added step of restoredquarantine.test.ts failed before.

--- a/src/gateway/restoredregistrations.ts
+++ b/src/gateway/restoredregistrations.ts
@@ -15,10 +15,11 @@
   /** Records that an incarnation is listed. */
   recordListed(registration: TargetRegistration): void;
   /**
-   * Returns true when the row must not be applied because it is from the copy. `applyLater` is called
-   * when the row is still there after the time in which the registration of a silent target expires.
+   * Holds back a row of an incarnation that had ended before the restore; returns false when the row
+   * is to be applied. `applyLater` is called when the row of a removed target is still there after the
+   * time in which the registration of a silent target expires.
    */
-  isFromCopy(registration: TargetRegistration, version: number, applyLater: () => void): boolean;
+  holdBack(registration: TargetRegistration, version: number, applyLater: () => void): boolean;
   /** Records that the row of a target is gone. */
   recordRemovedRow(id: string): void;
   /** Records that no other targets have a row. */
@@ -77,7 +78,7 @@
       ends.delete(incarnationOf(registration));
       release(registration.id);
     },
-    isFromCopy(registration, version, applyLater) {
+    holdBack(registration, version, applyLater) {
       const { id } = registration;
       const end = ends.get(incarnationOf(registration));
       if (!end || end.era === eras.current) return false;
--- a/src/gateway/targets.ts
+++ b/src/gateway/targets.ts
@@ -127,7 +127,7 @@
       upsert({ key: id, version, value }, value);
       rebuild();
     };
-    if (restored.isFromCopy(registration, version, applyLater)) {
+    if (restored.holdBack(registration, version, applyLater)) {
       log.info({ target: id }, 'ignoring the registration of a target that had ended before');
       return;
     }
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -94,6 +94,14 @@
 /** Lifted combinations that are remembered for a restore of the store; the oldest one is forgotten. */
 const maxLifted = 1_000;
 
+/** End of a quarantine that a copy of the store may still have. */
+interface Lifted {
+  /** Era of the store in which it was lifted. */
+  readonly era: number;
+  /** Version under which the copy has it; undefined while that is not known. */
+  readonly copyVersion?: number;
+}
+
 interface Entry {
   readonly row: QuarantineRow;
   /** Version in the store; undefined while this process's change has not come back from there. */
@@ -105,8 +113,9 @@
 export function createQuarantine(options: QuarantineOptions): Quarantine {
   const { clock, random, log, table, eras, evidence, share, token } = options;
   const entries = new Map<string, Entry>();
-  /** Era of the store in which each combination was lifted; a copy of the store may still have it. */
-  const liftedIn = new Map<string, number>();
+  const lifted = new Map<string, Lifted>();
+  /** Era of the newest snapshot. */
+  let snapshotEra = eras.current;
   const waiting = createWaitingRequests();
   const rowWriter = createRowWriter(options);
   const claiming = new Set<string>();
@@ -122,10 +131,10 @@
     const entry = entries.get(key);
     if (!entry) return;
     entries.delete(key);
-    liftedIn.delete(key);
-    liftedIn.set(key, eras.current);
-    const [oldest] = liftedIn.keys();
-    if (liftedIn.size > maxLifted && oldest !== undefined) liftedIn.delete(oldest);
+    lifted.delete(key);
+    lifted.set(key, { era: eras.current });
+    const [oldest] = lifted.keys();
+    if (lifted.size > maxLifted && oldest !== undefined) lifted.delete(oldest);
     log.warn({ parts: entry.row.partIds, reason }, 'quarantine of prompt parts was lifted');
     if (isWriter) rowWriter.remove(key);
   };
@@ -247,10 +256,16 @@
     put(key, { ...row, trials: Math.max(row.trials, known?.row.trials ?? 0) }, version);
   };
 
-  /** True for a row that a copy of the store still has although the quarantine was lifted. */
+  /**
+   * True for a row of a snapshot that a copy of the store still has although the quarantine was lifted.
+   * Only the first snapshot of an era shows the copy.
+   */
   const isLiftedBefore = ({ key, version }: Row): boolean => {
-    const era = liftedIn.get(key);
-    return !entries.has(key) && era !== undefined && era < eraOf(version);
+    const end = lifted.get(key);
+    if (!end || entries.has(key)) return false;
+    if (end.era < eras.current && snapshotEra < eras.current)
+      lifted.set(key, { ...end, copyVersion: version });
+    return lifted.get(key)?.copyVersion === version;
   };
 
   return {
@@ -297,6 +312,7 @@
       const own = rows.filter(({ key }) => isQuarantineKey(key));
       for (const row of own) if (!isSnapshot || !isLiftedBefore(row)) observeRow(row);
       if (!isSnapshot) return;
+      snapshotEra = eras.current;
       const present = new Set(own.map(({ key }) => key));
       for (const [key, entry] of [...entries]) {
         if (present.has(key)) continue;
--- a/test/quarantine/restoredquarantine.test.ts
+++ b/test/quarantine/restoredquarantine.test.ts
@@ -93,7 +93,7 @@
 
   // Guards against sound requests that are refused because the store remembers a lifted quarantine (LOST).
   it('stay lifted while the copy still has them', async () => {
-    const { clock, store, gateways, deliver, crashTwice } = setUp(2);
+    const { clock, store, gateways, deliver, crashTwice, keys } = setUp(2);
     await deliver();
     await crashTwice();
     const copy = store.copy();
@@ -103,7 +103,14 @@
     await deliver();
     store.restore(copy);
     await deliver();
+    await deliver();
     expect(gateways.map(({ quarantine }) => quarantine.size)).toEqual([0, 0]);
+    // A gateway writes it anew, and the others read it with the whole table.
+    const [name = ''] = keys();
+    const key = name.split('\n')[2] ?? '';
+    store.put(table, key, store.read(table, key) ?? '');
+    await deliver();
+    expect(gateways.map(({ quarantine }) => quarantine.size)).toEqual([1, 1]);
   });
 
   it('keep the trials that were made', async () => {
