Names and comments of the era code, read again

Cause: read as a newcomer would; `hasRestored` of a version says nothing. Change: one name, three comments; a comment that was wider than the text.

--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -175,7 +175,8 @@
   /** True when the open call began before the expected change was reported and should return it. */
   const isAwaitingExpectedChange = (): boolean => isBehind() && failures === 0 && !isCatchingUp;
 
-  const hasRestored = (version: number): boolean =>
+  /** True for a version of an era in which this table was not read before. */
+  const isOfAnotherEra = (version: number): boolean =>
     completeVersion !== -Infinity && eraOf(version) !== eraOf(completeVersion);
 
   const logRestoredTable = (rows: readonly Row[], version: number): void => {
@@ -191,7 +192,7 @@
     if (position === undefined || shouldReadWholeTable) {
       const isFirst = completeAt === -Infinity;
       const { rows, version, malformedRows } = await feed.list(table, token);
-      const isRestored = hasRestored(version);
+      const isRestored = isOfAnotherEra(version);
       if (isRestored) logRestoredTable(rows, version);
       const maxAgeMs = clock.now() - completeAt;
       recordSuccess();
--- a/src/daemon/gatewaypeers.ts
+++ b/src/daemon/gatewaypeers.ts
@@ -43,8 +43,8 @@
 /**
  * Writes this gateway's address into the store, unless an earlier incarnation has written it, and
  * records the addresses of the other gateways. It is written again when the store comes back from a
- * copy without it, because gateways that start later would not count this one. Rows are never removed: a gateway that no longer
- * exists costs its peers only an occasional datagram.
+ * copy without it, because gateways that start later would not count this one. Rows are never
+ * removed: a gateway that no longer exists costs its peers only an occasional datagram.
  */
 export function registerGateway(options: GatewayRowsOptions): GatewayRows {
   const { clock, random, log, table, eras, instance, address, token } = options;
--- a/src/storeera/eras.ts
+++ b/src/storeera/eras.ts
@@ -16,7 +16,7 @@
   onDidChange(listener: () => void): Disposable;
 }
 
-/** Eras of one store, as the client of the store reads them. */
+/** Eras of one store, for the client that reads its responses. */
 export interface EraTracker extends StoreEras {
   /**
    * Records the era that a response names, if any. Returns that era, or undefined when the response has
